--- /dev/null
+++ b/crates/bench/src/judge.rs
@@ -0,0 +1,435 @@
+//! Judges a run from the ends of the path: what engines produced, what services
+//! ran, what callers got, what trainers accepted.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::fmt::Display;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use firweir::request::lot::Lot;
+use firweir::request::lot::Sample;
+use hdrhistogram::Histogram;
+use serde::Serialize;
+
+use crate::stand::lock;
+
+/// Names one chunk that an engine produced; it stands in the chunk's text.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Mark {
+    /// Engine, counted anew after a restart.
+    pub engine: u32,
+    /// Request on that engine.
+    pub request: u64,
+    /// Chunk of that request.
+    pub seq: u64,
+}
+
+impl Display for Mark {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(formatter, "{}/{}/{}", self.engine, self.request, self.seq)
+    }
+}
+
+impl Mark {
+    fn parse(word: &str) -> Option<Self> {
+        let mut parts = word.trim_end_matches('.').split('/');
+        let engine = parts.next()?.parse().ok()?;
+        let request = parts.next()?.parse().ok()?;
+        let seq = parts.next()?.parse().ok()?;
+        Some(Self {
+            engine,
+            request,
+            seq,
+        })
+    }
+}
+
+/// How one call ended for its caller.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CallOutcome {
+    /// The whole answer to this very request.
+    Answered,
+    /// Refused, and said not to have run.
+    NotRun,
+    /// It may have run.
+    Unknown,
+    /// An answer that was cut off or belonged to another request.
+    Wrong,
+}
+
+/// One call as its caller saw it.
+#[derive(Debug, Clone, Copy)]
+pub struct CallEnd {
+    /// Unique among all requests of a run.
+    pub request: u64,
+    /// How it ended.
+    pub outcome: CallOutcome,
+    /// From first sending to the end.
+    pub latency: Duration,
+    /// What the caller was ready to wait.
+    pub deadline: Duration,
+}
+
+/// Counts of the report, taken at the ends of the path.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
+pub struct Counts {
+    /// Calls that callers made.
+    pub offered: u64,
+    /// Calls that got their whole answer.
+    pub answered: u64,
+    /// Calls that were said not to have run.
+    pub not_run: u64,
+    /// Calls that may have run.
+    pub unknown: u64,
+    /// Samples that trainers accepted.
+    pub samples_delivered: u64,
+    /// Samples, or engine answers, that were accepted twice.
+    pub duplicated: u64,
+    /// Samples missing from accepted steps, and calls without a right answer.
+    pub lost: u64,
+    /// Samples beyond their trainer's bound.
+    pub stale: u64,
+    /// Samples whose label is not what the engine ran.
+    pub mislabelled: u64,
+    /// Charged calls that ran more than once.
+    pub reexecuted: u64,
+    /// Calls that were said not to have run, and ran.
+    pub not_run_ran: u64,
+}
+
+#[derive(Debug, Clone, Default)]
+struct Produced {
+    /// First chunk of each version, in order.
+    versions: Vec<(u64, u64)>,
+    chunks: u64,
+    whole: bool,
+}
+
+#[derive(Debug, Default)]
+struct FeedState {
+    steps: u64,
+    idle: Duration,
+    busy: Duration,
+}
+
+#[derive(Debug)]
+struct State {
+    engines: Vec<Vec<Produced>>,
+    executions: BTreeMap<String, u64>,
+    executed: BTreeSet<u64>,
+    not_run: BTreeSet<u64>,
+    delivered: BTreeSet<(u32, u64)>,
+    feeds: BTreeMap<String, FeedState>,
+    counts: Counts,
+    in_deadline: u64,
+    latency_us: Histogram<u64>,
+    staleness: Histogram<u64>,
+    step_ms: Histogram<u64>,
+}
+
+/// Collects what happens at the ends of the path; cheap to clone.
+#[derive(Debug, Clone)]
+pub struct Judge {
+    state: Arc<Mutex<State>>,
+}
+
+/// One figure that outcomes may be stated about.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Measure {
+    /// Its name in traces.
+    pub name: &'static str,
+    /// Its value.
+    pub value: f64,
+    /// Its unit.
+    pub unit: &'static str,
+}
+
+const PRECISION_DIGITS: u8 = 3;
+
+fn histogram() -> Histogram<u64> {
+    // The precision is a constant within the allowed range.
+    Histogram::new(PRECISION_DIGITS).expect("three digits are a valid precision")
+}
+
+impl Default for Judge {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Judge {
+    /// A judge that has seen nothing.
+    #[must_use]
+    pub fn new() -> Self {
+        let state = State {
+            engines: Vec::new(),
+            executions: BTreeMap::new(),
+            executed: BTreeSet::new(),
+            not_run: BTreeSet::new(),
+            delivered: BTreeSet::new(),
+            feeds: BTreeMap::new(),
+            counts: Counts::default(),
+            in_deadline: 0,
+            latency_us: histogram(),
+            staleness: histogram(),
+            step_ms: histogram(),
+        };
+        Self {
+            state: Arc::new(Mutex::new(state)),
+        }
+    }
+
+    /// A number for an engine that starts.
+    #[must_use]
+    pub fn new_engine(&self) -> u32 {
+        let mut state = lock(&self.state);
+        state.engines.push(Vec::new());
+        state.engines.len() as u32 - 1
+    }
+
+    /// An engine produced a chunk with a weight version.
+    pub fn produced(&self, mark: Mark, version: u64, last: bool) {
+        let mut state = lock(&self.state);
+        let requests = &mut state.engines[mark.engine as usize];
+        let index = mark.request as usize;
+        if requests.len() <= index {
+            requests.resize(index + 1, Produced::default());
+        }
+        let produced = &mut requests[index];
+        if produced
+            .versions
+            .last()
+            .is_none_or(|(_, known)| *known != version)
+        {
+            produced.versions.push((mark.seq, version));
+        }
+        produced.chunks = mark.seq + 1;
+        produced.whole |= last;
+    }
+
+    /// A service ran a request.
+    pub fn executed(&self, request: u64, key: Option<&str>) {
+        let mut state = lock(&self.state);
+        state.executed.insert(request);
+        if let Some(key) = key {
+            *state.executions.entry(key.to_owned()).or_default() += 1;
+        }
+    }
+
+    /// Distinct requests that services ran.
+    #[must_use]
+    pub fn executed_count(&self) -> usize {
+        lock(&self.state).executed.len()
+    }
+
+    /// A caller's call ended.
+    pub fn call_ended(&self, end: &CallEnd) {
+        let mut state = lock(&self.state);
+        state.counts.offered += 1;
+        match end.outcome {
+            CallOutcome::Answered => {
+                state.counts.answered += 1;
+                state.in_deadline += u64::from(end.latency <= end.deadline);
+                state
+                    .latency_us
+                    .saturating_record(end.latency.as_micros() as u64);
+            }
+            CallOutcome::NotRun => {
+                state.counts.not_run += 1;
+                state.not_run.insert(end.request);
+            }
+            CallOutcome::Unknown => state.counts.unknown += 1,
+            CallOutcome::Wrong => state.counts.lost += 1,
+        }
+    }
+
+    /// A trainer accepted a lot that should hold `expected` samples.
+    pub fn accepted(&self, lot: &Lot, expected: u32, trainer_version: u64, bound: u64) {
+        let mut state = lock(&self.state);
+        let slots: BTreeSet<(u32, u32)> = lot
+            .samples
+            .iter()
+            .map(|sample| (sample.group, sample.index))
+            .collect();
+        state.counts.samples_delivered += lot.samples.len() as u64;
+        state.counts.duplicated += (lot.samples.len() - slots.len()) as u64;
+        state.counts.lost += u64::from(expected).saturating_sub(slots.len() as u64);
+        for sample in &lot.samples {
+            state.judge_sample(sample);
+            let oldest = sample.versions().min().unwrap_or(0);
+            let age = trainer_version.saturating_sub(oldest);
+            state.staleness.saturating_record(age);
+            state.counts.stale += u64::from(age > bound);
+        }
+        let feed = state.feeds.entry(lot.feed.clone()).or_default();
+        let due = feed.steps;
+        feed.steps += 1;
+        if lot.step < due {
+            state.counts.duplicated += lot.samples.len() as u64;
+        } else if lot.step > due {
+            state.counts.lost += u64::from(expected) * (lot.step - due);
+        }
+    }
+
+    /// A trainer waited for a lot.
+    pub fn idle(&self, feed: &str, idle: Duration) {
+        let mut state = lock(&self.state);
+        state.step_ms.saturating_record(idle.as_millis() as u64);
+        state.feeds.entry(feed.to_owned()).or_default().idle += idle;
+    }
+
+    /// A trainer trained on a lot.
+    pub fn busy(&self, feed: &str, busy: Duration) {
+        lock(&self.state)
+            .feeds
+            .entry(feed.to_owned())
+            .or_default()
+            .busy += busy;
+    }
+
+    /// Counts of the run so far.
+    #[must_use]
+    pub fn counts(&self) -> Counts {
+        let state = lock(&self.state);
+        let reexecuted = state
+            .executions
+            .values()
+            .map(|runs| runs.saturating_sub(1))
+            .sum();
+        let not_run_ran = state.not_run.intersection(&state.executed).count() as u64;
+        Counts {
+            reexecuted,
+            not_run_ran,
+            ..state.counts
+        }
+    }
+
+    /// Figures of the run so far.
+    #[must_use]
+    pub fn measures(&self) -> Vec<Measure> {
+        let counts = self.counts();
+        let state = lock(&self.state);
+        let idle: f64 = state
+            .feeds
+            .values()
+            .map(|feed| feed.idle.as_secs_f64())
+            .sum();
+        let busy: f64 = state
+            .feeds
+            .values()
+            .map(|feed| feed.busy.as_secs_f64())
+            .sum();
+        let steps: u64 = state.feeds.values().map(|feed| feed.steps).sum();
+        let least = state
+            .feeds
+            .values()
+            .map(|feed| feed.steps)
+            .min()
+            .unwrap_or(0);
+        let count = |name, value: u64, unit| Measure {
+            name,
+            value: value as f64,
+            unit,
+        };
+        let share = |name, part: f64, whole: f64| Measure {
+            name,
+            value: if whole > 0.0 { part / whole } else { 0.0 },
+            unit: "share",
+        };
+        let millis = |quantile| state.latency_us.value_at_quantile(quantile) as f64 / 1_000.0;
+        vec![
+            count("offered", counts.offered, "calls"),
+            count("answered", counts.answered, "calls"),
+            count("not_run", counts.not_run, "calls"),
+            count("unknown", counts.unknown, "calls"),
+            count("duplicated", counts.duplicated, "samples"),
+            count("lost", counts.lost, "samples and calls"),
+            count("stale", counts.stale, "samples"),
+            count("mislabelled", counts.mislabelled, "samples"),
+            count("reexecuted", counts.reexecuted, "calls"),
+            count("not_run_ran", counts.not_run_ran, "calls"),
+            count("samples_delivered", counts.samples_delivered, "samples"),
+            count("steps_accepted", steps, "steps"),
+            count("steps_accepted_least", least, "steps"),
+            share(
+                "live_in_deadline_share",
+                state.in_deadline as f64,
+                counts.offered as f64,
+            ),
+            Measure {
+                name: "live_p50_ms",
+                value: millis(0.5),
+                unit: "ms",
+            },
+            Measure {
+                name: "live_p99_ms",
+                value: millis(0.99),
+                unit: "ms",
+            },
+            share("trainer_idle_share", idle, idle + busy),
+            count("idle_p50_ms", state.step_ms.value_at_quantile(0.5), "ms"),
+            count("idle_p99_ms", state.step_ms.value_at_quantile(0.99), "ms"),
+            count(
+                "staleness_p50",
+                state.staleness.value_at_quantile(0.5),
+                "versions",
+            ),
+            count(
+                "staleness_p99",
+                state.staleness.value_at_quantile(0.99),
+                "versions",
+            ),
+        ]
+    }
+}
+
+impl State {
+    /// Checks a sample against what the engines truly produced.
+    fn judge_sample(&mut self, sample: &Sample) {
+        let mut next: Option<Mark> = None;
+        let mut right = true;
+        for segment in &sample.segments {
+            for word in segment.text.split_whitespace() {
+                let Some(mark) = Mark::parse(word) else {
+                    right = false;
+                    continue;
+                };
+                right &= next.is_none_or(|expected| expected == mark);
+                right &= next.is_some() || mark.seq == 0;
+                right &= self.version_of(mark) == Some(segment.weight_version);
+                next = Some(Mark {
+                    seq: mark.seq + 1,
+                    ..mark
+                });
+            }
+        }
+        let whole = next.is_some_and(|end| self.is_whole(end));
+        self.counts.lost += u64::from(!whole);
+        self.counts.mislabelled += u64::from(!right);
+        if let Some(end) = next {
+            let new = self.delivered.insert((end.engine, end.request));
+            self.counts.duplicated += u64::from(!new);
+        }
+    }
+
+    fn produced(&self, mark: Mark) -> Option<&Produced> {
+        self.engines
+            .get(mark.engine as usize)?
+            .get(mark.request as usize)
+    }
+
+    fn version_of(&self, mark: Mark) -> Option<u64> {
+        let produced = self.produced(mark)?;
+        let position = produced
+            .versions
+            .partition_point(|(first, _)| *first <= mark.seq);
+        Some(produced.versions.get(position.checked_sub(1)?)?.1)
+    }
+
+    fn is_whole(&self, end: Mark) -> bool {
+        self.produced(end)
+            .is_some_and(|produced| produced.whole && produced.chunks == end.seq)
+    }
+}
--- /dev/null
+++ b/crates/bench/src/trainer.rs
@@ -0,0 +1,250 @@
+//! Stand-in for a trainer with its scoring service.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use firweir::connection::client::ClientError;
+use firweir::connection::client::HttpClient;
+use firweir::connection::client::json_request;
+use firweir::connection::server;
+use firweir::connection::server::Body;
+use firweir::connection::server::bytes_response;
+use firweir::connection::server::json;
+use firweir::connection::server::read_body;
+use firweir::process::holder::ScoreRequest;
+use firweir::process::trainer::Accepted;
+use firweir::process::trainer::Published;
+use firweir::request::lot::Lot;
+use firweir::request::record::Acceptance;
+use http::Method;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http::header;
+use hyper::body::Incoming;
+
+use crate::judge::Judge;
+use crate::stand::Ground;
+use crate::stand::query;
+
+/// Longest call of a trainer: a lot is waited for on the other side.
+const CALL_TIMEOUT: Duration = Duration::from_secs(40);
+
+/// Pause before a call that brought nothing is made again.
+const RETRY_PAUSE: Duration = Duration::from_millis(500);
+
+/// Redirects followed before a call counts as failed.
+const REDIRECTS: usize = 3;
+
+/// Largest request body.
+const REQUEST_LIMIT_BYTES: usize = 16 << 20;
+
+/// What a trainer is told.
+#[derive(Debug, Clone)]
+pub struct TrainerSettings {
+    /// Feed that it trains on.
+    pub feed: String,
+    /// Where feeds take trainers; asked in turn, as a balancer would.
+    pub feeds: Vec<SocketAddr>,
+    /// Samples of a whole lot.
+    pub samples: u32,
+    /// Its staleness bound.
+    pub bound_versions: u64,
+    /// Time that it trains on one lot.
+    pub train: Duration,
+}
+
+/// Starts a trainer that takes, accepts and trains until its tasks end.
+///
+/// # Errors
+///
+/// The address cannot be listened at.
+pub async fn start(
+    ground: &Ground,
+    at: SocketAddr,
+    settings: TrainerSettings,
+    judge: Judge,
+) -> io::Result<SocketAddr> {
+    let feed = settings.feed.clone();
+    let handler = server::handler(move |request| {
+        let feed = feed.clone();
+        Box::pin(async move { answer(&feed, request).await })
+    });
+    let address = ground.serve(at, handler).await?;
+    let trainer = Trainer {
+        http: HttpClient::new(Arc::clone(&ground.net), ground.tasks.clone()),
+        ground: ground.clone(),
+        settings,
+        judge,
+    };
+    ground.tasks.spawn(async move { trainer.run().await });
+    Ok(address)
+}
+
+async fn answer(feed: &str, request: Request<Incoming>) -> Response<Body> {
+    let (parts, body) = request.into_parts();
+    let path: Vec<&str> = parts.uri.path().split('/').collect();
+    match (&parts.method, path.as_slice()) {
+        (&Method::GET, ["", "steps", step, "prompts"]) => {
+            let groups = query(parts.uri.query(), "groups");
+            let groups: u32 = groups.and_then(|text| text.parse().ok()).unwrap_or(0);
+            let prompt = |group| format!("{feed} step {step} group {group}: suggest a lot");
+            json(
+                StatusCode::OK,
+                &(0..groups).map(prompt).collect::<Vec<String>>(),
+            )
+        }
+        (&Method::POST, ["", "score"]) => {
+            let body = read_body(body, REQUEST_LIMIT_BYTES)
+                .await
+                .unwrap_or_default();
+            match serde_json::from_slice::<ScoreRequest>(&body) {
+                Ok(request) => json(StatusCode::OK, &rewards(&request)),
+                Err(_) => bytes_response(StatusCode::BAD_REQUEST, Bytes::new()),
+            }
+        }
+        _ => bytes_response(StatusCode::NOT_FOUND, Bytes::new()),
+    }
+}
+
+/// Shorter texts score higher; the score only has to depend on the text.
+fn rewards(request: &ScoreRequest) -> Vec<f64> {
+    request
+        .samples
+        .iter()
+        .map(|sample| 1.0 / (1 + sample.text.len()) as f64)
+        .collect()
+}
+
+struct Trainer {
+    http: HttpClient,
+    ground: Ground,
+    settings: TrainerSettings,
+    judge: Judge,
+}
+
+impl Trainer {
+    async fn run(&self) {
+        let feed = &self.settings.feed;
+        let mut version = 1;
+        self.publish(version).await;
+        loop {
+            let waiting = self.ground.clock.now();
+            let lot = self.take_and_accept(version).await;
+            self.judge
+                .idle(feed, self.ground.clock.now().duration_since(waiting));
+            let settings = &self.settings;
+            self.judge
+                .accepted(&lot, settings.samples, version, settings.bound_versions);
+            tokio::time::sleep(settings.train).await;
+            self.judge.busy(feed, settings.train);
+            version += 1;
+            self.publish(version).await;
+        }
+    }
+
+    async fn take_and_accept(&self, version: u64) -> Lot {
+        loop {
+            let lot = self.take().await;
+            let acceptance = Acceptance {
+                step: lot.step,
+                generation: lot.generation,
+                digest: lot.digest.clone(),
+                trainer_version: version,
+            };
+            if self.accept(&acceptance).await {
+                return lot;
+            }
+        }
+    }
+
+    async fn take(&self) -> Lot {
+        let path = format!("/feeds/{}/lots/next", self.settings.feed);
+        loop {
+            if let Ok(response) = self.call(&Method::GET, &path, &[]).await
+                && let Ok(lot) = serde_json::from_slice::<Lot>(response.body())
+                && lot.is_intact()
+            {
+                return lot;
+            }
+            tokio::time::sleep(RETRY_PAUSE).await;
+        }
+    }
+
+    /// Asks until the answer is definite; an acceptance may be sent again.
+    async fn accept(&self, acceptance: &Acceptance) -> bool {
+        let path = format!("/feeds/{}/accept", self.settings.feed);
+        let body = serde_json::to_vec(acceptance).unwrap_or_default();
+        loop {
+            if let Ok(response) = self.call(&Method::POST, &path, &body).await
+                && let Ok(accepted) = serde_json::from_slice::<Accepted>(response.body())
+            {
+                return accepted.accepted;
+            }
+            tokio::time::sleep(RETRY_PAUSE).await;
+        }
+    }
+
+    async fn publish(&self, version: u64) {
+        let path = format!("/feeds/{}/weights", self.settings.feed);
+        let body = serde_json::to_vec(&Published { version }).unwrap_or_default();
+        loop {
+            let answer = self.call(&Method::POST, &path, &body).await;
+            if answer.is_ok_and(|response| response.status() == StatusCode::OK) {
+                return;
+            }
+            tokio::time::sleep(RETRY_PAUSE).await;
+        }
+    }
+
+    /// Makes a call through any feed, following redirects to the holder.
+    async fn call(
+        &self,
+        method: &Method,
+        path: &str,
+        body: &[u8],
+    ) -> Result<Response<Bytes>, ClientError> {
+        let mut failure = None;
+        for first in &self.settings.feeds {
+            match self.call_from(*first, method, path, body).await {
+                Ok(response) if response.status() != StatusCode::SERVICE_UNAVAILABLE => {
+                    return Ok(response);
+                }
+                Ok(response) => failure = Some(ClientError::Status(response.status())),
+                Err(error) => failure = Some(error),
+            }
+        }
+        Err(failure.unwrap_or(ClientError::Status(StatusCode::SERVICE_UNAVAILABLE)))
+    }
+
+    async fn call_from(
+        &self,
+        first: SocketAddr,
+        method: &Method,
+        path: &str,
+        body: &[u8],
+    ) -> Result<Response<Bytes>, ClientError> {
+        let mut to = first;
+        for _ in 0..REDIRECTS {
+            let request = json_request(method.clone(), path, body.to_vec());
+            let response = self.http.call(to, request, CALL_TIMEOUT).await?;
+            match redirect(&response) {
+                Some(next) => to = next,
+                None => return Ok(response),
+            }
+        }
+        Err(ClientError::Unreachable(to))
+    }
+}
+
+fn redirect(response: &Response<Bytes>) -> Option<SocketAddr> {
+    if response.status() != StatusCode::TEMPORARY_REDIRECT {
+        return None;
+    }
+    let location = response.headers().get(header::LOCATION)?.to_str().ok()?;
+    let authority = location.strip_prefix("http://")?;
+    authority.split('/').next()?.parse().ok()
+}
--- /dev/null
+++ b/crates/bench/src/world.rs
@@ -0,0 +1,410 @@
+//! One deployment inside the replay: the programs' own code on every VM, and the
+//! stand-ins around them.
+
+use std::io;
+use std::net::IpAddr;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use firweir::connection::object::EntryVm;
+use firweir::connection::object::VmList;
+use firweir::process::clock::Clock;
+use firweir::process::clock::RuntimeClock;
+use firweir::process::entry::Entry;
+use firweir::process::entry::MakeDispatcher;
+use firweir::process::feed;
+use firweir::process::log::Journal;
+use firweir::process::run::Parts;
+use firweir::process::settings::Settings;
+use firweir::process::steward;
+use firweir::process::tasks::Tasks;
+use firweir::version::view::Upstream;
+
+use crate::caller::Balancer;
+use crate::caller::Callers;
+use crate::engine::Engine;
+use crate::judge::Judge;
+use crate::object_api::ObjectApiStand;
+use crate::pipe::CLIENT_ZONE;
+use crate::pipe::Fabric;
+use crate::pipe::Latency;
+use crate::pipe::Zone;
+use crate::service;
+use crate::stand::Ground;
+use crate::trace::Trace;
+use crate::trace::TrainerSpec;
+use crate::trace::UpstreamSpec;
+use crate::trainer;
+use crate::trainer::TrainerSettings;
+use crate::weight_store;
+
+const ENTRY_PORT: u16 = 7_000;
+const DRAFT_PORT: u16 = 7_001;
+const FEED_PORT: u16 = 7_002;
+const STEWARD_PORT: u16 = 7_003;
+const UPSTREAM_PORT: u16 = 8_000;
+const PLATFORM_PORT: u16 = 6_000;
+const WEIGHT_PORT: u16 = 6_001;
+const TRAINER_PORT: u16 = 9_000;
+
+/// Where the virtual clock starts, as a time of day.
+const EPOCH: Duration = Duration::from_secs(1_790_000_000);
+
+/// Drains end this long after the listeners were told to close.
+const DRAIN_LINGER_MS: u64 = 2_000;
+
+/// The balancer's health checks notice a change within this.
+pub const HEALTH_CHECK_LAG: Duration = Duration::from_secs(1);
+
+/// One of the system's VMs.
+#[derive(Debug)]
+pub struct Vm {
+    /// Its place in the deployment.
+    pub index: u32,
+    /// Its zone.
+    pub zone: Zone,
+    address: IpAddr,
+    starts: u64,
+    /// Tasks of all its programs; none while it is down.
+    pub tasks: Option<Tasks>,
+}
+
+/// One upstream.
+#[derive(Debug)]
+pub struct UpstreamStand {
+    spec: UpstreamSpec,
+    /// How the VM list shows it.
+    pub listed: Upstream,
+    zone: Zone,
+    starts: u64,
+    tasks: Tasks,
+    /// Set for model engines.
+    pub engine: Option<Engine>,
+}
+
+/// The whole deployment.
+#[derive(Debug)]
+pub struct World {
+    /// What is replayed.
+    pub trace: Trace,
+    /// Judges the run.
+    pub judge: Judge,
+    /// The network.
+    pub fabric: Arc<Fabric>,
+    /// The platform.
+    pub platform: ObjectApiStand,
+    /// The system's VMs.
+    pub vms: Vec<Vm>,
+    /// All upstreams.
+    pub upstreams: Vec<UpstreamStand>,
+    /// The balancer.
+    pub balancer: Balancer,
+    /// All callers.
+    pub callers: Callers,
+    clock: Arc<dyn Clock>,
+    seed: u64,
+    make_dispatcher: MakeDispatcher,
+}
+
+fn address(net: u8, host: u32) -> IpAddr {
+    IpAddr::from([10, net, (host / 250) as u8, (host % 250 + 1) as u8])
+}
+
+impl World {
+    /// Builds the deployment; its VMs are down and its configuration empty.
+    ///
+    /// # Errors
+    ///
+    /// A stand-in cannot listen at its address.
+    pub async fn build(
+        trace: Trace,
+        seed: u64,
+        make_dispatcher: MakeDispatcher,
+    ) -> io::Result<Self> {
+        let fabric = Fabric::new(Latency {
+            local: Duration::from_micros(trace.latency.local_us),
+            zones: Duration::from_micros(trace.latency.zones_us),
+            clients: Duration::from_micros(trace.latency.clients_us),
+        });
+        let clock: Arc<dyn Clock> = Arc::new(RuntimeClock::starting_at(EPOCH));
+        let ground = |host: IpAddr, zone: Zone, part: u64| Ground {
+            net: Arc::new(fabric.host(host, zone)),
+            clock: Arc::clone(&clock),
+            tasks: Tasks::new(),
+            seed: seed.wrapping_mul(31).wrapping_add(part),
+        };
+        let judge = Judge::new();
+        let platform_ground = ground(address(9, 0), Zone(0), 1);
+        let settings = trace.platform;
+        let platform = ObjectApiStand::new(
+            &platform_ground,
+            Duration::from_millis(settings.vm_list_lag_ms),
+            settings.writes_per_s,
+            settings.reads_per_s,
+        );
+        platform.start(&platform_ground, platform_address()).await?;
+        weight_store::start(
+            &platform_ground,
+            weight_address(),
+            settings.weight_loads_at_once,
+            Duration::from_millis(settings.weight_load_ms),
+        )
+        .await?;
+        let balancer = Balancer::default();
+        let client_ground = ground(address(8, 200), CLIENT_ZONE, 2);
+        let callers = Callers::new(client_ground, balancer.clone(), judge.clone());
+        let mut world = Self {
+            vms: Vec::new(),
+            upstreams: Vec::new(),
+            judge,
+            fabric: Arc::clone(&fabric),
+            platform,
+            balancer,
+            callers,
+            clock: Arc::clone(&clock),
+            seed,
+            make_dispatcher,
+            trace,
+        };
+        world.plan_vms();
+        world.start_upstreams().await?;
+        Ok(world)
+    }
+
+    fn zone_of(&self, index: u32) -> Zone {
+        Zone((index as usize % self.trace.zones.len()) as u16)
+    }
+
+    fn zone_name(&self, zone: Zone) -> String {
+        self.trace.zones[zone.0 as usize].clone()
+    }
+
+    fn plan_vms(&mut self) {
+        for index in 0..self.trace.entries {
+            let zone = self.zone_of(index);
+            self.vms.push(Vm {
+                index,
+                zone,
+                address: address(0, index),
+                starts: 0,
+                tasks: None,
+            });
+        }
+    }
+
+    async fn start_upstreams(&mut self) -> io::Result<()> {
+        for spec in self.trace.upstreams.clone() {
+            for index in 0..spec.count {
+                let host = self.upstreams.len() as u32;
+                let zone = self.zone_of(index);
+                let listed = Upstream {
+                    service: spec.service.clone(),
+                    address: SocketAddr::new(address(1, host), UPSTREAM_PORT),
+                    zone: self.zone_name(zone),
+                    leaving: false,
+                };
+                self.upstreams.push(UpstreamStand {
+                    spec: spec.clone(),
+                    listed,
+                    zone,
+                    starts: 0,
+                    tasks: Tasks::new(),
+                    engine: None,
+                });
+                self.start_upstream(host as usize).await?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Starts an upstream, new or after a crash.
+    ///
+    /// # Errors
+    ///
+    /// Its address is in use.
+    pub async fn start_upstream(&mut self, index: usize) -> io::Result<()> {
+        let upstream = &mut self.upstreams[index];
+        upstream.starts += 1;
+        upstream.tasks = Tasks::new();
+        let at = upstream.listed.address;
+        let part = 1_000 + index as u64 + upstream.starts * 100_000;
+        let ground = Ground {
+            net: Arc::new(self.fabric.host(at.ip(), upstream.zone)),
+            clock: Arc::clone(&self.clock),
+            tasks: upstream.tasks.clone(),
+            seed: self.seed.wrapping_mul(31).wrapping_add(part),
+        };
+        let judge = self.judge.clone();
+        if let Some(settings) = upstream.spec.engine {
+            let engine = Engine::start(ground, at, settings, weight_address(), judge).await?;
+            upstream.engine = Some(engine);
+        } else {
+            let work = Duration::from_millis(upstream.spec.work_ms);
+            service::start(&ground, at, work, judge).await?;
+        }
+        Ok(())
+    }
+
+    /// Ends an upstream with all that runs on it.
+    pub fn crash_upstream(&self, index: usize) {
+        self.upstreams[index].tasks.kill();
+    }
+
+    /// Starts the programs of a VM.
+    ///
+    /// # Errors
+    ///
+    /// One of its addresses is in use.
+    pub async fn start_vm(&mut self, index: usize) -> io::Result<()> {
+        let tasks = Tasks::new();
+        let vm = &mut self.vms[index];
+        vm.starts += 1;
+        vm.tasks = Some(tasks.clone());
+        let part = 10 + u64::from(vm.index) + vm.starts * 1_000;
+        let seed = self.seed.wrapping_mul(31).wrapping_add(part);
+        let settings = self.settings(index);
+        let journal = Journal::new(Arc::clone(&self.clock), &settings.node, None)?;
+        let vm = &self.vms[index];
+        let parts = Parts {
+            settings: Arc::new(settings),
+            net: Arc::new(self.fabric.host(vm.address, vm.zone)),
+            clock: Arc::clone(&self.clock),
+            tasks: tasks.clone(),
+            journal,
+            seed,
+        };
+        steward::start(parts.clone()).await?;
+        let entry = Entry::new(parts.clone(), self.make_dispatcher);
+        tasks.spawn(Arc::clone(&entry).serve_callers().await?);
+        entry.serve_peers().await?;
+        tasks.spawn_local(feed::start(parts).await?);
+        Ok(())
+    }
+
+    fn settings(&self, index: usize) -> Settings {
+        let vm = &self.vms[index];
+        let at = |port| SocketAddr::new(vm.address, port);
+        Settings {
+            deployment: self.trace.deployment.clone(),
+            node: format!("vm-{}", vm.index),
+            zone: self.zone_name(vm.zone),
+            object_api: platform_address(),
+            steward_listen: at(STEWARD_PORT),
+            entry_listen: at(ENTRY_PORT),
+            draft_listen: at(DRAFT_PORT),
+            feed_listen: at(FEED_PORT),
+            seeds: Vec::new(),
+            metrics: None,
+            drain_linger_ms: DRAIN_LINGER_MS,
+            log_level: "off".to_owned(),
+        }
+    }
+
+    /// Shows the platform's VM list as things are now.
+    pub fn publish_vms(&self) {
+        let up = |vm: &&Vm| vm.tasks.is_some();
+        let entries = self.vms.iter().filter(up).map(|vm| EntryVm {
+            node: format!("vm-{}", vm.index),
+            steward: SocketAddr::new(vm.address, STEWARD_PORT),
+        });
+        let upstreams = self
+            .upstreams
+            .iter()
+            .map(|upstream| upstream.listed.clone());
+        let vms = VmList {
+            entries: entries.collect(),
+            upstreams: upstreams.collect(),
+        };
+        self.platform.set_vms(vms);
+    }
+
+    /// Lets the balancer see which entries take callers.
+    pub fn check_health(&self) {
+        let well = |vm: &&Vm| vm.tasks.as_ref().is_some_and(|tasks| !tasks.is_draining());
+        let entries = self.vms.iter().filter(well);
+        let addresses = entries.map(|vm| SocketAddr::new(vm.address, ENTRY_PORT));
+        self.balancer.set(addresses.collect());
+    }
+
+    /// Starts the trainers.
+    ///
+    /// # Errors
+    ///
+    /// An address is in use.
+    pub async fn start_trainers(&self) -> io::Result<()> {
+        for (index, spec) in self.trace.trainers.iter().enumerate() {
+            let at = trainer_address(index as u32);
+            let ground = Ground {
+                net: Arc::new(self.fabric.host(at.ip(), CLIENT_ZONE)),
+                clock: Arc::clone(&self.clock),
+                tasks: Tasks::new(),
+                seed: self.seed,
+            };
+            let settings = self.trainer_settings(spec);
+            trainer::start(&ground, at, settings, self.judge.clone()).await?;
+        }
+        Ok(())
+    }
+
+    /// The trainer of a feed, as the configuration names it.
+    #[must_use]
+    pub fn trainer_of(&self, feed: &str) -> String {
+        let position = self
+            .trace
+            .trainers
+            .iter()
+            .position(|spec| spec.feed == feed);
+        trainer_address(position.unwrap_or(self.trace.trainers.len()) as u32).to_string()
+    }
+
+    fn trainer_settings(&self, spec: &TrainerSpec) -> TrainerSettings {
+        let number = |key: &str| {
+            let files = self.trace.config.iter().rev();
+            let mut values = files.filter_map(|file| {
+                file.content
+                    .get("feeds")?
+                    .get(&spec.feed)?
+                    .get(key)?
+                    .as_u64()
+            });
+            values.next().unwrap_or(0)
+        };
+        TrainerSettings {
+            feed: spec.feed.clone(),
+            feeds: self
+                .vms
+                .iter()
+                .map(|vm| SocketAddr::new(vm.address, FEED_PORT))
+                .collect(),
+            samples: (number("groups_per_step") * number("samples_per_group")) as u32,
+            bound_versions: number("staleness_bound_versions"),
+            train: Duration::from_secs_f64(spec.train_s),
+        }
+    }
+
+    /// Parts for an operator inside the network.
+    ///
+    /// # Errors
+    ///
+    /// None today; metrics are off.
+    pub fn operator_parts(&self, number: u32) -> io::Result<Parts> {
+        let mut parts = Parts::for_operator(platform_address())?;
+        parts.net = Arc::new(self.fabric.host(address(8, 100 + number), CLIENT_ZONE));
+        parts.clock = Arc::clone(&self.clock);
+        parts.seed = self.seed.wrapping_add(u64::from(number));
+        Ok(parts)
+    }
+}
+
+fn platform_address() -> SocketAddr {
+    SocketAddr::new(address(9, 0), PLATFORM_PORT)
+}
+
+fn weight_address() -> SocketAddr {
+    SocketAddr::new(address(9, 0), WEIGHT_PORT)
+}
+
+fn trainer_address(index: u32) -> SocketAddr {
+    SocketAddr::new(address(8, index), TRAINER_PORT)
+}
--- /dev/null
+++ b/crates/firweir/schema/firweir.capnp
@@ -0,0 +1,98 @@
+@0xd1c6f0a3b7e94825;
+# Messages between firweir's own processes. src/wire/firweir_capnp.rs is
+# generated from this file: docs/PROGRAMS.md has the command.
+
+struct Hello {
+  # Opens every exchange. A peer of another deployment is refused.
+  deployment @0 :Text;
+  node @1 :Text;
+}
+
+struct Member {
+  node @0 :Text;
+  zone @1 :Text;
+  incarnation @2 :UInt64;
+  counter @3 :UInt64;
+  state @4 :MemberState;
+  stewardAddress @5 :Text;
+  draftAddress @6 :Text;
+  feedAddress @7 :Text;
+  # Configuration revision in force on every program of the VM.
+  revision @8 :UInt64;
+}
+
+enum MemberState {
+  alive @0;
+  suspect @1;
+  leaving @2;
+  dead @3;
+}
+
+struct Upstream {
+  address @0 :Text;
+  zone @1 :Text;
+  service @2 :Text;
+  leaving @3 :Bool;
+}
+
+struct View {
+  generation @0 :UInt64;
+  revision @1 :UInt64;
+  # The merged configuration as JSON.
+  config @2 :Data;
+  members @3 :List(Member);
+  upstreams @4 :List(Upstream);
+}
+
+struct ConfigDocument {
+  revision @0 :UInt64;
+  # The configuration head as JSON, the way the object API holds it.
+  document @1 :Data;
+}
+
+interface Steward {
+  # One per VM. `view` waits until the steward holds a generation newer than `known`.
+  view @0 (known :UInt64, program :Text, revision :UInt64) -> (view :View);
+  exchange @1 (hello :Hello, members :List(Member), config :ConfigDocument)
+      -> (members :List(Member), config :ConfigDocument);
+  status @2 () -> (revision :UInt64, members :List(Member));
+  leave @3 () -> ();
+}
+
+struct Draft {
+  feed @0 :Text;
+  step @1 :UInt64;
+  group @2 :UInt32;
+  index @3 :UInt32;
+  attempt @4 :UInt32;
+  service @5 :Text;
+  model @6 :Text;
+  prompt @7 :Text;
+  maxTokens @8 :UInt32;
+  deadlineMs @9 :UInt64;
+  epoch @10 :UInt64;
+}
+
+struct Segment {
+  text @0 :Text;
+  tokens @1 :UInt32;
+  weightVersion @2 :UInt64;
+}
+
+struct DraftAnswer {
+  union {
+    answered @0 :List(Segment);
+    notRun @1 :Refusal;
+    unknown @2 :Text;
+  }
+}
+
+struct Refusal {
+  reason @0 :Text;
+  retryAfterMs @1 :UInt64;
+}
+
+interface Entry {
+  # Takes one draft as training work, through the limits that live calls pass.
+  draft @0 (draft :Draft) -> (answer :DraftAnswer);
+}
--- /dev/null
+++ b/crates/firweir/src/connection/mod.rs
@@ -0,0 +1,7 @@
+//! What lives as long as a connection: transports, HTTP and peer links.
+
+pub mod client;
+pub mod net;
+pub mod object;
+pub mod peer;
+pub mod server;
--- /dev/null
+++ b/crates/firweir/src/connection/net.rs
@@ -0,0 +1,74 @@
+//! How a process reaches others: over TCP, or over pipes in a replay.
+
+use std::fmt::Debug;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use futures_util::future::BoxFuture;
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+
+/// Both directions of one connection.
+pub trait Conn: AsyncRead + AsyncWrite + Send + Unpin {}
+
+impl<T: AsyncRead + AsyncWrite + Send + Unpin> Conn for T {}
+
+/// A connection of whichever transport.
+pub type BoxConn = Box<dyn Conn>;
+
+/// Opens and accepts connections.
+pub trait Net: Send + Sync + Debug {
+    /// Opens a connection.
+    fn connect(&self, to: SocketAddr) -> BoxFuture<'static, io::Result<BoxConn>>;
+    /// Starts to accept connections at an address.
+    fn listen(&self, at: SocketAddr) -> BoxFuture<'static, io::Result<Box<dyn Listener>>>;
+}
+
+/// Accepts connections.
+pub trait Listener: Send {
+    /// The next connection and where it came from.
+    fn accept(&mut self) -> BoxFuture<'_, io::Result<(BoxConn, SocketAddr)>>;
+    /// The address it accepts at, with the port that the system chose.
+    fn local_address(&self) -> io::Result<SocketAddr>;
+}
+
+/// Shared handle to a transport.
+pub type SharedNet = Arc<dyn Net>;
+
+/// TCP as the machine gives it.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct TcpNet;
+
+impl Net for TcpNet {
+    fn connect(&self, to: SocketAddr) -> BoxFuture<'static, io::Result<BoxConn>> {
+        Box::pin(async move {
+            let stream = TcpStream::connect(to).await?;
+            stream.set_nodelay(true)?;
+            Ok(Box::new(stream) as BoxConn)
+        })
+    }
+
+    fn listen(&self, at: SocketAddr) -> BoxFuture<'static, io::Result<Box<dyn Listener>>> {
+        Box::pin(async move {
+            let listener = TcpListener::bind(at).await?;
+            Ok(Box::new(listener) as Box<dyn Listener>)
+        })
+    }
+}
+
+impl Listener for TcpListener {
+    fn accept(&mut self) -> BoxFuture<'_, io::Result<(BoxConn, SocketAddr)>> {
+        Box::pin(async move {
+            let (stream, from) = TcpListener::accept(self).await?;
+            stream.set_nodelay(true)?;
+            Ok((Box::new(stream) as BoxConn, from))
+        })
+    }
+
+    fn local_address(&self) -> io::Result<SocketAddr> {
+        self.local_addr()
+    }
+}
--- /dev/null
+++ b/crates/firweir/src/connection/server.rs
@@ -0,0 +1,127 @@
+//! HTTP server over any transport, with drain.
+
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::future::BoxFuture;
+use http::HeaderValue;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::combinators::UnsyncBoxBody;
+use hyper::body::Incoming;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use hyper_util::server::conn::auto;
+use hyper_util::server::graceful::GracefulShutdown;
+use hyper_util::service::TowerToHyperService;
+use serde::Serialize;
+
+use crate::connection::net::SharedNet;
+use crate::process::tasks::Tasks;
+
+/// Body of an answer, whole or streamed.
+pub type Body = UnsyncBoxBody<Bytes, io::Error>;
+
+/// What a server hands requests to.
+pub type BoxHandler =
+    tower::util::BoxCloneSyncService<Request<Incoming>, Response<Body>, Infallible>;
+
+/// A request head that is not whole by then ends the connection, so that slow
+/// callers cannot hold connections open for nothing.
+const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Wraps an asynchronous function as a handler.
+pub fn handler<F>(function: F) -> BoxHandler
+where
+    F: Fn(Request<Incoming>) -> BoxFuture<'static, Response<Body>> + Clone + Send + Sync + 'static,
+{
+    let service = tower::service_fn(move |request: Request<Incoming>| {
+        let answering = function(request);
+        async move { Ok::<_, Infallible>(answering.await) }
+    });
+    BoxHandler::new(service)
+}
+
+/// Serves HTTP at `at` until a drain, which goes on accepting for `linger` and
+/// then lets requests in flight finish. Gives the bound address at once and a
+/// future that ends when the last request has.
+pub async fn serve(
+    net: &SharedNet,
+    tasks: &Tasks,
+    at: SocketAddr,
+    linger: Duration,
+    handler: BoxHandler,
+) -> io::Result<(SocketAddr, BoxFuture<'static, ()>)> {
+    let mut listener = net.listen(at).await?;
+    let address = listener.local_address()?;
+    let tasks = tasks.clone();
+    let serving = async move {
+        let graceful = GracefulShutdown::new();
+        let closing = async {
+            tasks.draining().await;
+            tokio::time::sleep(linger).await;
+        };
+        tokio::pin!(closing);
+        loop {
+            let accepted = tokio::select! {
+                biased;
+                () = &mut closing => break,
+                accepted = listener.accept() => accepted,
+            };
+            let Ok((conn, _from)) = accepted else {
+                continue;
+            };
+            let mut builder = auto::Builder::new(tasks.clone());
+            builder
+                .http1()
+                .timer(TokioTimer::new())
+                .header_read_timeout(HEADER_TIMEOUT);
+            let service = TowerToHyperService::new(handler.clone());
+            let connection = builder
+                .serve_connection(TokioIo::new(conn), service)
+                .into_owned();
+            let watched = graceful.watch(connection);
+            tasks.spawn(async move { drop(watched.await) });
+        }
+        drop(listener);
+        graceful.shutdown().await;
+    };
+    Ok((address, Box::pin(serving)))
+}
+
+/// A JSON answer.
+pub fn json<T: Serialize>(status: StatusCode, value: &T) -> Response<Body> {
+    let bytes = serde_json::to_vec(value).unwrap_or_default();
+    let mut response = bytes_response(status, Bytes::from(bytes));
+    let kind = HeaderValue::from_static("application/json");
+    response
+        .headers_mut()
+        .insert(http::header::CONTENT_TYPE, kind);
+    response
+}
+
+/// An answer with these bytes as its body.
+pub fn bytes_response(status: StatusCode, bytes: Bytes) -> Response<Body> {
+    let body = Full::new(bytes)
+        .map_err(|never| match never {})
+        .boxed_unsync();
+    let mut response = Response::new(body);
+    *response.status_mut() = status;
+    response
+}
+
+/// Reads a whole request body, or `None` if it is broken or above the limit.
+pub async fn read_body(body: Incoming, limit_bytes: usize) -> Option<Bytes> {
+    let limited = http_body_util::Limited::new(body, limit_bytes);
+    limited
+        .collect()
+        .await
+        .ok()
+        .map(http_body_util::Collected::to_bytes)
+}
--- /dev/null
+++ b/crates/firweir/src/process/entry.rs
@@ -0,0 +1,260 @@
+//! The entry: takes callers' requests and feeds' drafts, and holds the limits
+//! within which both reach the upstreams.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use arc_swap::ArcSwap;
+use firweir_policy::dispatch::Balanced;
+use firweir_policy::dispatch::Dispatcher;
+use http::Method;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use hyper::body::Incoming;
+
+use crate::connection::client::HttpClient;
+use crate::connection::peer;
+use crate::connection::server;
+use crate::connection::server::Body;
+use crate::connection::server::json;
+use crate::process::follow::follow;
+use crate::process::run::Parts;
+use crate::request::call::boxed_answer;
+use crate::request::draft::read_draft;
+use crate::request::draft::write_drafted;
+use crate::request::gate::Gate;
+use crate::request::idempotency::Ledger;
+use crate::version::view::SharedView;
+use crate::version::view::View;
+use crate::wire::firweir_capnp::entry;
+
+/// Time between looks at time-bound decisions.
+const TICK_EVERY: Duration = Duration::from_millis(100);
+
+/// Path that the balancer asks.
+const HEALTH_PATH: &str = "/healthz";
+
+/// Makes the dispatcher of a service.
+pub type MakeDispatcher = fn() -> Box<dyn Dispatcher>;
+
+/// The dispatcher that firweir runs with.
+#[must_use]
+pub fn balanced() -> Box<dyn Dispatcher> {
+    Box::new(Balanced::new())
+}
+
+#[derive(Debug)]
+struct NamedGate {
+    service: String,
+    gate: Arc<Gate>,
+}
+
+/// What all requests of one entry share.
+#[derive(Debug)]
+pub struct Entry {
+    parts: Parts,
+    http: HttpClient,
+    ledger: Ledger,
+    view: SharedView,
+    /// Gates sorted by service; replaced whole when a service appears.
+    gates: ArcSwap<Vec<NamedGate>>,
+    make_dispatcher: MakeDispatcher,
+}
+
+impl Entry {
+    /// An entry that knows nothing of the fleet yet.
+    #[must_use]
+    pub fn new(parts: Parts, make_dispatcher: MakeDispatcher) -> Arc<Self> {
+        Arc::new(Self {
+            http: parts.http(),
+            ledger: Ledger::new(parts.object_api("entry")),
+            view: SharedView::default(),
+            gates: ArcSwap::default(),
+            make_dispatcher,
+            parts,
+        })
+    }
+
+    /// Serves callers until a drain has ended.
+    ///
+    /// # Errors
+    ///
+    /// The address cannot be listened at.
+    pub async fn serve_callers(
+        self: Arc<Self>,
+    ) -> std::io::Result<impl Future<Output = ()> + Send> {
+        let entry = Arc::clone(&self);
+        let handler = server::handler(move |request| {
+            let entry = Arc::clone(&entry);
+            Box::pin(async move { entry.route(request).await })
+        });
+        let settings = &self.parts.settings;
+        let (at, linger) = (settings.entry_listen, settings.drain_linger());
+        let (address, serving) =
+            server::serve(&self.parts.net, &self.parts.tasks, at, linger, handler).await?;
+        self.parts
+            .journal
+            .event("entry_started", &[("address", &address)]);
+        let ticking = Arc::clone(&self);
+        self.parts
+            .tasks
+            .spawn(async move { ticking.tick_forever().await });
+        Ok(serving)
+    }
+
+    /// Serves drafts and follows the steward; runs on one thread's `LocalSet`.
+    ///
+    /// # Errors
+    ///
+    /// The address cannot be listened at.
+    pub async fn serve_peers(self: Arc<Self>) -> std::io::Result<()> {
+        let client: entry::Client = capnp_rpc::new_client(Drafts(Arc::clone(&self)));
+        let at = self.parts.settings.draft_listen;
+        let (address, serving) =
+            peer::serve(&self.parts.net, &self.parts.tasks, at, client.client).await?;
+        self.parts.tasks.spawn_local(serving);
+        self.parts
+            .journal
+            .event("drafts_started", &[("address", &address)]);
+        let follower = Arc::clone(&self);
+        let view = Arc::clone(&self.view);
+        let following = follow(self.parts.clone(), "entry", view, move |view| {
+            follower.take_view(view);
+        });
+        self.parts.tasks.spawn_local(following);
+        Ok(())
+    }
+
+    /// The newest view.
+    #[must_use]
+    pub fn view(&self) -> Arc<View> {
+        self.view.load_full()
+    }
+
+    /// The time.
+    #[must_use]
+    pub fn now(&self) -> Instant {
+        self.parts.clock.now()
+    }
+
+    /// The client towards upstreams.
+    #[must_use]
+    pub const fn http(&self) -> &HttpClient {
+        &self.http
+    }
+
+    /// Records of charged calls.
+    #[must_use]
+    pub const fn ledger(&self) -> &Ledger {
+        &self.ledger
+    }
+
+    /// The gate of a service.
+    #[must_use]
+    pub fn gate(&self, service: &str) -> Option<Arc<Gate>> {
+        let gates = self.gates.load();
+        let position = gates
+            .binary_search_by(|named| named.service.as_str().cmp(service))
+            .ok()?;
+        Some(Arc::clone(&gates[position].gate))
+    }
+
+    /// Logs and measures one call, as far as its head.
+    pub fn note_call(&self, service: &str, outcome: &str, started: Instant, patience: Duration) {
+        let elapsed = self.now().duration_since(started);
+        self.parts.journal.time("entry.call", elapsed);
+        self.parts.journal.count(match outcome {
+            "answered" => "entry.answered",
+            "not-run" => "entry.not_run",
+            _ => "entry.unknown",
+        });
+        let (latency_ms, deadline_ms) = (elapsed.as_millis(), patience.as_millis());
+        self.parts.journal.event(
+            "call",
+            &[
+                ("service", &service),
+                ("outcome", &outcome),
+                ("latency_ms", &latency_ms),
+                ("deadline_ms", &deadline_ms),
+            ],
+        );
+    }
+
+    async fn route(self: Arc<Self>, request: Request<Incoming>) -> Response<Body> {
+        if request.method() == Method::GET && request.uri().path() == HEALTH_PATH {
+            return self.health();
+        }
+        boxed_answer(self, request).await
+    }
+
+    /// The balancer stops sending as soon as this fails, which it does when a
+    /// drain starts or as long as no configuration is in force.
+    fn health(&self) -> Response<Body> {
+        let view = self.view.load();
+        let healthy = !self.parts.tasks.is_draining() && view.revision > 0;
+        let status = if healthy {
+            StatusCode::OK
+        } else {
+            StatusCode::SERVICE_UNAVAILABLE
+        };
+        json(
+            status,
+            &serde_json::json!({ "healthy": healthy, "revision": view.revision }),
+        )
+    }
+
+    fn take_view(&self, view: &View) {
+        let known = self.gates.load();
+        let gates: Vec<NamedGate> = view
+            .config
+            .services
+            .iter()
+            .map(|service| {
+                let held = known.iter().find(|named| named.service == service.name);
+                let gate = held.map_or_else(
+                    || Gate::new(Arc::clone(&self.parts.clock), (self.make_dispatcher)()),
+                    |named| Arc::clone(&named.gate),
+                );
+                let entries = view.live_members().count().max(1) as u32;
+                let upstreams = view.upstreams_of(&service.name);
+                let limit = service.value.limit_per_upstream;
+                gate.set_upstreams(upstreams, &self.parts.settings.zone, limit, entries);
+                NamedGate {
+                    service: service.name.clone(),
+                    gate,
+                }
+            })
+            .collect();
+        self.gates.store(Arc::new(gates));
+        self.parts
+            .journal
+            .event("view_taken", &[("revision", &view.revision)]);
+    }
+
+    async fn tick_forever(&self) {
+        loop {
+            tokio::time::sleep(TICK_EVERY).await;
+            for named in self.gates.load().iter() {
+                named.gate.tick();
+            }
+        }
+    }
+}
+
+/// The entry as feeds see it.
+struct Drafts(Arc<Entry>);
+
+impl entry::Server for Drafts {
+    async fn draft(
+        self: std::rc::Rc<Self>,
+        params: entry::DraftParams,
+        mut results: entry::DraftResults,
+    ) -> Result<(), capnp::Error> {
+        let draft = read_draft(params.get()?.get_draft()?)?;
+        let drafted = self.0.draft(&draft).await;
+        write_drafted(&drafted, results.get().init_answer());
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/firweir/src/process/mod.rs
@@ -0,0 +1,15 @@
+//! What lives as long as a process: its settings, clock, tasks and parts.
+
+pub mod clock;
+pub mod ctl;
+pub mod entry;
+pub mod feed;
+pub mod follow;
+pub mod holder;
+pub mod log;
+pub mod membership;
+pub mod run;
+pub mod settings;
+pub mod steward;
+pub mod tasks;
+pub mod trainer;
--- /dev/null
+++ b/crates/firweir/src/request/call.rs
@@ -0,0 +1,370 @@
+//! One live call: read, admitted, sent to an upstream, tried again where that is
+//! safe, and answered with a typed outcome.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::Context;
+use std::task::Poll;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use firweir_policy::work::Class;
+use firweir_policy::work::Ending;
+use firweir_policy::work::UpstreamKey;
+use futures_util::future::BoxFuture;
+use http::HeaderMap;
+use http::HeaderName;
+use http::HeaderValue;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http::header;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use hyper::body::Body as HttpBody;
+use hyper::body::Frame;
+use hyper::body::Incoming;
+use tokio::time::Sleep;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::connection::client::ClientError;
+use crate::connection::client::within;
+use crate::connection::server::Body;
+use crate::connection::server::bytes_response;
+use crate::connection::server::read_body;
+use crate::process::entry::Entry;
+use crate::request::answer::OUTCOME_HEADER;
+use crate::request::answer::Outcome;
+use crate::request::answer::Refused;
+use crate::request::gate::Ask;
+use crate::request::gate::Gate;
+use crate::request::gate::Permit;
+use crate::request::head::CallHead;
+use crate::request::idempotency::Begin;
+
+/// Largest request body.
+const REQUEST_LIMIT_BYTES: usize = 1 << 20;
+
+/// Largest answer that is not streamed.
+const ANSWER_LIMIT_BYTES: usize = 8 << 20;
+
+/// Bytes of a body that count as its prompt prefix.
+const PREFIX_BYTES: usize = 256;
+
+/// Bytes of text per token, for cost estimates.
+const BYTES_PER_TOKEN: usize = 4;
+
+/// When a caller whose call failed may send it again.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Headers that concern one connection or are set anew for the next.
+const HOP_HEADERS: [HeaderName; 6] = [
+    header::CONNECTION,
+    header::HOST,
+    header::CONTENT_LENGTH,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+    header::TE,
+];
+
+/// What an upstream gave.
+enum Given {
+    /// A whole answer.
+    Whole(Response<Bytes>),
+    /// A stream that still goes on.
+    Stream(Response<Incoming>, Permit),
+}
+
+/// A try that brought no answer.
+struct Failure {
+    ending: Ending,
+    upstream: UpstreamKey,
+}
+
+/// A call with all that its tries need.
+struct Call {
+    head: CallHead,
+    headers: HeaderMap,
+    body: Bytes,
+    deadline: Instant,
+}
+
+/// Answers one caller.
+pub async fn answer(entry: Arc<Entry>, request: Request<Incoming>) -> Response<Body> {
+    let started = entry.now();
+    let (parts, body) = request.into_parts();
+    let head = match CallHead::read(&parts, &entry.view()) {
+        Ok(head) => head,
+        Err(refused) => return refused.response(),
+    };
+    let Some(body) = within(head.patience, read_body(body, REQUEST_LIMIT_BYTES))
+        .await
+        .flatten()
+    else {
+        return Refused::bad_request("bad-body", StatusCode::PAYLOAD_TOO_LARGE).response();
+    };
+    let call = Call {
+        deadline: started + head.patience,
+        headers: parts.headers,
+        head,
+        body,
+    };
+    let response = call.answer(&entry).await;
+    entry.note_call(
+        &call.head.service,
+        outcome_of(&response),
+        started,
+        call.head.patience,
+    );
+    response
+}
+
+fn outcome_of(response: &Response<Body>) -> &str {
+    let outcome = response.headers().get(OUTCOME_HEADER);
+    outcome
+        .and_then(|value| value.to_str().ok())
+        .unwrap_or("unknown")
+}
+
+impl Call {
+    async fn answer(&self, entry: &Arc<Entry>) -> Response<Body> {
+        let Some(key) = &self.head.idempotency_key else {
+            return match self.run(entry).await {
+                Ok(given) => self.respond(given),
+                Err(refused) => refused.response(),
+            };
+        };
+        match entry
+            .ledger()
+            .begin(&self.head.service, key, &self.body)
+            .await
+        {
+            Begin::Refuse(refused) => refused.response(),
+            Begin::Answer(stored) => whole_response(stored),
+            Begin::Run(claim) => match self.run(entry).await {
+                Ok(Given::Whole(whole)) => {
+                    claim.answered(&whole).await;
+                    whole_response(whole)
+                }
+                Ok(stream @ Given::Stream(..)) => self.respond(stream),
+                Err(refused) => {
+                    if refused.outcome == Outcome::NotRun {
+                        claim.not_run().await;
+                    }
+                    refused.response()
+                }
+            },
+        }
+    }
+
+    /// Tries until an upstream answers, the call may not be repeated, or time
+    /// or budget is up.
+    async fn run(&self, entry: &Arc<Entry>) -> Result<Given, Refused> {
+        let gate = entry
+            .gate(&self.head.service)
+            .ok_or_else(|| Refused::bad_request("unknown-service", StatusCode::NOT_FOUND))?;
+        gate.count_offered();
+        let mut avoid = Vec::new();
+        let mut may_have_run = false;
+        for tries in 1.. {
+            let permit = match gate.admit(self.ask(avoid.clone())).await {
+                Ok(permit) => permit,
+                Err(turned) if may_have_run => {
+                    return Err(Refused::unknown(turned.reason.as_str(), turned.retry_after));
+                }
+                Err(turned) => {
+                    return Err(Refused::not_run(turned.reason.as_str(), turned.retry_after));
+                }
+            };
+            let failure = match self.try_upstream(entry, permit).await {
+                Ok(given) => return Ok(given),
+                Err(failure) => failure,
+            };
+            may_have_run |= failure.ending != Ending::Unreachable;
+            avoid.push(failure.upstream);
+            let in_time = entry.now() < self.deadline;
+            if !in_time || !self.may_retry(&gate, failure.ending, tries) {
+                break;
+            }
+        }
+        if may_have_run {
+            Err(Refused::unknown("upstream-failed", RETRY_AFTER))
+        } else {
+            Err(Refused::not_run("unreachable", RETRY_AFTER))
+        }
+    }
+
+    fn may_retry(&self, gate: &Gate, ending: Ending, tries: u32) -> bool {
+        gate.allow_retry(ending, self.head.idempotent, tries)
+    }
+
+    async fn try_upstream(&self, entry: &Entry, permit: Permit) -> Result<Given, Failure> {
+        let upstream = permit.upstream();
+        let remaining = self.deadline.saturating_duration_since(entry.now());
+        let sending = async {
+            let response = entry
+                .http()
+                .send(permit.address(), self.upstream_request())
+                .await?;
+            if is_stream(&response) {
+                return Ok(Err(response));
+            }
+            let (parts, body) = response.into_parts();
+            let broken = |_broken| ClientError::Broken(permit.address());
+            let body = Limited::new(body, ANSWER_LIMIT_BYTES)
+                .collect()
+                .await
+                .map_err(broken)?;
+            Ok(Ok(Response::from_parts(parts, body.to_bytes())))
+        };
+        let ending = match within(remaining, sending).await {
+            Some(Ok(Ok(whole))) if !whole.status().is_server_error() => {
+                permit.finish(
+                    Ending::Answered,
+                    (whole.body().len() / BYTES_PER_TOKEN) as u32,
+                );
+                return Ok(Given::Whole(whole));
+            }
+            Some(Ok(Err(stream))) => return Ok(Given::Stream(stream, permit)),
+            Some(Ok(Ok(_)) | Err(ClientError::Broken(_))) => Ending::Failed,
+            Some(Err(error)) if error.is_not_sent() => Ending::Unreachable,
+            Some(Err(_)) => Ending::Failed,
+            None => Ending::Abandoned,
+        };
+        permit.finish(ending, 0);
+        Err(Failure { ending, upstream })
+    }
+
+    fn upstream_request(&self) -> Request<Full<Bytes>> {
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.head.method.clone();
+        *request.uri_mut() = self.head.path.parse().unwrap_or_default();
+        *request.headers_mut() = without_hop_headers(&self.headers);
+        request
+    }
+
+    fn ask(&self, avoid: Vec<UpstreamKey>) -> Ask {
+        let prefix = &self.body[..self.body.len().min(PREFIX_BYTES)];
+        Ask {
+            class: Class::Live,
+            caller: self.head.caller,
+            prefix: xxh3_64(prefix),
+            cost_tokens: (self.body.len() / BYTES_PER_TOKEN) as u32,
+            deadline: self.deadline,
+            avoid,
+        }
+    }
+
+    fn respond(&self, given: Given) -> Response<Body> {
+        match given {
+            Given::Whole(whole) => whole_response(whole),
+            Given::Stream(response, permit) => {
+                let (parts, body) = response.into_parts();
+                let tracked = Tracked::new(body, permit, self.deadline);
+                let mut response = Response::new(tracked.boxed_unsync());
+                *response.status_mut() = parts.status;
+                *response.headers_mut() = without_hop_headers(&parts.headers);
+                mark_answered(response.headers_mut());
+                response
+            }
+        }
+    }
+}
+
+fn is_stream(response: &Response<Incoming>) -> bool {
+    let kind = response.headers().get(header::CONTENT_TYPE);
+    kind.is_some_and(|kind| kind.as_bytes().starts_with(b"text/event-stream"))
+}
+
+fn without_hop_headers(headers: &HeaderMap) -> HeaderMap {
+    let mut kept = headers.clone();
+    for name in &HOP_HEADERS {
+        kept.remove(name);
+    }
+    kept
+}
+
+fn mark_answered(headers: &mut HeaderMap) {
+    let outcome = HeaderValue::from_static(Outcome::Answered.as_str());
+    headers.insert(OUTCOME_HEADER, outcome);
+}
+
+fn whole_response(whole: Response<Bytes>) -> Response<Body> {
+    let (parts, body) = whole.into_parts();
+    let mut response = bytes_response(parts.status, body);
+    *response.headers_mut() = without_hop_headers(&parts.headers);
+    mark_answered(response.headers_mut());
+    response
+}
+
+/// A streamed answer that reports its end to the gate.
+///
+/// If the upstream breaks off or the deadline passes, the caller's connection
+/// is broken off as well: a stream that simply ended there would look whole.
+struct Tracked {
+    body: Incoming,
+    permit: Option<Permit>,
+    deadline: Pin<Box<Sleep>>,
+    bytes: usize,
+}
+
+impl Tracked {
+    fn new(body: Incoming, permit: Permit, deadline: Instant) -> Self {
+        let deadline = tokio::time::sleep_until(tokio::time::Instant::from_std(deadline));
+        Self {
+            body,
+            permit: Some(permit),
+            deadline: Box::pin(deadline),
+            bytes: 0,
+        }
+    }
+
+    fn finish(&mut self, ending: Ending) {
+        if let Some(permit) = self.permit.take() {
+            permit.finish(ending, (self.bytes / BYTES_PER_TOKEN) as u32);
+        }
+    }
+}
+
+impl HttpBody for Tracked {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        match Pin::new(&mut self.body).poll_frame(context) {
+            Poll::Ready(Some(Ok(frame))) => {
+                self.bytes += frame.data_ref().map_or(0, Bytes::len);
+                Poll::Ready(Some(Ok(frame)))
+            }
+            Poll::Ready(Some(Err(error))) => {
+                self.finish(Ending::Failed);
+                Poll::Ready(Some(Err(io::Error::other(error))))
+            }
+            Poll::Ready(None) => {
+                self.finish(Ending::Answered);
+                Poll::Ready(None)
+            }
+            Poll::Pending => {
+                if self.deadline.as_mut().poll(context).is_pending() {
+                    return Poll::Pending;
+                }
+                self.finish(Ending::Abandoned);
+                Poll::Ready(Some(Err(io::ErrorKind::TimedOut.into())))
+            }
+        }
+    }
+}
+
+/// Answers a caller as a boxed future, for the server.
+pub fn boxed_answer(
+    entry: Arc<Entry>,
+    request: Request<Incoming>,
+) -> BoxFuture<'static, Response<Body>> {
+    Box::pin(answer(entry, request))
+}
--- /dev/null
+++ b/crates/firweir/src/request/gate.rs
@@ -0,0 +1,327 @@
+//! Where a request waits for its upstream: the dispatcher of one service, made
+//! usable by many tasks.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use firweir_policy::dispatch::Decision;
+use firweir_policy::dispatch::Dispatcher;
+use firweir_policy::retry::Budget;
+use firweir_policy::work::Class;
+use firweir_policy::work::Ending;
+use firweir_policy::work::Finish;
+use firweir_policy::work::Refusal;
+use firweir_policy::work::UpstreamKey;
+use firweir_policy::work::UpstreamState;
+use firweir_policy::work::Work;
+use firweir_policy::work::WorkKey;
+use tokio::sync::oneshot;
+
+use crate::process::clock::Clock;
+use crate::version::view::Upstream;
+
+/// What a request asks its gate for.
+#[derive(Debug, Clone)]
+pub struct Ask {
+    /// Who it is for.
+    pub class: Class,
+    /// Hash of the caller or feed.
+    pub caller: u64,
+    /// Hash of the prompt prefix.
+    pub prefix: u64,
+    /// Estimated cost, prompt and answer together.
+    pub cost_tokens: u32,
+    /// The answer is worthless after this.
+    pub deadline: Instant,
+    /// Upstreams that already failed this request.
+    pub avoid: Vec<UpstreamKey>,
+}
+
+/// The work was turned away; no byte of it was sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TurnedAway {
+    /// Why.
+    pub reason: Refusal,
+    /// When to come back.
+    pub retry_after: Duration,
+}
+
+/// The gate of one service.
+#[derive(Debug)]
+pub struct Gate {
+    clock: Arc<dyn Clock>,
+    inner: Mutex<Inner>,
+}
+
+struct Inner {
+    dispatcher: Box<dyn Dispatcher>,
+    budget: Budget,
+    next_work: u64,
+    /// Sorted by key: keys only grow.
+    waiting: Vec<(WorkKey, oneshot::Sender<Decision>)>,
+    /// Addresses by upstream key. Rows are never removed, so that a key names
+    /// the same upstream for as long as the process lives.
+    addresses: Vec<SocketAddr>,
+}
+
+impl std::fmt::Debug for Inner {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter
+            .debug_struct("Inner")
+            .field("waiting", &self.waiting.len())
+            .finish_non_exhaustive()
+    }
+}
+
+impl Gate {
+    /// A gate that judges with this dispatcher.
+    #[must_use]
+    pub fn new(clock: Arc<dyn Clock>, dispatcher: Box<dyn Dispatcher>) -> Arc<Self> {
+        let inner = Inner {
+            dispatcher,
+            budget: Budget::default(),
+            next_work: 0,
+            waiting: Vec::new(),
+            addresses: Vec::new(),
+        };
+        Arc::new(Self {
+            clock,
+            inner: Mutex::new(inner),
+        })
+    }
+
+    /// Takes in the upstreams of the service as the view shows them.
+    pub fn set_upstreams(&self, upstreams: &[Upstream], zone: &str, limit: u32, entries: u32) {
+        let now = self.clock.now();
+        let mut inner = self.lock();
+        let states: Vec<UpstreamState> = upstreams
+            .iter()
+            .map(|upstream| UpstreamState {
+                key: inner.key_of(upstream.address),
+                local_zone: upstream.zone == zone,
+                leaving: upstream.leaving,
+                limit,
+            })
+            .collect();
+        inner.dispatcher.set_upstreams(now, &states, entries);
+        inner.carry_out();
+    }
+
+    /// Waits until the work may start, or is turned away.
+    ///
+    /// Dropping the future takes the work out of the queue.
+    ///
+    /// # Errors
+    ///
+    /// The work was turned away and no byte of it was sent.
+    pub async fn admit(self: &Arc<Self>, ask: Ask) -> Result<Permit, TurnedAway> {
+        let deadline = tokio::time::Instant::from_std(ask.deadline);
+        let (waiting, mut decided) = self.offer(ask);
+        let decision = tokio::select! {
+            biased;
+            decision = &mut decided => decision.ok(),
+            () = tokio::time::sleep_until(deadline) => None,
+        };
+        match decision {
+            Some(Decision::Start { work, upstream }) => Ok(waiting.started(work, upstream)),
+            Some(Decision::Refuse {
+                reason,
+                retry_after,
+                ..
+            }) => Err(TurnedAway {
+                reason,
+                retry_after,
+            }),
+            None => Err(TurnedAway {
+                reason: Refusal::Late,
+                retry_after: Duration::from_secs(1),
+            }),
+        }
+    }
+
+    /// Counts a first try against which retries are budgeted.
+    pub fn count_offered(&self) {
+        self.lock().budget.offered();
+    }
+
+    /// Takes a retry from the budget, if the ending and the request allow one.
+    pub fn allow_retry(&self, ending: Ending, idempotent: bool, tries: u32) -> bool {
+        self.lock().budget.allow(ending, idempotent, tries)
+    }
+
+    /// Lets time-bound decisions happen.
+    pub fn tick(&self) {
+        let now = self.clock.now();
+        let mut inner = self.lock();
+        inner.dispatcher.tick(now);
+        inner.carry_out();
+    }
+
+    fn offer(self: &Arc<Self>, ask: Ask) -> (Waiting, oneshot::Receiver<Decision>) {
+        let now = self.clock.now();
+        let (sender, decided) = oneshot::channel();
+        let mut inner = self.lock();
+        let key = WorkKey(inner.next_work);
+        inner.next_work += 1;
+        inner.waiting.push((key, sender));
+        let work = Work {
+            key,
+            class: ask.class,
+            caller: ask.caller,
+            prefix: ask.prefix,
+            cost_tokens: ask.cost_tokens,
+            deadline: ask.deadline,
+            avoid: ask.avoid,
+        };
+        inner.dispatcher.offer(now, work);
+        inner.carry_out();
+        drop(inner);
+        (
+            Waiting {
+                gate: Some(Arc::clone(self)),
+                key,
+            },
+            decided,
+        )
+    }
+
+    fn finish(&self, key: WorkKey, finish: &Finish) {
+        let now = self.clock.now();
+        let mut inner = self.lock();
+        inner.dispatcher.finish(now, key, finish);
+        inner.carry_out();
+    }
+
+    fn abandon(&self, key: WorkKey) {
+        let now = self.clock.now();
+        let mut inner = self.lock();
+        if let Ok(position) = inner.waiting.binary_search_by_key(&key, |(key, _)| *key) {
+            inner.waiting.remove(position);
+        }
+        inner.dispatcher.cancel(now, key);
+        // The decision to start may have been taken and not yet received.
+        let finish = Finish {
+            ending: Ending::Abandoned,
+            elapsed: Duration::ZERO,
+            tokens: 0,
+        };
+        inner.dispatcher.finish(now, key, &finish);
+        inner.carry_out();
+    }
+
+    /// A panic in a decision leaves the queue usable for other requests.
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Inner {
+    fn key_of(&mut self, address: SocketAddr) -> UpstreamKey {
+        let known = self.addresses.iter().position(|known| *known == address);
+        let index = known.unwrap_or_else(|| {
+            self.addresses.push(address);
+            self.addresses.len() - 1
+        });
+        UpstreamKey(index as u32)
+    }
+
+    fn carry_out(&mut self) {
+        while let Some(decision) = self.dispatcher.next_decision() {
+            let (Decision::Start { work, .. } | Decision::Refuse { work, .. }) = decision;
+            if let Ok(position) = self.waiting.binary_search_by_key(&work, |(key, _)| *key) {
+                let (_, sender) = self.waiting.remove(position);
+                // A waiter that is gone has given its place up already.
+                _ = sender.send(decision);
+            }
+        }
+    }
+}
+
+/// Work in the queue; dropping it takes the work out.
+struct Waiting {
+    gate: Option<Arc<Gate>>,
+    key: WorkKey,
+}
+
+impl Waiting {
+    fn started(mut self, work: WorkKey, upstream: UpstreamKey) -> Permit {
+        let gate = self
+            .gate
+            .take()
+            .expect("a waiting work has its gate until it starts");
+        let address = gate.lock().addresses[upstream.0 as usize];
+        let started = gate.clock.now();
+        Permit {
+            gate,
+            work,
+            upstream,
+            address,
+            started,
+            ended: false,
+        }
+    }
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        if let Some(gate) = &self.gate {
+            gate.abandon(self.key);
+        }
+    }
+}
+
+/// Leave to send one request to one upstream; given back when dropped.
+#[derive(Debug)]
+pub struct Permit {
+    gate: Arc<Gate>,
+    work: WorkKey,
+    upstream: UpstreamKey,
+    address: SocketAddr,
+    started: Instant,
+    ended: bool,
+}
+
+impl Permit {
+    /// Where the request goes.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Which upstream that is.
+    #[must_use]
+    pub const fn upstream(&self) -> UpstreamKey {
+        self.upstream
+    }
+
+    /// Reports how the request ended.
+    pub fn finish(mut self, ending: Ending, tokens: u32) {
+        self.end(ending, tokens);
+    }
+
+    fn end(&mut self, ending: Ending, tokens: u32) {
+        if !self.ended {
+            self.ended = true;
+            let elapsed = self.gate.clock.now().duration_since(self.started);
+            self.gate.finish(
+                self.work,
+                &Finish {
+                    ending,
+                    elapsed,
+                    tokens,
+                },
+            );
+        }
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        self.end(Ending::Abandoned, 0);
+    }
+}
--- /dev/null
+++ b/crates/firweir/src/request/mod.rs
@@ -0,0 +1,11 @@
+//! What lives as long as one request, draft or lot.
+
+pub mod answer;
+pub mod call;
+pub mod chunk;
+pub mod draft;
+pub mod gate;
+pub mod head;
+pub mod idempotency;
+pub mod lot;
+pub mod record;
--- /dev/null
+++ b/crates/firweir/src/version/view.rs
@@ -0,0 +1,235 @@
+//! One VM's view of the fleet, published by its steward and read by its entry
+//! and feed.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use arc_swap::ArcSwap;
+use quick_error::quick_error;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::version::config::Config;
+use crate::wire::firweir_capnp;
+
+/// What a VM is believed to do, from best to worst news.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum MemberState {
+    /// It answers.
+    Alive,
+    /// It has not been heard of for a while.
+    Suspect,
+    /// It said that it goes.
+    Leaving,
+    /// It is gone.
+    Dead,
+}
+
+/// One of the system's own VMs.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Member {
+    /// Its name.
+    pub node: String,
+    /// Its availability zone.
+    pub zone: String,
+    /// Set at each start of its steward; a later one replaces all that was known.
+    pub incarnation: u64,
+    /// Grows while the steward lives.
+    pub counter: u64,
+    /// What it is believed to do.
+    pub state: MemberState,
+    /// Where its steward takes peers.
+    pub steward_address: SocketAddr,
+    /// Where its entry takes drafts.
+    pub draft_address: SocketAddr,
+    /// Where its feed takes trainers.
+    pub feed_address: SocketAddr,
+    /// Configuration revision in force on all its programs.
+    pub revision: u64,
+}
+
+/// One upstream VM as the platform's VM list shows it.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Upstream {
+    /// Service that it answers for.
+    pub service: String,
+    /// Where it answers.
+    pub address: SocketAddr,
+    /// Its availability zone.
+    pub zone: String,
+    /// It gets no new work.
+    #[serde(default)]
+    pub leaving: bool,
+}
+
+/// All that a program knows of the fleet.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct View {
+    /// Grows with each change that the steward publishes.
+    pub generation: u64,
+    /// Revision of the configuration.
+    pub revision: u64,
+    /// The configuration.
+    pub config: Config,
+    /// The system's VMs, sorted by name.
+    pub members: Vec<Member>,
+    /// Upstreams, sorted by service and address.
+    pub upstreams: Vec<Upstream>,
+}
+
+/// The newest view, read without a lock.
+pub type SharedView = Arc<ArcSwap<View>>;
+
+impl View {
+    /// Members that take work.
+    pub fn live_members(&self) -> impl Iterator<Item = &Member> {
+        self.members
+            .iter()
+            .filter(|member| member.state == MemberState::Alive)
+    }
+
+    /// Upstreams of a service.
+    #[must_use]
+    pub fn upstreams_of(&self, service: &str) -> &[Upstream] {
+        let start = self
+            .upstreams
+            .partition_point(|upstream| upstream.service.as_str() < service);
+        let end = self
+            .upstreams
+            .partition_point(|upstream| upstream.service.as_str() <= service);
+        &self.upstreams[start..end]
+    }
+}
+
+quick_error! {
+    /// Why a message of a peer was refused.
+    #[derive(Debug)]
+    pub enum WireError {
+        /// Cap'n Proto could not read it.
+        Capnp(err: capnp::Error) {
+            display("unreadable message: {err}")
+            source(err)
+            from()
+        }
+        /// A text is not UTF-8.
+        Text(err: std::str::Utf8Error) {
+            display("text: {err}")
+            source(err)
+            from()
+        }
+        /// An address is not an IP address and port.
+        Address(err: std::net::AddrParseError) {
+            display("address: {err}")
+            source(err)
+            from()
+        }
+        /// A value that this version does not know.
+        Unknown(err: capnp::NotInSchema) {
+            display("unknown value: {err}")
+            source(err)
+            from()
+        }
+        /// A document is not JSON.
+        Json(err: serde_json::Error) {
+            display("document: {err}")
+            source(err)
+            from()
+        }
+        /// A configuration that does not pass the checks.
+        Config(err: crate::version::config::ConfigError) {
+            display("configuration: {err}")
+            source(err)
+            from()
+        }
+        /// The peer belongs to another deployment.
+        Deployment(theirs: String) {
+            display("peer of deployment {theirs}")
+        }
+        /// The message is larger than any honest peer sends.
+        TooLarge(what: &'static str) {
+            display("too large: {what}")
+        }
+    }
+}
+
+impl From<WireError> for capnp::Error {
+    fn from(error: WireError) -> Self {
+        Self::failed(error.to_string())
+    }
+}
+
+/// Reads a member from a message.
+pub fn read_member(reader: firweir_capnp::member::Reader<'_>) -> Result<Member, WireError> {
+    Ok(Member {
+        node: reader.get_node()?.to_str()?.to_owned(),
+        zone: reader.get_zone()?.to_str()?.to_owned(),
+        incarnation: reader.get_incarnation(),
+        counter: reader.get_counter(),
+        state: match reader.get_state()? {
+            firweir_capnp::MemberState::Alive => MemberState::Alive,
+            firweir_capnp::MemberState::Suspect => MemberState::Suspect,
+            firweir_capnp::MemberState::Leaving => MemberState::Leaving,
+            firweir_capnp::MemberState::Dead => MemberState::Dead,
+        },
+        steward_address: reader.get_steward_address()?.to_str()?.parse()?,
+        draft_address: reader.get_draft_address()?.to_str()?.parse()?,
+        feed_address: reader.get_feed_address()?.to_str()?.parse()?,
+        revision: reader.get_revision(),
+    })
+}
+
+/// Writes a member into a message.
+pub fn write_member(member: &Member, mut builder: firweir_capnp::member::Builder<'_>) {
+    builder.set_node(&member.node);
+    builder.set_zone(&member.zone);
+    builder.set_incarnation(member.incarnation);
+    builder.set_counter(member.counter);
+    builder.set_state(match member.state {
+        MemberState::Alive => firweir_capnp::MemberState::Alive,
+        MemberState::Suspect => firweir_capnp::MemberState::Suspect,
+        MemberState::Leaving => firweir_capnp::MemberState::Leaving,
+        MemberState::Dead => firweir_capnp::MemberState::Dead,
+    });
+    builder.set_steward_address(member.steward_address.to_string());
+    builder.set_draft_address(member.draft_address.to_string());
+    builder.set_feed_address(member.feed_address.to_string());
+    builder.set_revision(member.revision);
+}
+
+/// Reads a list of members from a message.
+pub fn read_members(
+    reader: capnp::struct_list::Reader<'_, firweir_capnp::member::Owned>,
+) -> Result<Vec<Member>, WireError> {
+    reader.iter().map(read_member).collect()
+}
+
+/// Writes a list of members into a message.
+pub fn write_members(
+    members: &[Member],
+    mut builder: capnp::struct_list::Builder<'_, firweir_capnp::member::Owned>,
+) {
+    for (index, member) in members.iter().enumerate() {
+        write_member(member, builder.reborrow().get(index as u32));
+    }
+}
+
+/// Reads a view from a message.
+pub fn read_view(reader: firweir_capnp::view::Reader<'_>) -> Result<View, WireError> {
+    let document = serde_json::from_slice(reader.get_config()?)?;
+    let mut upstreams = Vec::new();
+    for upstream in reader.get_upstreams()? {
+        upstreams.push(Upstream {
+            service: upstream.get_service()?.to_str()?.to_owned(),
+            address: upstream.get_address()?.to_str()?.parse()?,
+            zone: upstream.get_zone()?.to_str()?.to_owned(),
+            leaving: upstream.get_leaving(),
+        });
+    }
+    Ok(View {
+        generation: reader.get_generation(),
+        revision: reader.get_revision(),
+        config: Config::from_document(&document)?,
+        members: read_members(reader.get_members()?)?,
+        upstreams,
+    })
+}
