Split the holder, one flag set for the VM's programs, reports between stewards

Cause: the holder's file held leases, drafting and weight orders; three programs repeated the same flags; entries had no way to tell each other what they ask of upstreams or which requests they suspect.

--- a/crates/bench/src/trainer.rs
+++ b/crates/bench/src/trainer.rs
@@ -14,7 +14,7 @@
 use firweir::connection::server::bytes_response;
 use firweir::connection::server::json;
 use firweir::connection::server::read_body;
-use firweir::process::holder::ScoreRequest;
+use firweir::process::drafting::ScoreRequest;
 use firweir::process::trainer::Accepted;
 use firweir::process::trainer::Published;
 use firweir::request::lot::Lot;
--- a/crates/firweir/schema/firweir.capnp
+++ b/crates/firweir/schema/firweir.capnp
@@ -35,6 +35,28 @@
   leaving @3 :Bool;
 }
 
+struct Demand {
+  # What one entry asks of one service, for the division of upstream limits.
+  service @0 :Text;
+  inFlight @1 :UInt32;
+  waiting @2 :UInt32;
+}
+
+struct Suspect {
+  # A request that was in flight on upstreams as they crashed.
+  fingerprint @0 :UInt64;
+  upstreamsLost @1 :UInt32;
+}
+
+struct Observed {
+  # What the programs of one VM report; newest (incarnation, counter) wins.
+  node @0 :Text;
+  incarnation @1 :UInt64;
+  counter @2 :UInt64;
+  demands @3 :List(Demand);
+  suspects @4 :List(Suspect);
+}
+
 struct View {
   generation @0 :UInt64;
   revision @1 :UInt64;
@@ -42,6 +64,7 @@
   config @2 :Data;
   members @3 :List(Member);
   upstreams @4 :List(Upstream);
+  observed @5 :List(Observed);
 }
 
 struct ConfigDocument {
@@ -53,10 +76,13 @@
 interface Steward {
   # One per VM. `view` waits until the steward holds a generation newer than `known`.
   view @0 (known :UInt64, program :Text, revision :UInt64) -> (view :View);
-  exchange @1 (hello :Hello, members :List(Member), config :ConfigDocument)
-      -> (members :List(Member), config :ConfigDocument);
+  exchange @1 (hello :Hello, members :List(Member), config :ConfigDocument,
+               observed :List(Observed))
+      -> (members :List(Member), config :ConfigDocument, observed :List(Observed));
   status @2 () -> (revision :UInt64, members :List(Member));
   leave @3 () -> ();
+  # A program of this VM reports what it observes; `node` and counters are the steward's.
+  report @4 (observed :Observed) -> ();
 }
 
 struct Draft {
--- a/crates/firweir/src/bin/firweir-entry.rs
+++ b/crates/firweir/src/bin/firweir-entry.rs
@@ -1,41 +1,20 @@
 //! Takes callers' requests and feeds' drafts.
 
-use std::path::PathBuf;
 use std::process::ExitCode;
 use std::sync::Arc;
 
-use argh::FromArgs;
 use firweir::process::entry::Entry;
 use firweir::process::entry::balanced;
+use firweir::process::flags::VmFlags;
 use firweir::process::log::start_logging;
 use firweir::process::run::Parts;
 use firweir::process::run::drain_on_signal;
 use firweir::process::run::exit_code;
-use firweir::process::settings::Overrides;
 use firweir::process::settings::Settings;
 use tokio::task::LocalSet;
 
-/// Takes callers' requests and feeds' drafts, and holds the limits towards upstreams.
-#[derive(FromArgs)]
-struct Flags {
-    /// settings file of the VM (JSON)
-    #[argh(option)]
-    settings: PathBuf,
-    /// name of the VM, over the settings file
-    #[argh(option)]
-    node: Option<String>,
-    /// least severe events to log: off, error, warn, info or debug
-    #[argh(option)]
-    log_level: Option<String>,
-}
-
 fn main() -> ExitCode {
-    let flags: Flags = argh::from_env();
-    let overrides = Overrides {
-        node: flags.node,
-        log_level: flags.log_level,
-    };
-    match Settings::load(&flags.settings, &overrides) {
+    match VmFlags::from_command_line() {
         Ok(settings) => exit_code(run(settings)),
         Err(error) => exit_code(Err(error)),
     }
--- a/crates/firweir/src/process/follow.rs
+++ b/crates/firweir/src/process/follow.rs
@@ -6,10 +6,12 @@
 use crate::connection::client::within;
 use crate::connection::peer::Peers;
 use crate::process::run::Parts;
+use crate::version::view::Observed;
 use crate::version::view::SharedView;
 use crate::version::view::View;
 use crate::version::view::WireError;
 use crate::version::view::read_view;
+use crate::version::view::write_observed;
 use crate::wire::firweir_capnp::steward;
 
 /// Pause before the steward is tried again: it is on the same VM and restarts
@@ -19,6 +21,9 @@
 /// The steward answers at the latest after its own waits.
 const VIEW_TIMEOUT: Duration = Duration::from_secs(15);
 
+/// Time between reports of a program to its steward.
+const REPORT_EVERY: Duration = Duration::from_millis(500);
+
 /// Follows the steward for as long as the process lives; `on_view` is called
 /// after each change. While the steward is away the last view stays in use.
 pub async fn follow(
@@ -76,3 +81,37 @@
         ..newer
     }
 }
+
+/// Reports what a program observes to the VM's steward, again and again; `observe`
+/// gives the present state, and only changes are sent.
+pub async fn report(parts: Parts, observe: impl Fn() -> Observed) {
+    let peers: Peers<steward::Client> = Peers::new(&parts);
+    let mut sent = None;
+    loop {
+        tokio::time::sleep(REPORT_EVERY).await;
+        let observed = observe();
+        if sent.as_ref() == Some(&observed) {
+            continue;
+        }
+        let reported = within(VIEW_TIMEOUT, send_report(&parts, &peers, &observed)).await;
+        if matches!(reported, Some(Ok(()))) {
+            sent = Some(observed);
+        } else {
+            // A steward that restarted knows nothing of earlier reports.
+            sent = None;
+            peers.forget(parts.settings.steward_listen);
+        }
+    }
+}
+
+async fn send_report(
+    parts: &Parts,
+    peers: &Peers<steward::Client>,
+    observed: &Observed,
+) -> Result<(), WireError> {
+    let steward = peers.get(parts.settings.steward_listen).await?;
+    let mut request = steward.report_request();
+    write_observed(observed, request.get().init_observed());
+    request.send().promise.await?;
+    Ok(())
+}
--- a/crates/firweir/src/process/mod.rs
+++ b/crates/firweir/src/process/mod.rs
@@ -2,14 +2,18 @@
 
 pub mod clock;
 pub mod ctl;
+pub mod drafting;
 pub mod entry;
 pub mod feed;
+pub mod flags;
 pub mod follow;
 pub mod holder;
 pub mod log;
 pub mod membership;
+pub mod observations;
 pub mod run;
 pub mod settings;
 pub mod steward;
 pub mod tasks;
 pub mod trainer;
+pub mod weights;
--- a/crates/firweir/src/process/steward.rs
+++ b/crates/firweir/src/process/steward.rs
@@ -18,14 +18,19 @@
 use crate::connection::peer;
 use crate::connection::peer::Peers;
 use crate::process::membership::Membership;
+use crate::process::observations::Observations;
 use crate::process::run::Parts;
 use crate::version::config::Config;
 use crate::version::folder::Head;
 use crate::version::view::Member;
 use crate::version::view::MemberState;
+use crate::version::view::Observed;
 use crate::version::view::View;
 use crate::version::view::WireError;
+use crate::version::view::read_all_observed;
 use crate::version::view::read_members;
+use crate::version::view::read_observed;
+use crate::version::view::write_all_observed;
 use crate::version::view::write_members;
 use crate::wire::firweir_capnp::steward;
 
@@ -71,6 +76,7 @@
     head: Head,
     vms: VmList,
     programs: Vec<Program>,
+    observations: Observations,
     view: View,
 }
 
@@ -84,6 +90,7 @@
     published: watch::Sender<u64>,
     ready: watch::Sender<bool>,
     random: RefCell<Pcg64Mcg>,
+    incarnation: u64,
     left: Cell<bool>,
 }
 
@@ -139,6 +146,7 @@
             head: Head::default(),
             vms: VmList::default(),
             programs: Vec::new(),
+            observations: Observations::default(),
             view,
         };
         Self {
@@ -148,6 +156,7 @@
             published: watch::Sender::new(generation),
             ready: watch::Sender::new(false),
             random: RefCell::new(parts.random(1)),
+            incarnation: generation,
             left: Cell::new(false),
             parts,
         }
@@ -189,6 +198,7 @@
             let mut upstreams = state.vms.upstreams.clone();
             upstreams.sort();
             state.view.upstreams = upstreams;
+            state.view.observed = state.observations.reports().to_vec();
             state.view.generation
         };
         self.published.send_replace(generation);
@@ -314,6 +324,8 @@
             if behind && state.head.revision > 0 {
                 config.set_document(&serde_json::to_vec(&state.head)?);
             }
+            let reports = state.observations.reports();
+            write_all_observed(reports, request.get().init_observed(reports.len() as u32));
         }
         let response = request.send().promise.await?;
         let results = response.get()?;
@@ -322,6 +334,7 @@
         if !document.is_empty() {
             self.take_head(serde_json::from_slice(document)?);
         }
+        self.take_observed(read_all_observed(results.get_observed()?)?);
         // A peer has answered: this VM now holds the newest revision that it
         // can learn of, even with the object API down.
         self.ready.send_replace(true);
@@ -344,6 +357,33 @@
         Ok(())
     }
 
+    fn take_observed(&self, reports: Vec<Observed>) {
+        let own = &self.parts.settings.node;
+        let mut learnt = false;
+        for report in reports.into_iter().filter(|report| report.node != *own) {
+            learnt |= self.state.borrow_mut().observations.take(report);
+        }
+        if learnt {
+            self.publish();
+        }
+    }
+
+    /// Takes in what a program of this VM reports, under this steward's counters.
+    fn take_report(&self, report: Observed) {
+        let node = self.parts.settings.node.clone();
+        let incarnation = self.incarnation;
+        let mut state = self.state.borrow_mut();
+        let counter = state.observations.counter_of(&node) + 1;
+        state.observations.take(Observed {
+            node,
+            incarnation,
+            counter,
+            ..report
+        });
+        drop(state);
+        self.publish();
+    }
+
     async fn leave_on_drain(self: Rc<Self>) {
         self.parts.tasks.draining().await;
         self.left.set(true);
@@ -418,9 +458,13 @@
             let head = serde_json::from_slice(document).map_err(WireError::Json)?;
             self.0.take_head(head);
         }
+        self.0
+            .take_observed(read_all_observed(params.get_observed()?)?);
         let state = self.0.state.borrow();
         let members = state.membership.members();
         write_members(&members, results.get().init_members(members.len() as u32));
+        let reports = state.observations.reports();
+        write_all_observed(reports, results.get().init_observed(reports.len() as u32));
         let mut answer = results.get().init_config();
         answer.set_revision(state.head.revision);
         if config.get_revision() < state.head.revision {
@@ -442,6 +486,16 @@
         Ok(())
     }
 
+    async fn report(
+        self: Rc<Self>,
+        params: steward::ReportParams,
+        _results: steward::ReportResults,
+    ) -> Result<(), capnp::Error> {
+        let report = read_observed(params.get()?.get_observed()?)?;
+        self.0.take_report(report);
+        Ok(())
+    }
+
     async fn leave(
         self: Rc<Self>,
         _params: steward::LeaveParams,
@@ -464,6 +518,11 @@
         members,
         builder.reborrow().init_members(members.len() as u32),
     );
+    let observed = &state.view.observed;
+    write_all_observed(
+        observed,
+        builder.reborrow().init_observed(observed.len() as u32),
+    );
     let upstreams = &state.view.upstreams;
     let mut list = builder.init_upstreams(upstreams.len() as u32);
     for (index, upstream) in upstreams.iter().enumerate() {
--- a/crates/firweir/src/version/view.rs
+++ b/crates/firweir/src/version/view.rs
@@ -62,6 +62,41 @@
     pub leaving: bool,
 }
 
+/// What one entry asks of one service.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Demand {
+    /// The service.
+    pub service: String,
+    /// Requests that it has in flight there.
+    pub in_flight: u32,
+    /// Requests that wait for room.
+    pub waiting: u32,
+}
+
+/// A request that was in flight on upstreams as they crashed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Suspect {
+    /// Hash of the request.
+    pub fingerprint: u64,
+    /// Upstreams that crashed while it was in flight there.
+    pub upstreams_lost: u32,
+}
+
+/// What the programs of one VM report; it spreads between stewards.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Observed {
+    /// The VM.
+    pub node: String,
+    /// Incarnation of its steward.
+    pub incarnation: u64,
+    /// Grows with each report.
+    pub counter: u64,
+    /// What its entry asks of services.
+    pub demands: Vec<Demand>,
+    /// Requests that its entry suspects.
+    pub suspects: Vec<Suspect>,
+}
+
 /// All that a program knows of the fleet.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct View {
@@ -75,6 +110,8 @@
     pub members: Vec<Member>,
     /// Upstreams, sorted by service and address.
     pub upstreams: Vec<Upstream>,
+    /// What the programs of each VM report, sorted by VM.
+    pub observed: Vec<Observed>,
 }
 
 /// The newest view, read without a lock.
@@ -213,6 +250,68 @@
     }
 }
 
+/// Reads what one VM reports.
+pub fn read_observed(reader: firweir_capnp::observed::Reader<'_>) -> Result<Observed, WireError> {
+    let mut demands = Vec::new();
+    for demand in reader.get_demands()? {
+        demands.push(Demand {
+            service: demand.get_service()?.to_str()?.to_owned(),
+            in_flight: demand.get_in_flight(),
+            waiting: demand.get_waiting(),
+        });
+    }
+    let suspects = reader.get_suspects()?.iter().map(|suspect| Suspect {
+        fingerprint: suspect.get_fingerprint(),
+        upstreams_lost: suspect.get_upstreams_lost(),
+    });
+    Ok(Observed {
+        node: reader.get_node()?.to_str()?.to_owned(),
+        incarnation: reader.get_incarnation(),
+        counter: reader.get_counter(),
+        demands,
+        suspects: suspects.collect(),
+    })
+}
+
+/// Writes what one VM reports.
+pub fn write_observed(observed: &Observed, mut builder: firweir_capnp::observed::Builder<'_>) {
+    builder.set_node(&observed.node);
+    builder.set_incarnation(observed.incarnation);
+    builder.set_counter(observed.counter);
+    let mut demands = builder
+        .reborrow()
+        .init_demands(observed.demands.len() as u32);
+    for (index, demand) in observed.demands.iter().enumerate() {
+        let mut item = demands.reborrow().get(index as u32);
+        item.set_service(&demand.service);
+        item.set_in_flight(demand.in_flight);
+        item.set_waiting(demand.waiting);
+    }
+    let mut suspects = builder.init_suspects(observed.suspects.len() as u32);
+    for (index, suspect) in observed.suspects.iter().enumerate() {
+        let mut item = suspects.reborrow().get(index as u32);
+        item.set_fingerprint(suspect.fingerprint);
+        item.set_upstreams_lost(suspect.upstreams_lost);
+    }
+}
+
+/// Reads what several VMs report.
+pub fn read_all_observed(
+    reader: capnp::struct_list::Reader<'_, firweir_capnp::observed::Owned>,
+) -> Result<Vec<Observed>, WireError> {
+    reader.iter().map(read_observed).collect()
+}
+
+/// Writes what several VMs report.
+pub fn write_all_observed(
+    observed: &[Observed],
+    mut builder: capnp::struct_list::Builder<'_, firweir_capnp::observed::Owned>,
+) {
+    for (index, item) in observed.iter().enumerate() {
+        write_observed(item, builder.reborrow().get(index as u32));
+    }
+}
+
 /// Reads a view from a message.
 pub fn read_view(reader: firweir_capnp::view::Reader<'_>) -> Result<View, WireError> {
     let document = serde_json::from_slice(reader.get_config()?)?;
@@ -231,5 +330,6 @@
         config: Config::from_document(&document)?,
         members: read_members(reader.get_members()?)?,
         upstreams,
+        observed: read_all_observed(reader.get_observed()?)?,
     })
 }
