Slopes of the programs as real processes

Cause: docs/CAPACITY.md needs slopes that were measured, and there was no command that measures.

Change: firweir-process-slopes starts stand-ins, steward, entry and feed on loopback, varies requests, streams, upstreams listed and samples of a step, reads processor time and memory from /proc and fits lines.

--- a/crates/bench/src/bin/firweir-standin.rs
+++ b/crates/bench/src/bin/firweir-standin.rs
@@ -45,6 +45,12 @@
     /// service instances, for the service "cards"
     #[argh(option, default = "1")]
     services: u16,
+    /// microseconds per token of an engine's lone request
+    #[argh(option, default = "800")]
+    token_us: u64,
+    /// more upstreams that the VM list names, at addresses where nothing answers
+    #[argh(option, default = "0")]
+    listed: u16,
     /// feed to train on; no trainer runs without it
     #[argh(option)]
     feed: Option<String>,
@@ -86,9 +92,6 @@
 const TRAINER: u16 = 2;
 const FIRST_UPSTREAM: u16 = 10;
 
-/// Engines of a run by hand answer ten times as fast as those of the traces.
-const TOKEN_US: u64 = 800;
-
 /// Time between two lines of counts.
 const REPORT_EVERY: Duration = Duration::from_secs(1);
 
@@ -136,7 +139,7 @@
         trainer::start(&ground, at(flags, TRAINER), settings, judge.clone()).await?;
     }
     println!("standin ready port={}", flags.port);
-    report_until_term(&judge).await
+    report_until_term(&judge, &platform).await
 }
 
 fn load_settings(paths: &[PathBuf]) -> Result<Vec<Settings>, SettingsError> {
@@ -150,7 +153,7 @@
     judge: &Judge,
 ) -> io::Result<Vec<Upstream>> {
     let settings = EngineSettings {
-        token_us: TOKEN_US,
+        token_us: flags.token_us,
         ..EngineSettings::default()
     };
     let listed = |service: &str, address| Upstream {
@@ -175,36 +178,46 @@
         service::start(ground, address, Duration::from_millis(5), judge.clone()).await?;
         upstreams.push(listed("cards", address));
     }
+    for index in 0..flags.listed {
+        let address = SocketAddr::from(([127, 1, (index / 250) as u8, (index % 250) as u8], 9));
+        upstreams.push(listed("models-listed", address));
+    }
     Ok(upstreams)
 }
 
-async fn report_until_term(judge: &Judge) -> Result<(), StandinError> {
+async fn report_until_term(judge: &Judge, platform: &ObjectApiStand) -> Result<(), StandinError> {
     let mut term = signal(SignalKind::terminate())?;
-    let mut last = None;
+    let mut last = String::new();
     loop {
         tokio::select! {
             biased;
             _ = term.recv() => return Ok(()),
             () = tokio::time::sleep(REPORT_EVERY) => {}
         }
-        let counts = judge.counts();
-        if last != Some(counts) {
-            println!(
-                "counts samples_delivered={} duplicated={} lost={} stale={} mislabelled={} \
-                 executed={} reexecuted={}",
-                counts.samples_delivered,
-                counts.duplicated,
-                counts.lost,
-                counts.stale,
-                counts.mislabelled,
-                judge.executed_count(),
-                counts.reexecuted,
-            );
-            last = Some(counts);
+        let line = counts_line(judge, platform);
+        if line != last {
+            println!("{line}");
+            last = line;
         }
     }
 }
 
+fn counts_line(judge: &Judge, platform: &ObjectApiStand) -> String {
+    let counts = judge.counts();
+    format!(
+        "counts samples_delivered={} duplicated={} lost={} stale={} mislabelled={} executed={} \
+         reexecuted={} api_writes={}",
+        counts.samples_delivered,
+        counts.duplicated,
+        counts.lost,
+        counts.stale,
+        counts.mislabelled,
+        judge.executed_count(),
+        counts.reexecuted,
+        platform.calls().writes,
+    )
+}
+
 fn at(flags: &Flags, offset: u16) -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], flags.port + offset))
 }
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod caller;
 pub mod engine;
 pub mod fault;
+pub mod fit;
 pub mod judge;
 pub mod object_api;
 pub mod pipe;
