Report on service-level burn, from the programs' event logs

Cause: operators could not see how fast services and feeds use up what their objectives allow.

Ruled out: burn from replay reports alone, which hold no times.

--- a/crates/bench/src/bin/firweir-replay.rs
+++ b/crates/bench/src/bin/firweir-replay.rs
@@ -6,6 +6,7 @@
 use std::process::ExitCode;
 
 use argh::FromArgs;
+use firweir::process::log::start_logging_to;
 use firweir_bench::baseline::POLICIES;
 use firweir_bench::baseline::policy;
 use firweir_bench::replay::Plan;
@@ -37,6 +38,9 @@
     /// file for a JSON report; - for standard output, without the table
     #[argh(option)]
     report: Option<PathBuf>,
+    /// file for the programs' event log, as firweir-burn reads it
+    #[argh(option)]
+    events: Option<PathBuf>,
     /// traces
     #[argh(positional)]
     traces: Vec<PathBuf>,
@@ -100,6 +104,11 @@
     if flags.traces.is_empty() {
         return Err(ReplayCommandError::Nothing);
     }
+    if let Some(path) = &flags.events {
+        let file =
+            fs::File::create(path).map_err(|err| ReplayCommandError::Report(path.clone(), err))?;
+        start_logging_to("info", std::io::BufWriter::new(file));
+    }
     let seeds = seeds(flags)?;
     let mut traces = Vec::new();
     for path in &flags.traces {
@@ -121,6 +130,7 @@
             reports.push(report);
         }
     }
+    log::logger().flush();
     write_reports(flags.report.as_deref(), &reports)?;
     Ok(reports.iter().all(|report| report.run.held()))
 }
--- a/crates/firweir/src/process/holder.rs
+++ b/crates/firweir/src/process/holder.rs
@@ -4,6 +4,7 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
+use std::time::Instant;
 
 use rand_pcg::Pcg64Mcg;
 use tokio::sync::Semaphore;
@@ -125,6 +126,36 @@
         Ok(outcome)
     }
 
+    /// The time.
+    pub(crate) fn now(&self) -> Instant {
+        self.program.parts.clock.now()
+    }
+
+    /// Logs how long a trainer waited, and for which lot if it got one.
+    pub(crate) fn note_take(&self, started: Instant, lot: Option<&Lot>) {
+        let wait_ms = self.now().duration_since(started).as_millis();
+        let step = lot.map_or("none".to_owned(), |lot| lot.step.to_string());
+        self.program.parts.journal.event(
+            "lot_taken",
+            &[("feed", &self.name), ("step", &step), ("wait_ms", &wait_ms)],
+        );
+    }
+
+    /// Logs how old an accepted lot was for its trainer.
+    pub(crate) fn note_acceptance(&self, acceptance: &Acceptance) {
+        let accepted = self.record().accepted;
+        let oldest = accepted.map_or(acceptance.trainer_version, |lot| lot.oldest_version);
+        let age_versions = acceptance.trainer_version.saturating_sub(oldest);
+        self.program.parts.journal.event(
+            "lot_accepted",
+            &[
+                ("feed", &self.name),
+                ("step", &acceptance.step),
+                ("age_versions", &age_versions),
+            ],
+        );
+    }
+
     /// Notes a weight version that the trainer published.
     ///
     /// # Errors
--- a/crates/firweir/src/process/log.rs
+++ b/crates/firweir/src/process/log.rs
@@ -98,6 +98,11 @@
 
 /// Sends events of this severity and above to standard error.
 pub fn start_logging(level: &str) {
+    start_logging_to(level, io::stderr());
+}
+
+/// As [`start_logging`], to any writer.
+pub fn start_logging_to(level: &str, writer: impl io::Write + Send + 'static) {
     let level = LevelFilter::from_str(level).unwrap_or(LevelFilter::Info);
     let config = ConfigBuilder::new()
         .set_time_level(LevelFilter::Off)
@@ -107,5 +112,5 @@
         .set_location_level(LevelFilter::Off)
         .add_filter_allow_str("firweir")
         .build();
-    drop(simplelog::WriteLogger::init(level, config, io::stderr()));
+    drop(simplelog::WriteLogger::init(level, config, writer));
 }
--- a/crates/firweir/src/process/mod.rs
+++ b/crates/firweir/src/process/mod.rs
@@ -1,5 +1,7 @@
 //! What lives as long as a process: its settings, clock, tasks and parts.
 
+pub mod burn;
+pub mod burn_page;
 pub mod clock;
 pub mod ctl;
 pub mod drafting;
--- a/crates/firweir/src/process/trainer.rs
+++ b/crates/firweir/src/process/trainer.rs
@@ -108,7 +108,10 @@
             changes.changed().await.ok()?;
         }
     };
-    lot_response(within(TAKE_WAIT, found).await.flatten().as_deref())
+    let started = holder.now();
+    let lot = within(TAKE_WAIT, found).await.flatten();
+    holder.note_take(started, lot.as_deref());
+    lot_response(lot.as_deref())
 }
 
 fn accepted_lot(holder: &Rc<Holder>) -> Response<Body> {
@@ -129,13 +132,17 @@
         return Refused::bad_request("bad-acceptance", StatusCode::BAD_REQUEST).response();
     };
     match holder.accept(&acceptance).await {
-        Ok(Ok(())) => json(
-            StatusCode::OK,
-            &Accepted {
-                accepted: true,
-                reason: None,
-            },
-        ),
+        Ok(Ok(())) => {
+            holder.note_acceptance(&acceptance);
+            let accepted = true;
+            json(
+                StatusCode::OK,
+                &Accepted {
+                    accepted,
+                    reason: None,
+                },
+            )
+        }
         Ok(Err(error)) => refuse_lot(error),
         Err(_) => Refused::unknown("object-api", RETRY_AFTER).response(),
     }
--- a/crates/firweir/src/version/check.rs
+++ b/crates/firweir/src/version/check.rs
@@ -22,6 +22,10 @@
     Choice(&'static [&'static str]),
     /// An object whose values are objects.
     Objects,
+    /// An object, whose own fields are checked elsewhere.
+    Object,
+    /// A number above 0 and below 1.
+    Share,
 }
 
 /// One field of an object.
@@ -120,6 +124,10 @@
                 .as_u64()
                 .is_some_and(|number| (least..=most).contains(&number)),
             Self::Choice(choices) => value.as_str().is_some_and(|text| choices.contains(&text)),
+            Self::Object => value.is_object(),
+            Self::Share => value
+                .as_f64()
+                .is_some_and(|share| share > 0.0 && share < 1.0),
             Self::Objects => value
                 .as_object()
                 .is_some_and(|object| object.values().all(Value::is_object)),
@@ -135,6 +143,8 @@
             Self::Integer(least, most) => format!("a whole number from {least} to {most}"),
             Self::Choice(choices) => format!("one of {}", choices.join(", ")),
             Self::Objects => "an object of objects".to_owned(),
+            Self::Object => "an object".to_owned(),
+            Self::Share => "a number above 0 and below 1".to_owned(),
         }
     }
 }
--- a/crates/firweir/src/version/config.rs
+++ b/crates/firweir/src/version/config.rs
@@ -42,7 +42,7 @@
 }
 
 /// One service and the limits it is called within.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Service {
     /// What its upstreams are.
     pub kind: ServiceKind,
@@ -53,10 +53,35 @@
     /// Paths whose calls may not be repeated.
     #[serde(default)]
     pub charged_paths: Vec<String>,
+    /// What its callers are promised, for the report on service-level burn.
+    #[serde(default)]
+    pub objective: Option<ServiceObjective>,
+}
+
+/// What the callers of a service are promised.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct ServiceObjective {
+    /// Share of calls that get their answer.
+    pub answered_share: f64,
+    /// An answer within this counts as fast.
+    pub latency_ms: u64,
+    /// Share of calls that are answered fast.
+    pub latency_share: f64,
+}
+
+/// What the trainer of a feed is promised.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct FeedObjective {
+    /// Share of time that the trainer does not wait for a lot.
+    pub busy_share: f64,
+    /// A lot at most this many versions old counts as fresh.
+    pub staleness_versions: u64,
+    /// Share of lots that are fresh.
+    pub fresh_share: f64,
 }
 
 /// One rollout feed: the engines that draft for a group of trainers.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Feed {
     /// Service whose engines draft.
     pub service: String,
@@ -77,6 +102,9 @@
     /// Sealed lots that may wait for the trainer; drafting pauses at that many.
     #[serde(default = "default_steps_ahead")]
     pub steps_ahead: u32,
+    /// What its trainer is promised, for the report on service-level burn.
+    #[serde(default)]
+    pub objective: Option<FeedObjective>,
 }
 
 const fn default_steps_ahead() -> u32 {
@@ -92,7 +120,7 @@
 }
 
 /// A value with the name it stands under.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Named<T> {
     /// Name in the configuration.
     pub name: String,
@@ -101,7 +129,7 @@
 }
 
 /// A whole configuration, sorted by name.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct Config {
     /// Services by name.
     pub services: Vec<Named<Service>>,
@@ -122,7 +150,7 @@
     },
 ];
 
-const SERVICE: [Field; 4] = [
+const SERVICE: [Field; 5] = [
     Field {
         key: "kind",
         kind: Kind::Choice(&["engine", "plain"]),
@@ -143,9 +171,14 @@
         kind: Kind::Texts,
         required: false,
     },
+    Field {
+        key: "objective",
+        kind: Kind::Object,
+        required: false,
+    },
 ];
 
-const FEED: [Field; 9] = [
+const FEED: [Field; 10] = [
     Field {
         key: "service",
         kind: Kind::Text,
@@ -191,6 +224,54 @@
         kind: Kind::Integer(1, 16),
         required: false,
     },
+    Field {
+        key: "objective",
+        kind: Kind::Object,
+        required: false,
+    },
+];
+
+const SERVICE_OBJECTIVE: [Field; 3] = [
+    Field {
+        key: "answered_share",
+        kind: Kind::Share,
+        required: true,
+    },
+    Field {
+        key: "latency_ms",
+        kind: Kind::Integer(1, 3_600_000),
+        required: true,
+    },
+    Field {
+        key: "latency_share",
+        kind: Kind::Share,
+        required: true,
+    },
+];
+
+const FEED_OBJECTIVE: [Field; 3] = [
+    Field {
+        key: "busy_share",
+        kind: Kind::Share,
+        required: true,
+    },
+    Field {
+        key: "staleness_versions",
+        kind: Kind::Integer(0, 1_000),
+        required: true,
+    },
+    Field {
+        key: "fresh_share",
+        kind: Kind::Share,
+        required: true,
+    },
+];
+
+/// Sections of the document, with the fields of their items and of an item's
+/// objective.
+const SECTIONS: [(&str, &[Field], &[Field]); 2] = [
+    ("services", &SERVICE, &SERVICE_OBJECTIVE),
+    ("feeds", &FEED, &FEED_OBJECTIVE),
 ];
 
 impl Config {
@@ -213,9 +294,14 @@
     #[must_use]
     pub fn problems(document: &Value) -> Vec<Problem> {
         let mut problems = check_object(document, "", &TOP);
-        for (section, fields) in [("services", &SERVICE[..]), ("feeds", &FEED[..])] {
+        for (section, fields, objective_fields) in SECTIONS {
             for (name, value) in section_of(document, section).into_iter().flatten() {
-                problems.extend(check_object(value, &format!("{section}.{name}"), fields));
+                let path = format!("{section}.{name}");
+                problems.extend(check_object(value, &path, fields));
+                if let Some(objective) = value.get("objective").filter(|it| it.is_object()) {
+                    let path = format!("{path}.objective");
+                    problems.extend(check_object(objective, &path, objective_fields));
+                }
             }
         }
         problems.extend(feeds_without_service(document));
--- a/crates/firweir/src/version/view.rs
+++ b/crates/firweir/src/version/view.rs
@@ -98,7 +98,7 @@
 }
 
 /// All that a program knows of the fleet.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct View {
     /// Grows with each change that the steward publishes.
     pub generation: u64,
