--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod caller;
 pub mod engine;
 pub mod fault;
+pub mod fleet;
 pub mod judge;
 pub mod object_api;
 pub mod pipe;
--- a/crates/bench/src/pipe.rs
+++ b/crates/bench/src/pipe.rs
@@ -18,6 +18,9 @@
 use firweir::connection::net::Listener;
 use firweir::connection::net::Net;
 use futures_util::future::BoxFuture;
+use rand::Rng;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
@@ -51,6 +54,16 @@
 /// The zone that callers and trainers are in.
 pub const CLIENT_ZONE: Zone = Zone(u16::MAX);
 
+/// A lost packet is sent again after this, as TCP on a short path does.
+const RETRANSMIT_AFTER: Duration = Duration::from_millis(200);
+
+/// Bytes that connections to one port carried between different hosts.
+#[derive(Debug, Clone, Copy)]
+struct Carried {
+    port: u16,
+    bytes: u64,
+}
+
 /// A stretch of time in which two zones do not reach each other.
 #[derive(Debug, Clone, Copy)]
 struct Cut {
@@ -76,6 +89,16 @@
     listeners: Vec<(SocketAddr, mpsc::Sender<IncomingBox>)>,
     cuts: Vec<Cut>,
     next_port: u16,
+    /// Sorted by port.
+    carried: Vec<Carried>,
+    loss: Option<Loss>,
+}
+
+/// Packets that are lost, and what decides which.
+#[derive(Debug)]
+struct Loss {
+    share: f64,
+    random: Pcg64Mcg,
 }
 
 struct IncomingBox(Incoming);
@@ -124,6 +147,44 @@
         });
     }
 
+    /// Loses this share of all packets from now on; each arrives late, when its
+    /// sender has sent it again.
+    pub fn lose(&self, share: f64, seed: u64) {
+        let random = Pcg64Mcg::seed_from_u64(seed);
+        lock(&self.state).loss = (share > 0.0).then_some(Loss { share, random });
+    }
+
+    /// Bytes, both ways, that connections to this port carried between different
+    /// hosts so far.
+    #[must_use]
+    pub fn carried_bytes(&self, port: u16) -> u64 {
+        let state = lock(&self.state);
+        let found = state.carried.binary_search_by_key(&port, |it| it.port);
+        found.map_or(0, |position| state.carried[position].bytes)
+    }
+
+    /// Counts a packet; gives the time that its loss costs.
+    fn carry(&self, port: Option<u16>, length_bytes: usize) -> Duration {
+        let Some(port) = port else {
+            return Duration::ZERO;
+        };
+        let mut state = lock(&self.state);
+        let bytes = length_bytes as u64;
+        match state.carried.binary_search_by_key(&port, |it| it.port) {
+            Ok(position) => state.carried[position].bytes += bytes,
+            Err(position) => state.carried.insert(position, Carried { port, bytes }),
+        }
+        let mut late = Duration::ZERO;
+        if let Some(loss) = &mut state.loss {
+            let mut wait = RETRANSMIT_AFTER;
+            while loss.random.random_bool(loss.share) {
+                late += wait;
+                wait *= 2;
+            }
+        }
+        late
+    }
+
     fn cut_until(&self, from: Zone, to: Zone) -> Option<Instant> {
         let now = Instant::now();
         let state = lock(&self.state);
@@ -196,7 +257,8 @@
                 .listener(to)
                 .ok_or(io::ErrorKind::ConnectionRefused)?;
             let from = SocketAddr::new(address, fabric.client_port());
-            let (ours, theirs) = pair(&fabric, zone, there);
+            let port = (address != to.ip()).then_some(to.port());
+            let (ours, theirs) = pair(&fabric, zone, there, port);
             let incoming = IncomingBox((Box::new(theirs), from));
             listener
                 .try_send(incoming)
@@ -248,11 +310,13 @@
     }
 }
 
-fn pair(fabric: &Arc<Fabric>, here: Zone, there: Zone) -> (Pipe, Pipe) {
+fn pair(fabric: &Arc<Fabric>, here: Zone, there: Zone, port: Option<u16>) -> (Pipe, Pipe) {
     let (outbound, outbound_end) = mpsc::unbounded_channel();
     let (inbound, inbound_end) = mpsc::unbounded_channel();
-    let ours = Pipe::new(fabric, here, there, outbound, inbound_end);
-    let theirs = Pipe::new(fabric, there, here, inbound, outbound_end);
+    let mut ours = Pipe::new(fabric, here, there, outbound, inbound_end);
+    let mut theirs = Pipe::new(fabric, there, here, inbound, outbound_end);
+    ours.port = port;
+    theirs.port = port;
     (ours, theirs)
 }
 
@@ -267,6 +331,10 @@
     fabric: Arc<Fabric>,
     here: Zone,
     there: Zone,
+    /// Port that was connected to; none within one host.
+    port: Option<u16>,
+    /// No packet overtakes the one before it.
+    last_arrival: Instant,
     sender: Option<mpsc::UnboundedSender<Packet>>,
     receiver: mpsc::UnboundedReceiver<Packet>,
     received: VecDeque<Packet>,
@@ -285,6 +353,8 @@
             fabric: Arc::clone(fabric),
             here,
             there,
+            port: None,
+            last_arrival: Instant::now(),
             sender: Some(sender),
             receiver,
             received: VecDeque::new(),
@@ -345,11 +415,14 @@
 
 impl AsyncWrite for Pipe {
     fn poll_write(
-        self: Pin<&mut Self>,
+        mut self: Pin<&mut Self>,
         _context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let arrives = Instant::now() + self.fabric.latency(self.here, self.there);
+        let late = self.fabric.carry(self.port, bytes.len());
+        let arrives = Instant::now() + self.fabric.latency(self.here, self.there) + late;
+        let arrives = arrives.max(self.last_arrival);
+        self.last_arrival = arrives;
         let packet = Packet {
             arrives,
             bytes: Bytes::copy_from_slice(bytes),
--- a/crates/firweir/src/process/membership.rs
+++ b/crates/firweir/src/process/membership.rs
@@ -96,6 +96,20 @@
             .collect()
     }
 
+    /// Members in this state.
+    #[must_use]
+    pub fn count(&self, state: MemberState) -> usize {
+        let entries = self.entries.iter();
+        entries.filter(|entry| entry.member.state == state).count()
+    }
+
+    /// What is believed of a member.
+    #[must_use]
+    pub fn state_of(&self, node: &str) -> Option<MemberState> {
+        let position = self.position(node).ok()?;
+        Some(self.entries[position].member.state)
+    }
+
     /// Other members that are worth an exchange.
     #[must_use]
     pub fn peers(&self) -> Vec<&Member> {
--- a/crates/firweir/src/process/steward.rs
+++ b/crates/firweir/src/process/steward.rs
@@ -100,6 +100,16 @@
 ///
 /// The address cannot be listened at.
 pub async fn start(parts: Parts) -> std::io::Result<SocketAddr> {
+    let (address, _steward) = start_seen(parts).await?;
+    Ok(address)
+}
+
+/// As [`start`], for a process that also looks at the steward itself.
+///
+/// # Errors
+///
+/// The address cannot be listened at.
+pub async fn start_seen(parts: Parts) -> std::io::Result<(SocketAddr, Rc<Steward>)> {
     let steward = Rc::new(Steward::new(parts));
     let parts = steward.parts.clone();
     let client: steward::Client = capnp_rpc::new_client(Service(Rc::clone(&steward)));
@@ -117,7 +127,7 @@
     parts
         .journal
         .event("steward_started", &[("address", &address)]);
-    Ok(address)
+    Ok((address, steward))
 }
 
 impl Steward {
@@ -162,6 +172,24 @@
         }
     }
 
+    /// Revision of the configuration that it holds.
+    #[must_use]
+    pub fn revision(&self) -> u64 {
+        self.state.borrow().head.revision
+    }
+
+    /// Members that it believes to be in this state.
+    #[must_use]
+    pub fn count(&self, state: MemberState) -> usize {
+        self.state.borrow().membership.count(state)
+    }
+
+    /// What it believes of a member.
+    #[must_use]
+    pub fn state_of(&self, node: &str) -> Option<MemberState> {
+        self.state.borrow().membership.state_of(node)
+    }
+
     /// Takes in a configuration head unless a newer one is already held: a
     /// revision is a floor, and a stale peer or a late answer must not lower it.
     fn take_head(&self, head: Head) {
