--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod engine;
 pub mod fault;
 pub mod fit;
+pub mod fleet;
 pub mod judge;
 pub mod object_api;
 pub mod pipe;
