--- a/crates/firweir/src/process/holder.rs
+++ b/crates/firweir/src/process/holder.rs
@@ -217,7 +217,30 @@
         }
     }
 
+    /// Voids the lots that were sealed before this holder took the feed and whose
+    /// samples it does not have.
+    async fn void_missing(&self) {
+        loop {
+            let record = self.record();
+            let missing = record
+                .sealed
+                .iter()
+                .find(|lot| self.lot(lot.step, lot.generation).is_none());
+            let Some(missing) = missing else {
+                return;
+            };
+            if self
+                .update(|record| Some(record.with_voided(missing.step)))
+                .await
+                .is_err()
+            {
+                tokio::time::sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+
     async fn draft_forever(&self) {
+        self.void_missing().await;
         let mut changes = self.changes();
         loop {
             let Some(feed) = self.config() else {
@@ -242,7 +265,10 @@
         let lot = Rc::new(lot);
         self.lots.borrow_mut().push(Rc::clone(&lot));
         loop {
-            match self.update(|record| record.with_sealed(lot.record())).await {
+            match self
+                .update(|record| record.with_sealed(lot.record(Vec::new())))
+                .await
+            {
                 Ok(()) => break,
                 Err(ObjectError::Conflict) => return,
                 Err(_) => tokio::time::sleep(RETRY_PAUSE).await,
--- a/crates/firweir/src/request/lot.rs
+++ b/crates/firweir/src/request/lot.rs
@@ -64,9 +64,9 @@
         digest_of(&self.samples) == self.digest
     }
 
-    /// What the object API keeps of the lot.
+    /// What the object API keeps of the lot, with the VMs whose vaults hold it.
     #[must_use]
-    pub fn record(&self) -> LotRecord {
+    pub fn record(&self, vaults: Vec<String>) -> LotRecord {
         let versions = || self.samples.iter().flat_map(Sample::versions);
         LotRecord {
             step: self.step,
@@ -75,6 +75,7 @@
             samples: self.samples.len() as u32,
             oldest_version: versions().min().unwrap_or(0),
             newest_version: versions().max().unwrap_or(0),
+            vaults,
         }
     }
 }
--- a/crates/firweir/src/request/record.rs
+++ b/crates/firweir/src/request/record.rs
@@ -15,7 +15,7 @@
 use crate::connection::object::Stamped;
 
 /// A sealed lot; its samples are kept elsewhere.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct LotRecord {
     /// Step of the feed.
     pub step: u64,
@@ -29,10 +29,14 @@
     pub oldest_version: u64,
     /// Newest weight version that produced any part of a sample.
     pub newest_version: u64,
+    /// VMs whose vaults held the samples before the lot was sealed; none if they
+    /// are in the holder's memory alone.
+    #[serde(default)]
+    pub vaults: Vec<String>,
 }
 
 /// The lot that a trainer names when it accepts.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Acceptance {
     /// Step of the lot.
     pub step: u64,
@@ -64,7 +68,7 @@
 }
 
 /// What the object API holds of one feed.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct FeedRecord {
     /// Names the write that made this version.
     pub write_id: String,
@@ -101,8 +105,8 @@
         last.map_or(0, |step| step + 1)
     }
 
-    /// A new holder takes the feed. Lots whose samples it cannot get are voided:
-    /// their steps are drafted anew under a later generation.
+    /// A new holder takes the feed with its sealed lots. It voids those whose
+    /// samples it cannot get, once it knows that it cannot.
     #[must_use]
     pub fn taken_by(&self, holder: &str, address: SocketAddr) -> Self {
         Self {
@@ -111,7 +115,6 @@
             holder: holder.to_owned(),
             holder_address: Some(address),
             next_generation: self.next_generation + 1,
-            sealed: Vec::new(),
             ..self.clone()
         }
     }
