A test that catches charged calls run twice and not-run said wrongly

Cause: with the record before a charged call taken out, and with not-run said after something had been sent, promises_hold_under_each_fault still passed: its service answers in 5 ms, so a crash finds hardly a call in flight.

Change: a case of its own with calls of 300 ms, 40 a second, and twelve crashes.

--- a/crates/bench/tests/replays.rs
+++ b/crates/bench/tests/replays.rs
@@ -133,6 +133,28 @@
     }
 }
 
+/// Charged calls take 300 ms, and the instances that run them crash again and
+/// again. Callers resend under the same key. A call that had reached an instance
+/// is neither said not to have run nor run a second time, whichever VM is asked.
+#[test]
+fn crashes_with_charged_calls_in_flight_run_none_twice() {
+    let crash = |at_s: u32, target: u32| json!({"at_s": at_s, "kind": "upstream-crash", "target": target, "for_s": 1});
+    let faults: Vec<Value> = (0..12)
+        .map(|number| crash(4 + 4 * number, number % 2))
+        .collect();
+    let slow = json!({
+        "faults": faults, "trainers": [],
+        "upstreams": [{"service": "cards", "count": 2, "work_ms": 300}],
+        "loads": [{"service": "cards", "path": "/quote", "rate_per_s": 40, "callers": 4,
+                   "deadline_ms": 2000, "charged": true}],
+        "outcomes": [
+            {"name": "reexecuted", "at_most": 0}, {"name": "not_run_ran", "at_most": 0},
+            {"name": "lost", "at_most": 0}, {"name": "unknown", "at_least": 1}
+        ]
+    });
+    assert_held("crashes", &run(trace(&slow), 7));
+}
+
 /// The same trace and seed give the same report, byte for byte.
 #[test]
 fn a_replay_repeats_byte_for_byte() {
