--- a/crates/bench/src/bin/firweir-replay.rs
+++ b/crates/bench/src/bin/firweir-replay.rs
@@ -6,6 +6,7 @@
 use std::process::ExitCode;
 
 use argh::FromArgs;
+use firweir::process::log::start_logging;
 use firweir::process::log::start_logging_to;
 use firweir_bench::baseline::POLICIES;
 use firweir_bench::baseline::policy;
@@ -41,6 +42,9 @@
     /// file for the programs' event log, as firweir-burn reads it
     #[argh(option)]
     events: Option<PathBuf>,
+    /// least severe events to log: off, error, warn, info or debug (default off)
+    #[argh(option, default = "\"off\".to_owned()")]
+    log_level: String,
     /// traces
     #[argh(positional)]
     traces: Vec<PathBuf>,
@@ -108,6 +112,8 @@
         let file =
             fs::File::create(path).map_err(|err| ReplayCommandError::Report(path.clone(), err))?;
         start_logging_to("info", std::io::BufWriter::new(file));
+    } else {
+        start_logging(&flags.log_level);
     }
     let seeds = seeds(flags)?;
     let mut traces = Vec::new();
