Take chunks of a draft by position, and replay engines that send streams wrongly

Ruled out: keeping digests of taken chunks to compare repeats; the position decides, and the first one stays.

Change: early chunks wait for those before them (32 at most), text behind the end and a truncated stream are faults of their own. Four kinds of fault for engines' streams.

--- a/crates/bench/src/caller.rs
+++ b/crates/bench/src/caller.rs
@@ -280,7 +280,7 @@
             return CallOutcome::Wrong;
         }
     }
-    if assembly.whole().is_some() {
+    if assembly.whole().is_ok() {
         CallOutcome::Answered
     } else {
         CallOutcome::Wrong
--- a/crates/bench/src/engine.rs
+++ b/crates/bench/src/engine.rs
@@ -113,9 +113,26 @@
     requests: u64,
     swapping_until: Option<tokio::time::Instant>,
     failing_swaps: u32,
+    trouble: Option<StreamTrouble>,
     random: Pcg64Mcg,
 }
 
+/// What an engine does wrong with the streams that it sends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StreamTrouble {
+    /// A stream ends before the answer does, as if it were whole.
+    Truncated,
+    /// A chunk comes after the one behind it.
+    Reordered,
+    /// A chunk comes twice, the second time late.
+    Repeated,
+    /// A chunk does not say which version produced it.
+    Unlabelled,
+}
+
+/// Share of chunks that trouble strikes: a few in each answer of usual length.
+const TROUBLE_SHARE: f64 = 0.2;
+
 /// One engine; cheap to clone.
 #[derive(Debug, Clone)]
 pub struct Engine {
@@ -148,6 +165,7 @@
             requests: 0,
             swapping_until: None,
             failing_swaps: 0,
+            trouble: None,
             random: Pcg64Mcg::seed_from_u64(ground.seed),
         };
         let engine = Self {
@@ -178,6 +196,18 @@
         lock(&self.state).failing_swaps = count;
     }
 
+    /// Sends streams wrongly from now on, or rightly again.
+    pub fn trouble_streams(&self, trouble: Option<StreamTrouble>) {
+        lock(&self.state).trouble = trouble;
+    }
+
+    /// The trouble that strikes the next chunk.
+    fn next_trouble(&self) -> Option<StreamTrouble> {
+        let mut state = lock(&self.state);
+        let trouble = state.trouble?;
+        state.random.random_bool(TROUBLE_SHARE).then_some(trouble)
+    }
+
     async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
         let (parts, body) = request.into_parts();
         let path = parts.uri.path().to_owned();
@@ -338,22 +368,55 @@
             tokio::time::sleep(prefill * prompt_tokens).await;
         }
         let mut left = self.tokens;
+        let mut held_back = None;
         for seq in 0.. {
             let tokens = left.min(self.engine.settings.chunk_tokens);
             left -= tokens;
             self.work(tokens).await;
-            let data = self.chunk(seq, tokens, left == 0);
-            if sender.send(data).await.is_err() {
+            let chunk = self.chunk(seq, tokens, left == 0);
+            let sent = self.send(chunk, &mut held_back, &sender).await;
+            if sent.is_err() {
                 return;
             }
             if left == 0 {
                 break;
             }
         }
+        if let Some(late) = held_back {
+            drop(sender.send(text_of(&late)).await);
+        }
         // A reader that is gone needs no end.
         drop(sender.send(DONE.to_owned()).await);
     }
 
+    /// Sends a chunk, and the one that was held back behind it.
+    async fn send(
+        &self,
+        mut chunk: Chunk,
+        held_back: &mut Option<Chunk>,
+        sender: &mpsc::Sender<String>,
+    ) -> Result<(), Stopped> {
+        let late = held_back.take();
+        match self.engine.next_trouble() {
+            Some(StreamTrouble::Truncated) => {
+                drop(sender.send(DONE.to_owned()).await);
+                return Err(Stopped);
+            }
+            Some(StreamTrouble::Reordered) if late.is_none() => {
+                *held_back = Some(chunk);
+                return Ok(());
+            }
+            Some(StreamTrouble::Repeated) => *held_back = Some(chunk.clone()),
+            Some(StreamTrouble::Unlabelled) => chunk.weight_version = None,
+            Some(StreamTrouble::Reordered) | None => {}
+        }
+        for chunk in [Some(chunk), late].into_iter().flatten() {
+            let sent = sender.send(text_of(&chunk)).await;
+            sent.map_err(|_reader_gone| Stopped)?;
+        }
+        Ok(())
+    }
+
     /// Takes the time that these tokens need in the present batch.
     async fn work(&self, tokens: u32) {
         let settings = self.engine.settings;
@@ -370,7 +433,7 @@
     }
 
     /// Makes one chunk and tells the judge which version truly produced it.
-    fn chunk(&self, seq: u64, tokens: u32, last: bool) -> String {
+    fn chunk(&self, seq: u64, tokens: u32, last: bool) -> Chunk {
         let version = self.engine.version_of(&self.completion.model);
         let mark = Mark {
             engine: self.engine.number,
@@ -382,7 +445,7 @@
         let length = (tokens as usize * BYTES_PER_TOKEN).max(mark.len() + 1);
         let text = format!("{mark:.<length$} ", length = length - 1);
         let finish_reason = last.then(|| "stop".to_owned());
-        let chunk = Chunk {
+        Chunk {
             seq,
             choices: vec![Choice {
                 text,
@@ -390,11 +453,17 @@
             }],
             weight_version: Some(version),
             tokens,
-        };
-        serde_json::to_string(&chunk).unwrap_or_default()
+        }
     }
 }
 
+/// The stream ends here.
+struct Stopped;
+
+fn text_of(chunk: &Chunk) -> String {
+    serde_json::to_string(chunk).unwrap_or_default()
+}
+
 impl Drop for Generation {
     fn drop(&mut self) {
         lock(&self.engine.state).running -= 1;
--- a/crates/bench/src/fault.rs
+++ b/crates/bench/src/fault.rs
@@ -8,6 +8,8 @@
 use firweir::version::folder::File;
 use serde_json::json;
 
+use crate::engine::Engine;
+use crate::engine::StreamTrouble;
 use crate::object_api::Trouble;
 use crate::pipe::Zone;
 use crate::trace::Fault;
@@ -35,6 +37,18 @@
         FaultKind::UpstreamCrash => crash_upstream(&world, target, lasting).await,
         FaultKind::UpstreamLeave => leave_upstream(&world, target, lasting).await,
         FaultKind::SwapFails => fail_swaps(&world, target, fault.amount),
+        FaultKind::StreamsTruncated => {
+            trouble_streams(&world, target, StreamTrouble::Truncated, lasting).await;
+        }
+        FaultKind::StreamsReordered => {
+            trouble_streams(&world, target, StreamTrouble::Reordered, lasting).await;
+        }
+        FaultKind::StreamsRepeated => {
+            trouble_streams(&world, target, StreamTrouble::Repeated, lasting).await;
+        }
+        FaultKind::StreamsUnlabelled => {
+            trouble_streams(&world, target, StreamTrouble::Unlabelled, lasting).await;
+        }
         FaultKind::VmKill => kill_vm(&world, target, lasting).await,
         FaultKind::VmFreeze => freeze_vm(&world, target, lasting).await,
         FaultKind::VmReplace => replace_vm(&world, target, lasting).await,
@@ -77,17 +91,33 @@
 }
 
 fn fail_swaps(world: &SharedWorld, target: usize, count: u64) {
-    let world = world.borrow();
-    let engines: Vec<_> = world
-        .upstreams
-        .iter()
-        .filter_map(|it| it.engine.as_ref())
-        .collect();
-    if !engines.is_empty() {
-        engines[target % engines.len()].fail_swaps(count as u32);
+    if let Some(engine) = engine_at(&world.borrow(), target) {
+        engine.fail_swaps(count as u32);
     }
 }
 
+async fn trouble_streams(
+    world: &SharedWorld,
+    target: usize,
+    trouble: StreamTrouble,
+    lasting: Duration,
+) {
+    let engine = engine_at(&world.borrow(), target);
+    if let Some(engine) = engine {
+        engine.trouble_streams(Some(trouble));
+        tokio::time::sleep(lasting).await;
+        engine.trouble_streams(None);
+    }
+}
+
+/// An engine, counted among engines alone.
+fn engine_at(world: &World, target: usize) -> Option<Engine> {
+    let upstreams = world.upstreams.iter();
+    let engines: Vec<_> = upstreams.filter_map(|it| it.engine.as_ref()).collect();
+    let engine = engines.get(target % engines.len().max(1))?;
+    Some((*engine).clone())
+}
+
 async fn kill_vm(world: &SharedWorld, target: usize, lasting: Duration) {
     let index = target % world.borrow().vms.len();
     stop_vm(world, index).await;
--- a/crates/bench/src/judge.rs
+++ b/crates/bench/src/judge.rs
@@ -124,6 +124,8 @@
     feeds: BTreeMap<String, FeedState>,
     counts: Counts,
     in_deadline: u64,
+    /// Delivered samples with text of more than one weight version.
+    mixed: u64,
     latency_us: Histogram<u64>,
     staleness: Histogram<u64>,
     step_ms: Histogram<u64>,
@@ -172,6 +174,7 @@
             feeds: BTreeMap::new(),
             counts: Counts::default(),
             in_deadline: 0,
+            mixed: 0,
             latency_us: histogram(),
             staleness: histogram(),
             step_ms: histogram(),
@@ -258,6 +261,7 @@
         state.counts.lost += u64::from(expected).saturating_sub(slots.len() as u64);
         for sample in &lot.samples {
             state.judge_sample(sample);
+            state.mixed += u64::from(sample.segments.len() > 1);
             let oldest = sample.versions().min().unwrap_or(0);
             let age = trainer_version.saturating_sub(oldest);
             state.staleness.saturating_record(age);
@@ -351,6 +355,7 @@
             count("reexecuted", counts.reexecuted, "calls"),
             count("not_run_ran", counts.not_run_ran, "calls"),
             count("samples_delivered", counts.samples_delivered, "samples"),
+            count("samples_mixed", state.mixed, "samples"),
             count("steps_accepted", steps, "steps"),
             count("steps_accepted_least", least, "steps"),
             share(
--- a/crates/bench/src/trace.rs
+++ b/crates/bench/src/trace.rs
@@ -213,6 +213,14 @@
     UpstreamLeave,
     /// Swaps fail after the weights were fetched.
     SwapFails,
+    /// An engine's streams end early, as if they were whole.
+    StreamsTruncated,
+    /// Chunks of an engine's streams come out of order.
+    StreamsReordered,
+    /// Chunks of an engine's streams come twice.
+    StreamsRepeated,
+    /// An engine reports no version with some of its chunks.
+    StreamsUnlabelled,
     /// All programs of a VM die and start again.
     VmKill,
     /// All programs of a VM stop and go on.
--- a/crates/firweir/src/request/chunk.rs
+++ b/crates/firweir/src/request/chunk.rs
@@ -42,6 +42,33 @@
     pub weight_version: u64,
 }
 
+/// Adds text to what is there; text of the same version makes one segment.
+pub fn join(segments: &mut Vec<Segment>, next: Segment) {
+    match segments.last_mut() {
+        Some(last) if last.weight_version == next.weight_version => {
+            last.text.push_str(&next.text);
+            last.tokens += next.tokens;
+        }
+        _ => segments.push(next),
+    }
+}
+
+/// Tokens of all segments.
+#[must_use]
+pub fn tokens_of(segments: &[Segment]) -> u32 {
+    segments.iter().map(|segment| segment.tokens).sum()
+}
+
+/// Text of all segments.
+#[must_use]
+pub fn text_of(segments: &[Segment]) -> String {
+    segments.iter().map(|segment| &*segment.text).collect()
+}
+
+/// Chunks that may wait for one before them. Engines send in order; one that
+/// runs this far ahead has lost a chunk, and waiting on would only cost time.
+const EARLY_CHUNKS: usize = 32;
+
 /// Why a stream makes no sample.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum StreamFault {
@@ -49,78 +76,112 @@
     Gap,
     /// A chunk does not say which version produced it.
     Unlabelled,
-    /// An event is not a chunk.
+    /// An event is not a chunk, or text follows the end.
     Malformed,
+    /// The stream ended before the answer did.
+    Truncated,
 }
 
 /// Puts an answer together from its chunks.
 ///
-/// A chunk sent twice is taken once; a missing one spoils the answer, since
-/// half an answer must never pass for a whole one.
+/// Half an answer passed off as a whole one would teach a wrong sample, and so
+/// would a chunk taken twice or in the wrong place. Chunks are therefore taken
+/// strictly by their position: one sent twice is taken once, an early one waits
+/// for those before it, and the answer is whole only once its last chunk and the
+/// end of the stream were seen with nothing missing between.
 #[derive(Debug, Clone, Default)]
 pub struct Assembly {
     next_seq: u64,
+    /// Chunks that came before their turn, by position.
+    early: Vec<Chunk>,
     segments: Vec<Segment>,
     finished: bool,
     done: bool,
 }
 
 impl Assembly {
-    /// Takes in the data of one event.
+    /// Takes in the data of one event and gives the text that is now in its
+    /// place, in order.
     ///
     /// # Errors
     ///
-    /// The answer cannot become whole.
-    pub fn push(&mut self, data: &str) -> Result<(), StreamFault> {
+    /// The answer cannot become whole. What was taken before stays good.
+    pub fn push(&mut self, data: &str) -> Result<Vec<Segment>, StreamFault> {
         if data == DONE {
             self.done = true;
-            return Ok(());
+            return Ok(Vec::new());
         }
         let chunk: Chunk =
             serde_json::from_str(data).map_err(|_malformed| StreamFault::Malformed)?;
+        self.keep(chunk)?;
+        let mut taken = Vec::new();
+        while self
+            .early
+            .first()
+            .is_some_and(|chunk| chunk.seq == self.next_seq)
+        {
+            let chunk = self.early.remove(0);
+            if let Some(segment) = self.take(chunk)? {
+                join(&mut self.segments, segment.clone());
+                join(&mut taken, segment);
+            }
+        }
+        Ok(taken)
+    }
+
+    /// The segments, if the answer is whole.
+    ///
+    /// # Errors
+    ///
+    /// The stream ended too early.
+    pub fn whole(self) -> Result<Vec<Segment>, StreamFault> {
+        if !self.early.is_empty() {
+            return Err(StreamFault::Gap);
+        }
+        if self.finished && self.done {
+            Ok(self.segments)
+        } else {
+            Err(StreamFault::Truncated)
+        }
+    }
+
+    /// Puts a chunk where its position says, unless it was there before.
+    fn keep(&mut self, chunk: Chunk) -> Result<(), StreamFault> {
         if chunk.seq < self.next_seq {
             return Ok(());
         }
-        if chunk.seq > self.next_seq {
+        let position = self
+            .early
+            .binary_search_by_key(&chunk.seq, |early| early.seq);
+        if let Err(position) = position {
+            self.early.insert(position, chunk);
+        }
+        if self.early.len() > EARLY_CHUNKS {
             return Err(StreamFault::Gap);
         }
-        self.next_seq += 1;
+        Ok(())
+    }
+
+    fn take(&mut self, chunk: Chunk) -> Result<Option<Segment>, StreamFault> {
+        if self.finished {
+            return Err(StreamFault::Malformed);
+        }
         let choice = chunk
             .choices
             .into_iter()
             .next()
             .ok_or(StreamFault::Malformed)?;
-        self.finished |= choice.finish_reason.is_some();
-        self.append(choice.text, chunk.tokens, chunk.weight_version)
-    }
-
-    /// The segments, if the answer is whole.
-    #[must_use]
-    pub fn whole(self) -> Option<Vec<Segment>> {
-        (self.finished && self.done).then_some(self.segments)
-    }
-
-    fn append(
-        &mut self,
-        text: String,
-        tokens: u32,
-        weight_version: Option<u64>,
-    ) -> Result<(), StreamFault> {
-        if text.is_empty() {
-            return Ok(());
+        let labelled = choice.text.is_empty() || chunk.weight_version.is_some();
+        if !labelled {
+            return Err(StreamFault::Unlabelled);
         }
-        let weight_version = weight_version.ok_or(StreamFault::Unlabelled)?;
-        match self.segments.last_mut() {
-            Some(last) if last.weight_version == weight_version => {
-                last.text.push_str(&text);
-                last.tokens += tokens;
-            }
-            _ => self.segments.push(Segment {
-                text,
-                tokens,
-                weight_version,
-            }),
-        }
-        Ok(())
+        self.next_seq += 1;
+        self.finished = choice.finish_reason.is_some();
+        let segment = chunk.weight_version.map(|weight_version| Segment {
+            text: choice.text,
+            tokens: chunk.tokens,
+            weight_version,
+        });
+        Ok(segment.filter(|segment| !segment.text.is_empty()))
     }
 }
--- a/crates/firweir/src/request/draft.rs
+++ b/crates/firweir/src/request/draft.rs
@@ -154,7 +154,7 @@
             let event = event.map_err(|_broken| ClientError::Broken(address))?;
             assembly.push(&event.data).map_err(DraftFault::Stream)?;
         }
-        assembly.whole().ok_or(DraftFault::Stream(StreamFault::Gap))
+        assembly.whole().map_err(DraftFault::Stream)
     }
 }
 
