Slopes over the length of samples

Cause: the page on capacity needs what longer samples cost, since a step at the target is a gigabyte of text.

Change: firweir-process-slopes varies the longest answer from 64 to 16,384 tokens.

--- a/crates/bench/src/bin/firweir-process-slopes.rs
+++ b/crates/bench/src/bin/firweir-process-slopes.rs
@@ -228,11 +228,11 @@
     }})
 }
 
-fn with_feed(groups: u64, samples: u64) -> Value {
+fn with_feed(groups: u64, samples: u64, max_tokens: u64) -> Value {
     let mut config = services();
     config["feeds"] = json!({ "lots": {
         "service": "models", "model": "m", "trainer": address(2).to_string(),
-        "groups_per_step": groups, "samples_per_group": samples, "max_tokens": 64,
+        "groups_per_step": groups, "samples_per_group": samples, "max_tokens": max_tokens,
         "staleness_bound_versions": 8, "draft_timeout_ms": 60_000
     }});
     config
@@ -393,7 +393,7 @@
             "0.1",
         ];
         let standin = [&standin[..], &["--samples", &count]].concat();
-        let deployment = Deployment::start(&standin, with_feed(groups, samples)).await?;
+        let deployment = Deployment::start(&standin, with_feed(groups, samples, 64)).await?;
         let size = (groups * samples) as f64;
         wait_for_samples(&deployment, size).await?;
         let first = deployment.count("samples_delivered");
@@ -434,6 +434,52 @@
     ])
 }
 
+/// What a feed and an entry cost over the longest answer of a sample, in steps of
+/// 256 samples; answers are 0.27 of the longest on average.
+async fn length_slopes() -> Result<Vec<Series>, SlopeError> {
+    const STEPS: f64 = 2.0;
+    const SIZE: f64 = 256.0;
+    let mut memory = Vec::new();
+    let mut feed_cpu = Vec::new();
+    let mut entry_cpu = Vec::new();
+    for max_tokens in [64_u16, 1_024, 4_096, 16_384] {
+        let standin = [
+            "--engines",
+            "4",
+            "--token-us",
+            "2",
+            "--feed",
+            "lots",
+            "--train-s",
+            "0.1",
+            "--samples",
+            "256",
+        ];
+        let config = with_feed(32, 8, u64::from(max_tokens));
+        let deployment = Deployment::start(&standin, config).await?;
+        wait_for_samples(&deployment, SIZE).await?;
+        let before = (deployment.feed.cpu_s()?, deployment.entry.cpu_s()?);
+        let first = deployment.count("samples_delivered");
+        wait_for_samples(&deployment, first + STEPS * SIZE).await?;
+        let samples = deployment.count("samples_delivered") - first;
+        let x = f64::from(max_tokens);
+        memory.push((x, deployment.feed.resident_mb()?));
+        feed_cpu.push((x, (deployment.feed.cpu_s()? - before.0) / samples * 1e6));
+        entry_cpu.push((x, (deployment.entry.cpu_s()? - before.1) / samples * 1e6));
+    }
+    let series = |name, unit, points| Series {
+        name,
+        per: "token of the longest answer",
+        unit,
+        points,
+    };
+    Ok(vec![
+        series("feed memory, 256 samples a step", "MB", memory),
+        series("feed processor time of a sample", "us", feed_cpu),
+        series("entry processor time of a sample", "us", entry_cpu),
+    ])
+}
+
 async fn wait_for_samples(deployment: &Deployment, least: f64) -> Result<(), SlopeError> {
     let start = tokio::time::Instant::now();
     while start.elapsed() < ANSWER_LIMIT {
@@ -478,6 +524,9 @@
     for series in feed_slopes().await? {
         print(&series);
     }
+    for series in length_slopes().await? {
+        print(&series);
+    }
     Ok(())
 }
 
