--- a/crates/bench/src/bin/firweir-replay.rs
+++ b/crates/bench/src/bin/firweir-replay.rs
@@ -28,7 +28,7 @@
     /// seeds A..B, both included, instead of one
     #[argh(option)]
     seeds: Option<String>,
-    /// policy to run with: firweir or fifo (default firweir)
+    /// policy to run with: firweir, fifo or static (default firweir)
     #[argh(option, default = "\"firweir\".to_owned()")]
     policy: String,
     /// policy to run beside it
--- a/crates/bench/src/caller.rs
+++ b/crates/bench/src/caller.rs
@@ -103,7 +103,7 @@
     }
 
     /// Makes calls at the load's rate for as long as it lasts.
-    pub async fn run(self, load: Load, seed: u64) {
+    pub async fn run(self, index: usize, load: Load, seed: u64) {
         let mut random = Pcg64Mcg::seed_from_u64(seed);
         let load = Arc::new(load);
         let start = tokio::time::Instant::now();
@@ -120,6 +120,7 @@
             let call = Call {
                 callers: self.clone(),
                 load: Arc::clone(&load),
+                index,
                 number: self.numbers.fetch_add(1, Ordering::SeqCst),
                 caller: caller_of(&load, &mut random),
                 random: random.random(),
@@ -141,6 +142,8 @@
 struct Call {
     callers: Callers,
     load: Arc<Load>,
+    /// Place of the load in the trace.
+    index: usize,
     number: u64,
     caller: u32,
     random: u64,
@@ -171,6 +174,8 @@
         let deadline = Duration::from_millis(self.load.deadline_ms);
         self.callers.judge.call_ended(&CallEnd {
             request: self.number,
+            load: self.index,
+            hot: self.load.hot_share > 0.0 && self.caller == 0,
             outcome,
             latency,
             deadline,
--- a/crates/bench/src/engine.rs
+++ b/crates/bench/src/engine.rs
@@ -113,6 +113,7 @@
     requests: u64,
     swapping_until: Option<tokio::time::Instant>,
     failing_swaps: u32,
+    slow_factor: u32,
     random: Pcg64Mcg,
 }
 
@@ -148,6 +149,7 @@
             requests: 0,
             swapping_until: None,
             failing_swaps: 0,
+            slow_factor: 1,
             random: Pcg64Mcg::seed_from_u64(ground.seed),
         };
         let engine = Self {
@@ -178,6 +180,11 @@
         lock(&self.state).failing_swaps = count;
     }
 
+    /// Makes each token take this many times as long.
+    pub fn slow_down(&self, factor: u32) {
+        lock(&self.state).slow_factor = factor;
+    }
+
     async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
         let (parts, body) = request.into_parts();
         let path = parts.uri.path().to_owned();
@@ -350,6 +357,7 @@
                 break;
             }
         }
+        self.engine.judge.generated(self.tokens);
         // A reader that is gone needs no end.
         drop(sender.send(DONE.to_owned()).await);
     }
@@ -357,15 +365,15 @@
     /// Takes the time that these tokens need in the present batch.
     async fn work(&self, tokens: u32) {
         let settings = self.engine.settings;
-        let (running, swapping_until) = {
+        let (running, swapping_until, slow_factor) = {
             let state = lock(&self.engine.state);
-            (state.running, state.swapping_until)
+            (state.running, state.swapping_until, state.slow_factor)
         };
         if let Some(until) = swapping_until {
             tokio::time::sleep_until(until).await;
         }
         let slowdown = 1.0 + f64::from(running.saturating_sub(1)) / f64::from(settings.batch_knee);
-        let alone = Duration::from_micros(settings.token_us) * tokens;
+        let alone = Duration::from_micros(settings.token_us) * tokens * slow_factor;
         tokio::time::sleep(alone.mul_f64(slowdown)).await;
     }
 
--- a/crates/bench/src/fault.rs
+++ b/crates/bench/src/fault.rs
@@ -34,6 +34,7 @@
     match fault.kind {
         FaultKind::UpstreamCrash => crash_upstream(&world, target, lasting).await,
         FaultKind::UpstreamLeave => leave_upstream(&world, target, lasting).await,
+        FaultKind::UpstreamSlow => slow_upstream(&world, target, fault.amount, lasting).await,
         FaultKind::SwapFails => fail_swaps(&world, target, fault.amount),
         FaultKind::VmKill => kill_vm(&world, target, lasting).await,
         FaultKind::VmFreeze => freeze_vm(&world, target, lasting).await,
@@ -76,6 +77,19 @@
     world.borrow().publish_vms();
 }
 
+async fn slow_upstream(world: &SharedWorld, target: usize, factor: u64, lasting: Duration) {
+    let engine = {
+        let world = world.borrow();
+        let index = target % world.upstreams.len();
+        world.upstreams[index].engine.clone()
+    };
+    if let Some(engine) = engine {
+        engine.slow_down(factor as u32);
+        tokio::time::sleep(lasting).await;
+        engine.slow_down(1);
+    }
+}
+
 fn fail_swaps(world: &SharedWorld, target: usize, count: u64) {
     let world = world.borrow();
     let engines: Vec<_> = world
--- a/crates/bench/src/judge.rs
+++ b/crates/bench/src/judge.rs
@@ -13,6 +13,7 @@
 use hdrhistogram::Histogram;
 use serde::Serialize;
 
+use crate::load_measures::LoadMeasures;
 use crate::stand::lock;
 
 /// Names one chunk that an engine produced; it stands in the chunk's text.
@@ -64,6 +65,10 @@
 pub struct CallEnd {
     /// Unique among all requests of a run.
     pub request: u64,
+    /// Place of its load in the trace.
+    pub load: usize,
+    /// It came from the caller that offers most.
+    pub hot: bool,
     /// How it ended.
     pub outcome: CallOutcome,
     /// From first sending to the end.
@@ -124,6 +129,9 @@
     feeds: BTreeMap<String, FeedState>,
     counts: Counts,
     in_deadline: u64,
+    loads: LoadMeasures,
+    tokens: u64,
+    window: Option<Duration>,
     latency_us: Histogram<u64>,
     staleness: Histogram<u64>,
     step_ms: Histogram<u64>,
@@ -148,9 +156,15 @@
 
 const PRECISION_DIGITS: u8 = 3;
 
-fn histogram() -> Histogram<u64> {
-    // The precision is a constant within the allowed range.
-    Histogram::new(PRECISION_DIGITS).expect("three digits are a valid precision")
+/// Largest value that is told apart from larger ones: a day, in microseconds.
+const LARGEST: u64 = 86_400_000_000;
+
+/// A histogram with its range set from the start: one that grows with
+/// `record` clips what `saturating_record` is given to its first range, and so
+/// showed 0.002 ms for every latency.
+pub(crate) fn histogram() -> Histogram<u64> {
+    // Both are constants within the allowed range.
+    Histogram::new_with_max(LARGEST, PRECISION_DIGITS).expect("a valid range and precision")
 }
 
 impl Default for Judge {
@@ -172,6 +186,9 @@
             feeds: BTreeMap::new(),
             counts: Counts::default(),
             in_deadline: 0,
+            loads: LoadMeasures::default(),
+            tokens: 0,
+            window: None,
             latency_us: histogram(),
             staleness: histogram(),
             step_ms: histogram(),
@@ -209,6 +226,19 @@
         produced.whole |= last;
     }
 
+    /// An engine generated a whole answer.
+    pub fn generated(&self, tokens: u32) {
+        let mut state = lock(&self.state);
+        if state.window.is_none() {
+            state.tokens += u64::from(tokens);
+        }
+    }
+
+    /// The time in which load is offered has ended; it was this long.
+    pub fn end_window(&self, window: Duration) {
+        lock(&self.state).window = Some(window);
+    }
+
     /// A service ran a request.
     pub fn executed(&self, request: u64, key: Option<&str>) {
         let mut state = lock(&self.state);
@@ -228,6 +258,7 @@
     pub fn call_ended(&self, end: &CallEnd) {
         let mut state = lock(&self.state);
         state.counts.offered += 1;
+        state.loads.call_ended(end);
         match end.outcome {
             CallOutcome::Answered => {
                 state.counts.answered += 1;
@@ -339,7 +370,8 @@
             unit: "share",
         };
         let millis = |quantile| state.latency_us.value_at_quantile(quantile) as f64 / 1_000.0;
-        vec![
+        let window_s = state.window.unwrap_or_default().as_secs_f64();
+        let mut measures = vec![
             count("offered", counts.offered, "calls"),
             count("answered", counts.answered, "calls"),
             count("not_run", counts.not_run, "calls"),
@@ -381,7 +413,18 @@
                 state.staleness.value_at_quantile(0.99),
                 "versions",
             ),
-        ]
+            Measure {
+                name: "goodput",
+                value: if window_s > 0.0 {
+                    state.tokens as f64 / window_s
+                } else {
+                    0.0
+                },
+                unit: "tokens/s",
+            },
+        ];
+        measures.extend(state.loads.measures());
+        measures
     }
 }
 
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod engine;
 pub mod fault;
 pub mod judge;
+pub mod load_measures;
 pub mod object_api;
 pub mod pipe;
 pub mod replay;
--- a/crates/bench/src/replay.rs
+++ b/crates/bench/src/replay.rs
@@ -105,6 +105,10 @@
         tokio::time::sleep(part).await;
         progress(f64::from(step) / f64::from(PROGRESS_STEPS));
     }
+    world
+        .borrow()
+        .judge
+        .end_window(Duration::from_secs_f64(plan.trace.duration_s));
     close_calls(&world).await;
     let world = world.borrow();
     let measures = world.judge.measures();
@@ -150,7 +154,7 @@
     for (index, load) in world.trace.loads.iter().enumerate() {
         let callers = world.callers.clone();
         let seed = seed.wrapping_mul(131).wrapping_add(index as u64);
-        drop(tokio::spawn(callers.run(load.clone(), seed)));
+        drop(tokio::spawn(callers.run(index, load.clone(), seed)));
     }
 }
 
--- a/crates/bench/src/trace.rs
+++ b/crates/bench/src/trace.rs
@@ -198,7 +198,7 @@
     /// Which engine, VM or zone, counted from 0.
     #[serde(default)]
     pub target: u32,
-    /// Delay of a slow platform; files of racing operators.
+    /// Delay of a slow platform; files of racing operators; factor of a slow engine.
     #[serde(default)]
     pub amount: u64,
 }
@@ -211,6 +211,8 @@
     UpstreamCrash,
     /// An upstream is marked as leaving, and goes.
     UpstreamLeave,
+    /// An engine takes `amount` times as long for each token.
+    UpstreamSlow,
     /// Swaps fail after the weights were fetched.
     SwapFails,
     /// All programs of a VM die and start again.
--- a/crates/firweir/src/process/entry.rs
+++ b/crates/firweir/src/process/entry.rs
@@ -19,13 +19,17 @@
 use crate::connection::server;
 use crate::connection::server::Body;
 use crate::connection::server::json;
+use crate::process::demand::Demands;
+use crate::process::demand::Sharing;
 use crate::process::follow::follow;
+use crate::process::follow::report;
 use crate::process::run::Parts;
 use crate::request::call::boxed_answer;
 use crate::request::draft::read_draft;
 use crate::request::draft::write_drafted;
 use crate::request::gate::Gate;
 use crate::request::idempotency::Ledger;
+use crate::version::view::Demand;
 use crate::version::view::SharedView;
 use crate::version::view::View;
 use crate::wire::firweir_capnp::entry;
@@ -124,6 +128,12 @@
             follower.take_view(view);
         });
         self.parts.tasks.spawn_local(following);
+        let reporter = Arc::clone(&self);
+        let demands = Demands::default();
+        let observe = move || demands.observe(reporter.demands());
+        self.parts
+            .tasks
+            .spawn_local(report(self.parts.clone(), observe));
         Ok(())
     }
 
@@ -217,10 +227,15 @@
                     || Gate::new(Arc::clone(&self.parts.clock), (self.make_dispatcher)()),
                     |named| Arc::clone(&named.gate),
                 );
-                let entries = view.live_members().count().max(1) as u32;
+                let sharing = Sharing::of(view, &self.parts.settings.node, &service.name);
                 let upstreams = view.upstreams_of(&service.name);
                 let limit = service.value.limit_per_upstream;
-                gate.set_upstreams(upstreams, &self.parts.settings.zone, limit, entries);
+                gate.set_upstreams(
+                    upstreams,
+                    &self.parts.settings.zone,
+                    limit,
+                    &sharing.fleet(),
+                );
                 NamedGate {
                     service: service.name.clone(),
                     gate,
@@ -233,6 +248,20 @@
             .event("view_taken", &[("revision", &view.revision)]);
     }
 
+    /// Work in flight and waiting, by service.
+    fn demands(&self) -> Vec<Demand> {
+        let gates = self.gates.load();
+        let demand = |named: &NamedGate| {
+            let (in_flight, waiting) = named.gate.demand();
+            Demand {
+                service: named.service.clone(),
+                in_flight: in_flight as u32,
+                waiting: waiting as u32,
+            }
+        };
+        gates.iter().map(demand).collect()
+    }
+
     async fn tick_forever(&self) {
         loop {
             tokio::time::sleep(TICK_EVERY).await;
--- a/crates/firweir/src/process/mod.rs
+++ b/crates/firweir/src/process/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod clock;
 pub mod ctl;
+pub mod demand;
 pub mod drafting;
 pub mod entry;
 pub mod feed;
--- a/crates/firweir/src/request/call.rs
+++ b/crates/firweir/src/request/call.rs
@@ -39,6 +39,8 @@
 use crate::request::answer::OUTCOME_HEADER;
 use crate::request::answer::Outcome;
 use crate::request::answer::Refused;
+use crate::request::cost::BYTES_PER_TOKEN;
+use crate::request::cost::estimate_tokens;
 use crate::request::gate::Ask;
 use crate::request::gate::Gate;
 use crate::request::gate::Permit;
@@ -54,9 +56,6 @@
 /// Bytes of a body that count as its prompt prefix.
 const PREFIX_BYTES: usize = 256;
 
-/// Bytes of text per token, for cost estimates.
-const BYTES_PER_TOKEN: usize = 4;
-
 /// When a caller whose call failed may send it again.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -252,7 +251,7 @@
             class: Class::Live,
             caller: self.head.caller,
             prefix: xxh3_64(prefix),
-            cost_tokens: (self.body.len() / BYTES_PER_TOKEN) as u32,
+            cost_tokens: estimate_tokens(&self.body),
             deadline: self.deadline,
             avoid,
         }
--- a/crates/firweir/src/request/gate.rs
+++ b/crates/firweir/src/request/gate.rs
@@ -15,12 +15,14 @@
 use firweir_policy::work::Class;
 use firweir_policy::work::Ending;
 use firweir_policy::work::Finish;
+use firweir_policy::work::Fleet;
 use firweir_policy::work::Refusal;
 use firweir_policy::work::UpstreamKey;
 use firweir_policy::work::UpstreamState;
 use firweir_policy::work::Work;
 use firweir_policy::work::WorkKey;
 use tokio::sync::oneshot;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::process::clock::Clock;
 use crate::version::view::Upstream;
@@ -67,6 +69,8 @@
     /// Addresses by upstream key. Rows are never removed, so that a key names
     /// the same upstream for as long as the process lives.
     addresses: Vec<SocketAddr>,
+    /// Keys sorted by address.
+    keys: Vec<(SocketAddr, UpstreamKey)>,
 }
 
 impl std::fmt::Debug for Inner {
@@ -88,6 +92,7 @@
             next_work: 0,
             waiting: Vec::new(),
             addresses: Vec::new(),
+            keys: Vec::new(),
         };
         Arc::new(Self {
             clock,
@@ -96,19 +101,20 @@
     }
 
     /// Takes in the upstreams of the service as the view shows them.
-    pub fn set_upstreams(&self, upstreams: &[Upstream], zone: &str, limit: u32, entries: u32) {
+    pub fn set_upstreams(&self, upstreams: &[Upstream], zone: &str, limit: u32, fleet: &Fleet<'_>) {
         let now = self.clock.now();
         let mut inner = self.lock();
         let states: Vec<UpstreamState> = upstreams
             .iter()
             .map(|upstream| UpstreamState {
                 key: inner.key_of(upstream.address),
+                hash: hash_of(upstream.address),
                 local_zone: upstream.zone == zone,
                 leaving: upstream.leaving,
                 limit,
             })
             .collect();
-        inner.dispatcher.set_upstreams(now, &states, entries);
+        inner.dispatcher.set_upstreams(now, &states, fleet);
         inner.carry_out();
     }
 
@@ -154,6 +160,13 @@
         self.lock().budget.allow(ending, idempotent, tries)
     }
 
+    /// Work in flight and work that waits.
+    #[must_use]
+    pub fn demand(&self) -> (usize, usize) {
+        let inner = self.lock();
+        (inner.dispatcher.in_flight(), inner.dispatcher.waiting())
+    }
+
     /// Lets time-bound decisions happen.
     pub fn tick(&self) {
         let now = self.clock.now();
@@ -222,12 +235,15 @@
 
 impl Inner {
     fn key_of(&mut self, address: SocketAddr) -> UpstreamKey {
-        let known = self.addresses.iter().position(|known| *known == address);
-        let index = known.unwrap_or_else(|| {
-            self.addresses.push(address);
-            self.addresses.len() - 1
-        });
-        UpstreamKey(index as u32)
+        match self.keys.binary_search_by_key(&address, |(held, _)| *held) {
+            Ok(at) => self.keys[at].1,
+            Err(at) => {
+                let key = UpstreamKey(self.addresses.len() as u32);
+                self.addresses.push(address);
+                self.keys.insert(at, (address, key));
+                key
+            }
+        }
     }
 
     fn carry_out(&mut self) {
@@ -242,6 +258,11 @@
     }
 }
 
+/// The same on every VM, whatever the order in which upstreams became known.
+fn hash_of(address: SocketAddr) -> u64 {
+    xxh3_64(address.to_string().as_bytes())
+}
+
 /// Work in the queue; dropping it takes the work out.
 struct Waiting {
     gate: Option<Arc<Gate>>,
--- a/crates/firweir/src/request/mod.rs
+++ b/crates/firweir/src/request/mod.rs
@@ -3,6 +3,7 @@
 pub mod answer;
 pub mod call;
 pub mod chunk;
+pub mod cost;
 pub mod draft;
 pub mod gate;
 pub mod head;
--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -3,16 +3,23 @@
 //! **Load:** live calls and training work on the same upstreams, which admit
 //! whatever arrives and know no priorities. **Without it:** training, whose
 //! demand has no end, fills the engines' batches and every live call waits
-//! behind it. **Thresholds:** beside each constant.
+//! behind it. **How:** three lanes (short live, long live, training), each with
+//! a fair queue. A lane starts work while a slot is free beyond those that are kept
+//! for the others. **Thresholds:** beside each constant.
 
 use std::collections::VecDeque;
 use std::time::Duration;
 use std::time::Instant;
 
-use crate::queue::WorkQueue;
+use crate::lane::KINDS;
+use crate::lane::Kind;
+use crate::lane::Lane;
+use crate::limit::Limit;
+use crate::slots::Slots;
 use crate::work::Class;
 use crate::work::Ending;
 use crate::work::Finish;
+use crate::work::Fleet;
 use crate::work::Refusal;
 use crate::work::UpstreamKey;
 use crate::work::UpstreamState;
@@ -44,8 +51,8 @@
 ///
 /// The entry reports events and then takes decisions until there are none.
 pub trait Dispatcher: Send {
-    /// The upstreams changed, or the number of entries that share them.
-    fn set_upstreams(&mut self, now: Instant, upstreams: &[UpstreamState], entries: u32);
+    /// The upstreams changed, or the entries that share them.
+    fn set_upstreams(&mut self, now: Instant, upstreams: &[UpstreamState], fleet: &Fleet<'_>);
     /// New work, or work that is tried again.
     fn offer(&mut self, now: Instant, work: Work);
     /// Work that no one waits for any more and that was not started.
@@ -56,213 +63,297 @@
     fn tick(&mut self, now: Instant);
     /// The next decision, if any.
     fn next_decision(&mut self) -> Option<Decision>;
+    /// Work that was started and has not ended.
+    fn in_flight(&self) -> usize;
     /// Work that waits.
     fn waiting(&self) -> usize;
 }
 
-/// Waiting work beyond this many times the slots is turned away: at the speed
-/// of the slots it would wait several service times, which no caller's deadline
-/// covers, and a longer queue only makes every answer later.
-const QUEUE_PER_SLOT: usize = 4;
+/// Part of the slots that training gets whatever the live load: a trainer that
+/// gets nothing for an hour leaves its model stale for days.
+const TRAINING_FLOOR: f64 = 0.1;
 
-/// Training may hold this share of an upstream's slots while live work is
-/// around; the rest stays free so that a live call starts at once.
-const TRAINING_SHARE_PERCENT: u32 = 75;
+/// A live call of this many doublings above the usual cost is long.
+const LONG_DOUBLINGS: f64 = 2.0;
 
-/// An upstream that could not be reached is left alone this long: long enough
-/// for a restart to show in the VM list, short enough that a blip costs little.
-const UNREACHABLE_PAUSE: Duration = Duration::from_secs(2);
-
-/// When a refused caller may come back, per service time of queue ahead.
-const RETRY_AFTER: Duration = Duration::from_secs(1);
-
-#[derive(Debug, Clone, Copy)]
-struct Slot {
-    state: UpstreamState,
-    in_flight_live: u32,
-    in_flight_training: u32,
-    paused_until: Option<Instant>,
-}
+/// Part that one call moves the usual cost: a hundred calls.
+const USUAL_STEP: f64 = 0.01;
 
 #[derive(Debug, Clone, Copy)]
 struct Running {
     work: WorkKey,
     upstream: UpstreamKey,
-    class: Class,
+    kind: Kind,
+    cost_tokens: u32,
+    since: Instant,
+    deadline: Instant,
 }
 
 /// The policy that firweir runs with.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Balanced {
-    slots: Vec<Slot>,
-    entries: u32,
-    live: WorkQueue,
-    training: WorkQueue,
+    slots: Slots,
+    limit: Limit,
+    lanes: [Lane; KINDS.len()],
+    /// Sorted by work.
     running: Vec<Running>,
+    /// Usual cost of live work, as a power of two.
+    usual_doublings: Option<f64>,
     decisions: VecDeque<Decision>,
 }
 
+impl Default for Balanced {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
 impl Balanced {
     /// A dispatcher that knows no upstream yet.
     #[must_use]
     pub fn new() -> Self {
         Self {
-            entries: 1,
-            ..Self::default()
+            slots: Slots::default(),
+            limit: Limit::default(),
+            lanes: KINDS.map(Lane::new),
+            running: Vec::new(),
+            usual_doublings: None,
+            decisions: VecDeque::new(),
         }
     }
 
-    fn share(&self, slot: &Slot) -> u32 {
-        (slot.state.limit / self.entries.max(1)).max(1)
+    const fn lane(&self, kind: Kind) -> &Lane {
+        &self.lanes[kind as usize]
     }
 
-    fn has_room(&self, slot: &Slot, class: Class, now: Instant) -> bool {
-        if slot.state.leaving || slot.paused_until.is_some_and(|until| until > now) {
-            return false;
+    const fn lane_mut(&mut self, kind: Kind) -> &mut Lane {
+        &mut self.lanes[kind as usize]
+    }
+
+    fn kind_of(&mut self, work: &Work) -> Kind {
+        if work.class == Class::Training {
+            return Kind::Training;
         }
-        let share = self.share(slot);
-        let in_flight = slot.in_flight_live + slot.in_flight_training;
-        let training_share = (share * TRAINING_SHARE_PERCENT / 100).max(1);
-        match class {
-            Class::Live => in_flight < share,
-            Class::Training => in_flight < share && slot.in_flight_training < training_share,
+        let doublings = f64::from(work.cost_tokens.max(1)).log2();
+        let usual = self.usual_doublings.get_or_insert(doublings);
+        let long = doublings >= *usual + LONG_DOUBLINGS;
+        *usual += (doublings - *usual) * USUAL_STEP;
+        if long { Kind::Long } else { Kind::Short }
+    }
+
+    /// Slots kept for training while there is any.
+    fn training_floor(&self) -> u32 {
+        let wanted = self.lane(Kind::Training).reserve.slots();
+        let floor = (f64::from(self.slots.open()) * TRAINING_FLOOR) as u32;
+        floor.min(wanted)
+    }
+
+    /// Free slots that this kind leaves to the others.
+    fn kept_from(&self, kind: Kind) -> u32 {
+        let unused = |kind: Kind| {
+            let lane = self.lane(kind);
+            lane.reserve.slots().saturating_sub(lane.in_flight)
+        };
+        let training = self.lane(Kind::Training).in_flight;
+        let floor = self.training_floor();
+        match kind {
+            Kind::Short => floor.saturating_sub(training),
+            Kind::Long => unused(Kind::Short) + floor.saturating_sub(training),
+            Kind::Training if training < floor => 0,
+            Kind::Training => unused(Kind::Short) + unused(Kind::Long),
+        }
+    }
+
+    fn has_room(&self, kind: Kind) -> bool {
+        self.slots.free() > self.kept_from(kind)
+    }
+
+    /// Slots that serve the queue of this kind.
+    fn slots_for(&self, kind: Kind) -> u32 {
+        let open = self.slots.open();
+        let reserved = |kind: Kind| self.lane(kind).reserve.slots();
+        let live = reserved(Kind::Short) + reserved(Kind::Long);
+        let floor = self.training_floor();
+        match kind {
+            Kind::Short => open.saturating_sub(floor),
+            Kind::Long => open.saturating_sub(floor + reserved(Kind::Short)),
+            Kind::Training => open.saturating_sub(live).max(floor),
         }
+        .max(1)
     }
 
-    fn pick(&self, work: &Work, now: Instant) -> Option<usize> {
-        let free = |avoid: bool| {
-            self.slots
-                .iter()
-                .enumerate()
-                .filter(|(_, slot)| self.has_room(slot, work.class, now))
-                .filter(|(_, slot)| avoid || !work.avoid.contains(&slot.state.key))
-                .min_by_key(|(_, slot)| {
-                    let in_flight = slot.in_flight_live + slot.in_flight_training;
-                    let affinity =
-                        work.prefix ^ u64::from(slot.state.key.0).wrapping_mul(0x9E37_79B9);
-                    (in_flight, !slot.state.local_zone, affinity)
-                })
-                .map(|(index, _)| index)
+    /// The kind whose first work is to start next.
+    ///
+    /// Of short and long live work the earlier deadline goes first; training
+    /// takes what live work leaves.
+    fn next_kind(&self, blocked: &[Kind]) -> Option<Kind> {
+        let ready = |kind: &Kind| {
+            !blocked.contains(kind) && !self.lane(*kind).queue.is_empty() && self.has_room(*kind)
         };
-        free(false).or_else(|| free(true))
+        let deadline = |kind: &Kind| {
+            let front = self.lane(*kind).queue.front();
+            front.map(|queued| queued.work.deadline)
+        };
+        let live = [Kind::Short, Kind::Long].into_iter().filter(ready);
+        live.min_by_key(deadline)
+            .or_else(|| Some(Kind::Training).filter(ready))
     }
 
     fn start_waiting(&mut self, now: Instant) {
-        for class in [Class::Live, Class::Training] {
-            while let Some(work) = self.queue(class).pop(now) {
-                let Some(index) = self.pick(&work, now) else {
-                    self.queue(class).push_front(work);
-                    break;
-                };
-                self.start(&work, index);
-            }
-        }
-        for class in [Class::Live, Class::Training] {
-            while let Some(key) = self.queue(class).pop_expired() {
-                self.refuse(key, Refusal::Late);
+        let mut blocked = Vec::new();
+        while let Some(kind) = self.next_kind(&blocked) {
+            let front = self.lane(kind).queue.front();
+            let place = front.and_then(|queued| {
+                let work = &queued.work;
+                self.slots.pick(work.prefix, &work.avoid)
+            });
+            match place {
+                Some(upstream) => self.start(now, kind, upstream),
+                None => blocked.push(kind),
             }
         }
     }
 
-    fn start(&mut self, work: &Work, index: usize) {
-        let slot = &mut self.slots[index];
-        match work.class {
-            Class::Live => slot.in_flight_live += 1,
-            Class::Training => slot.in_flight_training += 1,
-        }
-        let upstream = slot.state.key;
-        self.running.push(Running {
+    fn start(&mut self, now: Instant, kind: Kind, upstream: UpstreamKey) {
+        let lane = self.lane_mut(kind);
+        let Some(queued) = lane.queue.pop() else {
+            return;
+        };
+        lane.in_flight += 1;
+        lane.note_emptiness(now);
+        self.start_work(now, kind, upstream, &queued.work);
+    }
+
+    fn start_work(&mut self, now: Instant, kind: Kind, upstream: UpstreamKey, work: &Work) {
+        self.slots.take(upstream);
+        let running = Running {
             work: work.key,
             upstream,
-            class: work.class,
-        });
+            kind,
+            cost_tokens: work.cost_tokens,
+            since: now,
+            deadline: work.deadline,
+        };
+        let at = self.running.partition_point(|held| held.work < work.key);
+        self.running.insert(at, running);
         self.decisions.push_back(Decision::Start {
             work: work.key,
             upstream,
         });
     }
 
-    fn refuse(&mut self, work: WorkKey, reason: Refusal) {
+    fn refuse(&mut self, kind: Kind, work: WorkKey, reason: Refusal) {
+        let retry_after = self.lane(kind).retry_after(self.slots_for(kind));
         self.decisions.push_back(Decision::Refuse {
             work,
             reason,
-            retry_after: RETRY_AFTER,
+            retry_after,
         });
     }
 
-    fn queue(&mut self, class: Class) -> &mut WorkQueue {
-        match class {
-            Class::Live => &mut self.live,
-            Class::Training => &mut self.training,
+    fn refuse_late(&mut self, now: Instant) {
+        for kind in KINDS {
+            for work in self.lane_mut(kind).take_late(now) {
+                self.refuse(kind, work.key, Refusal::Late);
+            }
+        }
+    }
+
+    /// Looks at how long running work has taken, so that a slow upstream shows
+    /// before its answers arrive.
+    fn look_at_running(&mut self, now: Instant) {
+        for running in &self.running {
+            let estimate = &self.lanes[running.kind as usize].estimate;
+            if !estimate.is_trusted() {
+                continue;
+            }
+            let expected = estimate.tokens(u64::from(running.cost_tokens.max(1)));
+            let elapsed = now.duration_since(running.since);
+            let ratio = elapsed.as_secs_f64() / expected.as_secs_f64().max(1e-6);
+            self.slots.note_overdue(running.upstream, ratio);
         }
     }
 
-    fn slots_total(&self) -> usize {
-        self.slots
-            .iter()
-            .map(|slot| self.share(slot) as usize)
-            .sum()
+    fn queue(&mut self, now: Instant, kind: Kind, work: Work) {
+        let slots = self.slots_for(kind);
+        let lane = self.lane(kind);
+        let tag = match lane.admit(now, &work, slots) {
+            Ok(tag) => tag,
+            Err(reason) => return self.refuse(kind, work.key, reason),
+        };
+        if lane.is_full(slots) {
+            // The caller that offers most gives way, be it the new one.
+            match self.lane_mut(kind).queue.pop_behind(tag) {
+                Some(last) => self.refuse(kind, last.key, Refusal::Saturated),
+                None => return self.refuse(kind, work.key, Refusal::Saturated),
+            }
+        }
+        let lane = self.lane_mut(kind);
+        lane.queue.push(now, work);
+        lane.note_emptiness(now);
     }
 }
 
 impl Dispatcher for Balanced {
-    fn set_upstreams(&mut self, now: Instant, upstreams: &[UpstreamState], entries: u32) {
-        self.entries = entries.max(1);
-        let known = std::mem::take(&mut self.slots);
-        for state in upstreams {
-            let old = known.iter().find(|slot| slot.state.key == state.key);
-            self.slots.push(Slot {
-                state: *state,
-                in_flight_live: old.map_or(0, |slot| slot.in_flight_live),
-                in_flight_training: old.map_or(0, |slot| slot.in_flight_training),
-                paused_until: old.and_then(|slot| slot.paused_until),
-            });
+    fn set_upstreams(&mut self, now: Instant, upstreams: &[UpstreamState], fleet: &Fleet<'_>) {
+        self.slots.set(now, upstreams, fleet);
+        for running in &self.running {
+            self.slots.take_again(running.upstream);
         }
+        self.slots.refresh(now, &self.limit);
         self.start_waiting(now);
     }
 
     fn offer(&mut self, now: Instant, work: Work) {
-        if self.slots.iter().all(|slot| slot.state.leaving) {
-            self.refuse(work.key, Refusal::NoUpstream);
-            return;
+        let kind = self.kind_of(&work);
+        if !self.slots.any() {
+            return self.refuse(kind, work.key, Refusal::NoUpstream);
         }
-        if self.queue(work.class).len() >= self.slots_total() * QUEUE_PER_SLOT {
-            self.refuse(work.key, Refusal::Saturated);
-            return;
-        }
-        self.queue(work.class).push(work);
+        self.queue(now, kind, work);
         self.start_waiting(now);
     }
 
-    fn cancel(&mut self, _now: Instant, work: WorkKey) {
-        self.live.remove(work);
-        self.training.remove(work);
+    fn cancel(&mut self, now: Instant, work: WorkKey) {
+        for lane in &mut self.lanes {
+            lane.queue.remove(work);
+            lane.note_emptiness(now);
+        }
     }
 
     fn finish(&mut self, now: Instant, work: WorkKey, finish: &Finish) {
-        let Some(position) = self.running.iter().position(|running| running.work == work) else {
+        let Ok(at) = self.running.binary_search_by_key(&work, |held| held.work) else {
             return;
         };
-        let ended = self.running.swap_remove(position);
-        if let Some(slot) = self
-            .slots
-            .iter_mut()
-            .find(|slot| slot.state.key == ended.upstream)
-        {
-            match ended.class {
-                Class::Live => slot.in_flight_live -= 1,
-                Class::Training => slot.in_flight_training -= 1,
-            }
-            match finish.ending {
-                Ending::Unreachable => slot.paused_until = Some(now + UNREACHABLE_PAUSE),
-                Ending::Answered => slot.paused_until = None,
-                Ending::Failed | Ending::Abandoned => {}
-            }
+        let ended = self.running.remove(at);
+        let lane = self.lane_mut(ended.kind);
+        lane.in_flight -= 1;
+        if finish.ending == Ending::Answered {
+            lane.estimate.learn(ended.cost_tokens, finish.elapsed);
+        }
+        let expired = finish.ending == Ending::Abandoned && now >= ended.deadline;
+        if ended.kind != Kind::Training && (expired || finish.ending == Ending::Answered) {
+            let patience = ended.deadline.saturating_duration_since(ended.since);
+            self.limit.ended(finish.elapsed, patience);
         }
+        self.slots.give_back(
+            now,
+            ended.upstream,
+            finish.ending,
+            ended.cost_tokens,
+            finish.elapsed,
+        );
         self.start_waiting(now);
     }
 
     fn tick(&mut self, now: Instant) {
+        for lane in &mut self.lanes {
+            lane.tick(now);
+        }
+        self.limit.tick(now);
+        self.look_at_running(now);
+        self.slots.compare(now);
+        self.slots.refresh(now, &self.limit);
+        self.refuse_late(now);
         self.start_waiting(now);
     }
 
@@ -270,7 +361,11 @@
         self.decisions.pop_front()
     }
 
+    fn in_flight(&self) -> usize {
+        self.running.len()
+    }
+
     fn waiting(&self) -> usize {
-        self.live.len() + self.training.len()
+        self.lanes.iter().map(|lane| lane.queue.len()).sum()
     }
 }
--- /dev/null
+++ b/crates/policy/src/fair.rs
@@ -0,0 +1,198 @@
+//! Queue that shares service fairly between callers.
+//!
+//! **Load:** a few callers that offer most of the work. **Without it:** in a
+//! first-come queue everyone waits behind the busiest caller, and whoever
+//! offers ten times its share gets ten times the service. **How:** start-time
+//! fair queueing. Each work gets the virtual time at which its caller's earlier
+//! work would have ended; the smallest goes first. A caller that offers little
+//! always stands near the front, whatever the others offer.
+
+use std::collections::BTreeMap;
+use std::time::Instant;
+
+use crate::work::Work;
+use crate::work::WorkKey;
+
+/// A work without an estimate still counts as this much.
+const LEAST_COST_TOKENS: u64 = 1;
+
+/// Where a work stands in the queue: its virtual start time, in tokens.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Tag(u64);
+
+impl Tag {
+    /// Behind all work.
+    pub const LAST: Self = Self(u64::MAX);
+}
+
+/// Work that waits, and since when.
+#[derive(Debug)]
+pub struct Queued {
+    /// The work.
+    pub work: Work,
+    /// When it was offered.
+    pub since: Instant,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Caller {
+    hash: u64,
+    /// Virtual time at which all its work so far would have ended.
+    end: u64,
+    queued: u32,
+}
+
+/// Work that waits for room at an upstream.
+#[derive(Debug, Default)]
+pub struct FairQueue {
+    queued: BTreeMap<(Tag, WorkKey), Queued>,
+    /// Callers sorted by hash.
+    callers: Vec<Caller>,
+    active_callers: u64,
+    virtual_now: u64,
+    cost_tokens: u64,
+}
+
+impl FairQueue {
+    /// Where work of this caller would stand now.
+    #[must_use]
+    pub fn tag_of(&self, caller: u64) -> Tag {
+        let end = self.position(caller).ok().map(|at| self.callers[at].end);
+        Tag(self.virtual_now.max(end.unwrap_or(0)))
+    }
+
+    /// Tokens of work that would be served before work with this tag.
+    #[must_use]
+    pub fn ahead_tokens(&self, tag: Tag) -> u64 {
+        // Until virtual time reaches the tag, each caller that waits is served
+        // as many tokens as virtual time advances.
+        let advance = tag.0 - self.virtual_now.min(tag.0);
+        let fair = advance
+            .saturating_add(1)
+            .saturating_mul(self.active_callers);
+        self.cost_tokens.min(fair)
+    }
+
+    /// Adds work at its caller's place.
+    pub fn push(&mut self, now: Instant, work: Work) {
+        let tag = self.tag_of(work.caller);
+        let cost = cost_of(&work);
+        let at = self.position(work.caller).unwrap_or_else(|at| {
+            let caller = Caller {
+                hash: work.caller,
+                end: 0,
+                queued: 0,
+            };
+            self.callers.insert(at, caller);
+            at
+        });
+        let caller = &mut self.callers[at];
+        caller.end = tag.0 + cost;
+        self.active_callers += u64::from(caller.queued == 0);
+        caller.queued += 1;
+        self.cost_tokens += cost;
+        self.queued
+            .insert((tag, work.key), Queued { work, since: now });
+    }
+
+    /// The work that is served next.
+    #[must_use]
+    pub fn front(&self) -> Option<&Queued> {
+        self.queued.first_key_value().map(|(_, queued)| queued)
+    }
+
+    /// Takes the work that is served next.
+    pub fn pop(&mut self) -> Option<Queued> {
+        let ((tag, _), queued) = self.queued.pop_first()?;
+        self.virtual_now = self.virtual_now.max(tag.0);
+        self.forget(&queued.work);
+        Some(queued)
+    }
+
+    /// Takes the work that would be served last, if it stands behind `tag`.
+    pub fn pop_behind(&mut self, tag: Tag) -> Option<Work> {
+        let last = self.queued.last_entry()?;
+        if last.key().0 <= tag {
+            return None;
+        }
+        let work = last.remove().work;
+        self.take_back(&work);
+        Some(work)
+    }
+
+    /// Takes out work that no one waits for.
+    pub fn remove(&mut self, key: WorkKey) {
+        let found = self.queued.keys().find(|(_, queued)| *queued == key);
+        if let Some(place) = found.copied()
+            && let Some(queued) = self.queued.remove(&place)
+        {
+            self.take_back(&queued.work);
+        }
+    }
+
+    /// Takes all work that must start before `latest` says it is too late.
+    pub fn take_late(&mut self, is_late: impl Fn(&Work) -> bool) -> Vec<Work> {
+        let late = |queued: &Queued| is_late(&queued.work);
+        let places: Vec<(Tag, WorkKey)> = self
+            .queued
+            .iter()
+            .filter(|(_, queued)| late(queued))
+            .map(|(place, _)| *place)
+            .collect();
+        let mut taken = Vec::with_capacity(places.len());
+        for place in places {
+            if let Some(queued) = self.queued.remove(&place) {
+                self.take_back(&queued.work);
+                taken.push(queued.work);
+            }
+        }
+        taken
+    }
+
+    /// Forgets callers whose service is in the past.
+    pub fn forget_idle_callers(&mut self) {
+        let now = self.virtual_now;
+        self.callers
+            .retain(|caller| caller.queued > 0 || caller.end > now);
+        if self.queued.is_empty() {
+            self.callers.clear();
+        }
+    }
+
+    /// Work that waits.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.queued.len()
+    }
+
+    /// Nothing waits.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.queued.is_empty()
+    }
+
+    fn position(&self, caller: u64) -> Result<usize, usize> {
+        self.callers.binary_search_by_key(&caller, |held| held.hash)
+    }
+
+    fn forget(&mut self, work: &Work) {
+        self.cost_tokens -= cost_of(work);
+        if let Ok(at) = self.position(work.caller) {
+            self.callers[at].queued -= 1;
+            self.active_callers -= u64::from(self.callers[at].queued == 0);
+        }
+    }
+
+    /// Work that was not served costs its caller nothing.
+    fn take_back(&mut self, work: &Work) {
+        self.forget(work);
+        if let Ok(at) = self.position(work.caller) {
+            let caller = &mut self.callers[at];
+            caller.end = caller.end.saturating_sub(cost_of(work));
+        }
+    }
+}
+
+fn cost_of(work: &Work) -> u64 {
+    u64::from(work.cost_tokens).max(LEAST_COST_TOKENS)
+}
--- /dev/null
+++ b/crates/policy/src/lane.rs
@@ -0,0 +1,178 @@
+//! One kind of work with its queue: short live, long live, or training.
+//!
+//! **Load:** a burst, or more work than can be served for a long time.
+//! **Without it:** a queue that never empties makes every answer late by its
+//! length, and work whose caller will have gone is served before work that
+//! could still be in time. **How:** the wait of new work is worked out from what
+//! stands before it. Work that cannot end in time is refused at once. A queue
+//! that has not been empty for a while is a standing one, not a burst: then
+//! only short waits are let in.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::estimate::Estimate;
+use crate::fair::FairQueue;
+use crate::fair::Tag;
+use crate::reserve::Reserve;
+use crate::work::Refusal;
+use crate::work::Work;
+
+/// Kinds of work, the higher first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Kind {
+    /// Live calls of usual cost.
+    Short,
+    /// Live calls that cost several times the usual.
+    Long,
+    /// Drafts.
+    Training,
+}
+
+/// All kinds, the higher first.
+pub const KINDS: [Kind; 3] = [Kind::Short, Kind::Long, Kind::Training];
+
+/// Live work is let in if this part of its expected time is left: most answers
+/// are shorter than the mean, which a few long ones raise.
+const TIME_NEEDED_LIVE: f64 = 0.5;
+
+/// A draft is let in if this many times its expected time is left: one that is
+/// given up halfway has cost the engine for nothing, and can wait elsewhere.
+const TIME_NEEDED_TRAINING: f64 = 2.0;
+
+/// A queue that was never empty for this many mean service times is standing:
+/// a burst that fits its deadlines is served within two.
+const STANDING_AFTER: f64 = 2.0;
+
+/// A queue is not called standing before this: with short services, two
+/// service times are less than the gaps in ordinary arrivals.
+const STANDING_AT_LEAST: Duration = Duration::from_millis(500);
+
+/// Wait that is let in while the queue is standing, in mean service times: the
+/// slots never run dry, and an answer is late by half its own time at most.
+const STANDING_WAIT: f64 = 0.5;
+
+/// Queued work per slot at most, while nothing is known of service times.
+const QUEUE_PER_SLOT: usize = 4;
+
+/// Room in the queue whatever the slots.
+const QUEUE_LEAST: usize = 16;
+
+/// Soonest and latest time at which refused callers are asked back.
+const RETRY_AFTER_LEAST: Duration = Duration::from_millis(500);
+const RETRY_AFTER_MOST: Duration = Duration::from_secs(20);
+
+/// Work of one kind.
+#[derive(Debug)]
+pub struct Lane {
+    kind: Kind,
+    /// Waits for room.
+    pub queue: FairQueue,
+    /// How long the work takes.
+    pub estimate: Estimate,
+    /// Room to keep for it.
+    pub reserve: Reserve,
+    /// Started and not ended.
+    pub in_flight: u32,
+    waiting_since: Option<Instant>,
+}
+
+impl Lane {
+    /// An empty lane.
+    #[must_use]
+    pub fn new(kind: Kind) -> Self {
+        Self {
+            kind,
+            queue: FairQueue::default(),
+            estimate: Estimate::default(),
+            reserve: Reserve::default(),
+            in_flight: 0,
+            waiting_since: None,
+        }
+    }
+
+    /// Whether the work may wait here, with `slots` that serve the queue.
+    ///
+    /// # Errors
+    ///
+    /// It cannot end in time, or more waits than can be served.
+    pub fn admit(&self, now: Instant, work: &Work, slots: u32) -> Result<Tag, Refusal> {
+        let tag = self.queue.tag_of(work.caller);
+        let left = work.deadline.saturating_duration_since(now);
+        let needed = self.estimate.service(work).mul_f64(self.time_needed());
+        let trusted = self.estimate.is_trusted();
+        if left.is_zero() || (trusted && left < needed) {
+            return Err(Refusal::Late);
+        }
+        if self.queue.is_empty() || !trusted {
+            return Ok(tag);
+        }
+        let wait = self.estimate.tokens(self.queue.ahead_tokens(tag)) / slots.max(1);
+        if wait + needed > left {
+            return Err(Refusal::Late);
+        }
+        if self.is_standing(now) && wait > self.estimate.mean().mul_f64(STANDING_WAIT) {
+            return Err(Refusal::Saturated);
+        }
+        Ok(tag)
+    }
+
+    /// More waits than is kept in any case.
+    #[must_use]
+    pub fn is_full(&self, slots: u32) -> bool {
+        self.queue.len() >= QUEUE_LEAST + slots as usize * QUEUE_PER_SLOT
+    }
+
+    /// When refused work may come back: as the queue has drained.
+    #[must_use]
+    pub fn retry_after(&self, slots: u32) -> Duration {
+        let whole = self.queue.ahead_tokens(Tag::LAST);
+        let drained = self.estimate.tokens(whole) / slots.max(1);
+        drained.clamp(RETRY_AFTER_LEAST, RETRY_AFTER_MOST)
+    }
+
+    /// Takes out work that can't end in time any more.
+    pub fn take_late(&mut self, now: Instant) -> Vec<Work> {
+        let estimate = self.estimate;
+        let time_needed = self.time_needed();
+        self.queue.take_late(|work| {
+            let needed = estimate.service(work).mul_f64(time_needed);
+            work.deadline < now + needed
+        })
+    }
+
+    /// Time passed.
+    pub fn tick(&mut self, now: Instant) {
+        self.reserve.look(self.in_flight + self.queue.len() as u32);
+        self.queue.forget_idle_callers();
+        self.note_emptiness(now);
+    }
+
+    /// To be called after work was queued or taken.
+    pub fn note_emptiness(&mut self, now: Instant) {
+        if self.queue.is_empty() {
+            self.waiting_since = None;
+        } else {
+            self.waiting_since.get_or_insert(now);
+        }
+    }
+
+    const fn time_needed(&self) -> f64 {
+        match self.kind {
+            Kind::Short | Kind::Long => TIME_NEEDED_LIVE,
+            Kind::Training => TIME_NEEDED_TRAINING,
+        }
+    }
+
+    /// Training always waits, and no one stands at its window: its queue is bounded
+    /// by the drafts' own time, so that no slot idles while feeds come back.
+    fn is_standing(&self, now: Instant) -> bool {
+        if self.kind == Kind::Training {
+            return false;
+        }
+        let long = self.estimate.mean().mul_f64(STANDING_AFTER);
+        let long = long.max(STANDING_AT_LEAST);
+        self.waiting_since
+            .is_some_and(|since| now.duration_since(since) >= long)
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,6 +6,14 @@
 //! every decision can be read and tested without a network.
 
 pub mod dispatch;
-pub mod queue;
+pub mod estimate;
+pub mod fair;
+pub mod health;
+pub mod lane;
+pub mod limit;
+pub mod reserve;
 pub mod retry;
+pub mod route;
+pub mod share;
+pub mod slots;
 pub mod work;
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -13,21 +13,35 @@
 /// Retries may add this much to the load offered.
 pub const BUDGET_PERCENT: u64 = 10;
 
-/// A budget this large is there from the start, so that a quiet service can
-/// retry at all.
-const BUDGET_START: u64 = 10;
+/// Parts of a retry that one offered work earns.
+const EARNED: u64 = BUDGET_PERCENT;
 
-/// Counts offered work and retries, and says whether one more retry fits.
-#[derive(Debug, Default)]
+/// Parts of a retry in one.
+const WHOLE: u64 = 100;
+
+/// Retries that are saved up at most, and there from the start: a crash of one
+/// upstream of a dozen fails about this many calls of one entry, and what was earned
+/// in a quiet hour must not be spent on an outage at once.
+const SAVED_AT_MOST: u64 = 10 * WHOLE;
+
+/// Says whether one more retry fits beside the load offered.
+#[derive(Debug)]
 pub struct Budget {
-    offered: u64,
-    retried: u64,
+    saved: u64,
+}
+
+impl Default for Budget {
+    fn default() -> Self {
+        Self {
+            saved: SAVED_AT_MOST,
+        }
+    }
 }
 
 impl Budget {
     /// Work was offered for the first time.
     pub fn offered(&mut self) {
-        self.offered += 1;
+        self.saved = (self.saved + EARNED).min(SAVED_AT_MOST);
     }
 
     /// Takes one retry from the budget, if the ending and the request allow it.
@@ -40,10 +54,9 @@
             Ending::Failed => idempotent,
             Ending::Answered | Ending::Abandoned => false,
         };
-        let fits = self.retried < BUDGET_START + self.offered * BUDGET_PERCENT / 100;
-        let allowed = may_repeat && fits && tries < TRIES;
+        let allowed = may_repeat && self.saved >= WHOLE && tries < TRIES;
         if allowed {
-            self.retried += 1;
+            self.saved -= WHOLE;
         }
         allowed
     }
--- a/crates/policy/src/work.rs
+++ b/crates/policy/src/work.rs
@@ -44,6 +44,8 @@
 pub struct UpstreamState {
     /// Name of this upstream.
     pub key: UpstreamKey,
+    /// Hash of its address; the same on every VM, which the key is not.
+    pub hash: u64,
     /// In the same availability zone as this VM.
     pub local_zone: bool,
     /// Gets no new work.
@@ -52,6 +54,26 @@
     pub limit: u32,
 }
 
+/// What the dispatcher is told of the entries that share the upstreams.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Fleet<'a> {
+    /// Requests in flight and waiting at each live entry, sorted by VM name.
+    pub demands: &'a [u32],
+    /// Place of this entry among them.
+    pub rank: usize,
+    /// Entries that this VM knows of, the silent ones included.
+    pub known: usize,
+}
+
+impl Fleet<'_> {
+    /// One entry that shares with no other.
+    pub const ALONE: Fleet<'static> = Fleet {
+        demands: &[1],
+        rank: 0,
+        known: 1,
+    };
+}
+
 /// Why work was turned away before any byte of it reached an upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Refusal {
--- /dev/null
+++ b/crates/policy/tests/shares.rs
@@ -0,0 +1,188 @@
+//! How entries divide limits: the sum over all of them, whatever they know.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use firweir_policy::retry::Budget;
+use firweir_policy::route::SUBSET;
+use firweir_policy::route::mix;
+use firweir_policy::route::subset;
+use firweir_policy::share::HeldPart;
+use firweir_policy::share::Part;
+use firweir_policy::work::Ending;
+use firweir_policy::work::Fleet;
+use firweir_policy::work::UpstreamKey;
+use firweir_policy::work::UpstreamState;
+
+struct ShareCase {
+    name: &'static str,
+    demands: &'static [u32],
+    limit: f64,
+    upstreams: u32,
+}
+
+const CASES: [ShareCase; 4] = [
+    ShareCase {
+        name: "equal demand, limit not divisible",
+        demands: &[50; 9],
+        limit: 32.0,
+        upstreams: 12,
+    },
+    ShareCase {
+        name: "one busy entry",
+        demands: &[0, 0, 400, 0, 0, 0, 0],
+        limit: 32.0,
+        upstreams: 12,
+    },
+    ShareCase {
+        name: "more demand than fits everywhere",
+        demands: &[300, 500, 900, 200],
+        limit: 72.0,
+        upstreams: 3,
+    },
+    ShareCase {
+        name: "fewer slots than entries",
+        demands: &[3; 9],
+        limit: 4.0,
+        upstreams: 1,
+    },
+];
+
+/// With equal views the parts sum to the limit at each upstream, to the slot.
+#[test]
+fn equal_views_share_the_limit_exactly() {
+    for case in &CASES {
+        let capacity = case.limit * f64::from(case.upstreams);
+        for upstream in 0..case.upstreams {
+            let offset = mix(u64::from(upstream)) as f64 / u64::MAX as f64;
+            let slots = |rank| {
+                let fleet = Fleet {
+                    demands: case.demands,
+                    rank,
+                    known: case.demands.len(),
+                };
+                Part::of(&fleet, capacity).slots(case.limit, offset)
+            };
+            let sum: u32 = (0..case.demands.len()).map(slots).sum();
+            assert_eq!(sum, case.limit as u32, "{}", case.name);
+        }
+    }
+}
+
+/// A busy entry gets what quiet ones do not need.
+#[test]
+fn a_busy_entry_gets_most_of_the_limit() {
+    let fleet = Fleet {
+        demands: &[0, 0, 400, 0, 0, 0, 0],
+        rank: 2,
+        known: 7,
+    };
+    assert!(Part::of(&fleet, 384.0).width() > 0.8);
+}
+
+/// An entry is cut off from its peers and takes them for dead. If it then took
+/// the whole limit, the upstreams would get twice the limit or more.
+#[test]
+fn an_entry_that_is_cut_off_takes_an_equal_part_only() {
+    let alone = Fleet {
+        demands: &[100],
+        rank: 0,
+        known: 9,
+    };
+    assert!(Part::of(&alone, 384.0).width() <= 1.0 / 9.0 + 1e-9);
+}
+
+/// Demand moves from one entry to another, and the second hears of it first.
+/// If it used its larger part at once, both parts would be in use together.
+#[test]
+fn a_larger_part_waits_until_the_others_have_learnt_of_it() {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let mut rising = HeldPart::default();
+    let mut falling = HeldPart::default();
+    let view = |demands, rank| Fleet {
+        demands,
+        rank,
+        known: 2,
+    };
+    rising.set(at(0), &view(&[0, 400], 0), 100.0);
+    falling.set(at(0), &view(&[0, 400], 1), 100.0);
+    rising.set(at(10_000), &view(&[400, 0], 0), 100.0);
+    for ms in (5_000..20_000).step_by(100) {
+        if ms == 12_000 {
+            falling.set(at(ms), &view(&[400, 0], 1), 100.0);
+        }
+        let sum = rising.get(at(ms)).width() + falling.get(at(ms)).width();
+        assert!(sum < 1.01, "{ms}: {sum}");
+    }
+    assert!(rising.get(at(20_000)).width() > 0.8);
+}
+
+/// Subsets of all entries together cover thousands of upstreams evenly: none
+/// is left out, none is used by a multiple of the entries that use another.
+#[test]
+fn subsets_cover_the_upstreams_evenly() {
+    let upstreams: Vec<UpstreamState> = (0..4_800)
+        .map(|key| UpstreamState {
+            key: UpstreamKey(key),
+            hash: u64::from(key) * 31,
+            local_zone: false,
+            leaving: false,
+            limit: 32,
+        })
+        .collect();
+    let mut used = vec![0_u32; upstreams.len()];
+    for rank in 0..420 {
+        let chosen = subset(&upstreams, rank, 420);
+        assert_eq!(chosen.len(), SUBSET);
+        for state in chosen {
+            used[state.key.0 as usize] += 1;
+        }
+    }
+    let (least, most) = (used.iter().min(), used.iter().max());
+    assert!(least >= Some(&3) && most <= Some(&6), "{least:?} {most:?}");
+}
+
+/// Every call fails. Retries that follow each failure would double the load
+/// that made the upstreams fail.
+#[test]
+fn retries_add_a_tenth_at_most() {
+    let mut budget = Budget::default();
+    let mut retries = 0_u32;
+    for _ in 0..1_000 {
+        budget.offered();
+        retries += u32::from(budget.allow(Ending::Failed, true, 1));
+    }
+    assert!(retries <= 110, "{retries}");
+    assert!(retries >= 100, "{retries}");
+}
+
+struct RetryCase {
+    ending: Ending,
+    idempotent: bool,
+    tries: u32,
+    allowed: bool,
+}
+
+/// Work that may have run is never sent again unless it is idempotent.
+#[test]
+fn only_safe_work_is_tried_again() {
+    let case = |ending, idempotent, tries, allowed| RetryCase {
+        ending,
+        idempotent,
+        tries,
+        allowed,
+    };
+    let cases = [
+        case(Ending::Unreachable, false, 1, true),
+        case(Ending::Failed, true, 1, true),
+        case(Ending::Failed, false, 1, false),
+        case(Ending::Abandoned, true, 1, false),
+        case(Ending::Answered, true, 1, false),
+        case(Ending::Failed, true, 3, false),
+    ];
+    for case in cases {
+        let got = Budget::default().allow(case.ending, case.idempotent, case.tries);
+        assert_eq!(got, case.allowed, "{:?} {}", case.ending, case.idempotent);
+    }
+}
