--- a/crates/bench/src/fault.rs
+++ b/crates/bench/src/fault.rs
@@ -44,6 +44,7 @@
     match fault.kind {
         FaultKind::UpstreamCrash => crash_upstream(&world, target, lasting).await,
         FaultKind::UpstreamLeave => leave_upstream(&world, target, lasting).await,
+        FaultKind::UpstreamSlow => slow_upstream(&world, target, fault.amount, lasting).await,
         FaultKind::SwapFails => fail_swaps(&world, target, fault.amount),
         FaultKind::StreamsTruncated => {
             trouble_streams(&world, target, StreamTrouble::Truncated, lasting).await;
@@ -117,6 +118,19 @@
     world.borrow().publish_vms();
 }
 
+async fn slow_upstream(world: &SharedWorld, target: usize, factor: u64, lasting: Duration) {
+    let engine = {
+        let world = world.borrow();
+        let index = target % world.upstreams.len();
+        world.upstreams[index].engine.clone()
+    };
+    if let Some(engine) = engine {
+        engine.slow_down(factor as u32);
+        tokio::time::sleep(lasting).await;
+        engine.slow_down(1);
+    }
+}
+
 fn fail_swaps(world: &SharedWorld, target: usize, count: u64) {
     if let Some(engine) = engine_at(&world.borrow(), target) {
         engine.fail_swaps(count as u32);
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod fit;
 pub mod fleet;
 pub mod judge;
+pub mod load_measures;
 pub mod memory_storage;
 pub mod object_api;
 pub mod pipe;
--- a/crates/bench/src/trace.rs
+++ b/crates/bench/src/trace.rs
@@ -201,7 +201,7 @@
     /// Which engine, VM, zone or trainer, counted from 0.
     #[serde(default)]
     pub target: u32,
-    /// Delay of a slow platform; files of racing operators.
+    /// Delay of a slow platform; files of racing operators; factor of a slow engine.
     #[serde(default)]
     pub amount: u64,
     /// For faults of a feed's holder: strikes once the feed is in this phase.
@@ -234,6 +234,8 @@
     UpstreamCrash,
     /// An upstream is marked as leaving, and goes.
     UpstreamLeave,
+    /// An engine takes `amount` times as long for each token.
+    UpstreamSlow,
     /// Swaps fail after the weights were fetched.
     SwapFails,
     /// An engine's streams end early, as if they were whole.
--- a/crates/firweir/src/process/mod.rs
+++ b/crates/firweir/src/process/mod.rs
@@ -5,6 +5,7 @@
 pub mod clock;
 pub mod copies;
 pub mod ctl;
+pub mod demand;
 pub mod drafting;
 pub mod entry;
 pub mod feed;
