--- a/crates/bench/src/caller.rs
+++ b/crates/bench/src/caller.rs
@@ -212,6 +212,7 @@
                 prompt: format!("caller {} asks {}", self.caller, self.number),
                 max_tokens: load.max_tokens,
                 stream: true,
+                ..Completion::default()
             })
         } else {
             serde_json::to_vec(&Numbered {
--- a/crates/bench/src/world.rs
+++ b/crates/bench/src/world.rs
@@ -24,11 +24,13 @@
 use firweir::process::vault;
 use firweir::request::record::FeedRecord;
 use firweir::version::view::Upstream;
+use firweir_policy::straggler::Rules;
 
 use crate::caller::Balancer;
 use crate::caller::Callers;
 use crate::engine::Engine;
 use crate::judge::Judge;
+use crate::judge::Speed;
 use crate::memory_storage::MemoryStorage;
 use crate::object_api::ObjectApiStand;
 use crate::pipe::CLIENT_ZONE;
@@ -127,6 +129,7 @@
     clock: Arc<dyn Clock>,
     seed: u64,
     make_dispatcher: MakeDispatcher,
+    rules: Rules,
 }
 
 fn address(net: u8, host: u32) -> IpAddr {
@@ -143,6 +146,7 @@
         trace: Trace,
         seed: u64,
         make_dispatcher: MakeDispatcher,
+        rules: Rules,
     ) -> io::Result<Self> {
         let fabric = Fabric::new(Latency {
             local: Duration::from_micros(trace.latency.local_us),
@@ -188,6 +192,7 @@
             clock: Arc::clone(&clock),
             seed,
             make_dispatcher,
+            rules,
             trace,
         };
         world.plan_vms();
@@ -306,7 +311,7 @@
         let entry = Entry::new(parts.clone(), self.make_dispatcher);
         tasks.spawn(Arc::clone(&entry).serve_callers().await?);
         entry.serve_peers().await?;
-        tasks.spawn_local(feed::start(parts).await?);
+        tasks.spawn_local(feed::start(parts, self.rules).await?);
         Ok(())
     }
 
@@ -390,6 +395,10 @@
         trainer.tasks = tasks;
         let kept = Arc::clone(&trainer.kept);
         trainer::start(&ground, at, settings, kept, self.judge.clone()).await?;
+        let spec = &self.trace.trainers[index];
+        if let Some(speed) = self.speed(spec) {
+            self.judge.set_speed(&spec.feed, speed);
+        }
         Ok(())
     }
 
@@ -417,6 +426,25 @@
         self.vms.iter().position(|vm| node_name(vm.index) == node)
     }
 
+    /// How fast the engines of a feed are at best.
+    fn speed(&self, trainer: &TrainerSpec) -> Option<Speed> {
+        let setting = |section: &str, name: &str, key: &str| {
+            let files = self.trace.config.iter().rev();
+            let mut values =
+                files.filter_map(|file| file.content.get(section)?.get(name)?.get(key).cloned());
+            values.next()
+        };
+        let service = setting("feeds", &trainer.feed, "service")?;
+        let service = service.as_str()?;
+        let limit = setting("services", service, "limit_per_upstream")?.as_u64()?;
+        let spec = self
+            .trace
+            .upstreams
+            .iter()
+            .find(|spec| spec.service == service)?;
+        Some(spec.engine?.speed(spec.count, limit as u32))
+    }
+
     /// The trainer of a feed, as the configuration names it.
     #[must_use]
     pub fn trainer_of(&self, feed: &str) -> String {
--- a/crates/firweir/src/process/feed.rs
+++ b/crates/firweir/src/process/feed.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use firweir_policy::straggler::Rules;
 use http::Method;
 use http::Request;
 use http::Response;
@@ -83,6 +84,8 @@
     pub entries: Peers<entry::Client>,
     /// Bodies of lots in the vaults.
     pub copies: Copies,
+    /// What is done about stragglers.
+    pub rules: Rules,
     standing: RefCell<Vec<String>>,
     held: RefCell<Vec<(String, Rc<Holder>)>>,
 }
@@ -92,13 +95,17 @@
 /// # Errors
 ///
 /// The address cannot be listened at.
-pub async fn start(parts: Parts) -> std::io::Result<impl Future<Output = ()> + use<>> {
+pub async fn start(
+    parts: Parts,
+    rules: Rules,
+) -> std::io::Result<impl Future<Output = ()> + use<>> {
     let view = SharedView::default();
     let program = Rc::new(FeedProgram {
         api: parts.object_api("feed"),
         copies: Copies::new(&parts, Arc::clone(&view)),
         view,
         entries: Peers::new(&parts),
+        rules,
         standing: RefCell::default(),
         held: RefCell::default(),
         parts,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -16,4 +16,5 @@
 pub mod route;
 pub mod share;
 pub mod slots;
+pub mod straggler;
 pub mod work;
