Process tests take ports below the range of outgoing connections

Cause: a_request_and_a_step_survive_a_kill_and_a_freeze failed once of three runs under load. The tests planned a run of ports from one that the system had just given; any outgoing connection could take one of them before its program did.

Change: a run of 200 ports from 10,000 up, each tried, another for each fleet.

Conclusion: the likely cause is gone; the failure itself was not reproduced.

--- a/crates/firweir/tests/support/mod.rs
+++ b/crates/firweir/tests/support/mod.rs
@@ -12,6 +12,8 @@
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
+use std::sync::atomic::AtomicU16;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -234,16 +236,28 @@
     path
 }
 
-/// A run of ports that were free a moment ago.
+/// First port of a run of ports that are free.
+///
+/// Below the range from which the system takes ports for outgoing connections:
+/// a connection of another test would take a planned port away now and then.
 fn free_ports() -> u16 {
+    const FIRST: u16 = 10_000;
     const RUN: u16 = 200;
-    let probe = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    let port = probe.local_addr().expect("bound").port();
-    if port > u16::MAX - RUN {
-        port - RUN
-    } else {
-        port
+    const RUNS: u16 = 100;
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    for _ in 0..RUNS {
+        let next = NEXT.fetch_add(1, Ordering::SeqCst);
+        let run = (std::process::id() as u16)
+            .wrapping_mul(7)
+            .wrapping_add(next)
+            % RUNS;
+        let base = FIRST + run * RUN;
+        let free = |port: u16| TcpListener::bind(loopback(port)).is_ok();
+        if (base..base + RUN).all(free) {
+            return base;
+        }
     }
+    panic!("no run of {RUN} free ports");
 }
 
 fn loopback(port: u16) -> SocketAddr {
