--- a/crates/firweir/src/process/entry.rs
+++ b/crates/firweir/src/process/entry.rs
@@ -2,6 +2,8 @@
 //! within which both reach the upstreams.
 
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -22,12 +24,19 @@
 use crate::connection::server;
 use crate::connection::server::Body;
 use crate::connection::server::json;
+use crate::process::charges::Courier;
+use crate::process::charges::Letter;
+use crate::process::charges::Shards;
 use crate::process::demand::Demands;
 use crate::process::demand::Sharing;
 use crate::process::follow::follow;
 use crate::process::follow::report;
 use crate::process::run::Parts;
+use crate::process::shard::EndedClaim;
 use crate::request::call::boxed_answer;
+use crate::request::charge::read_charge;
+use crate::request::charge::read_progress;
+use crate::request::charge::write_verdict;
 use crate::request::chunk::Segment;
 use crate::request::chunk::join;
 use crate::request::draft::read_draft;
@@ -44,6 +53,9 @@
 /// Time between looks at time-bound decisions.
 const TICK_EVERY: Duration = Duration::from_millis(100);
 
+/// Messages about charged calls that wait to be carried; more are refused.
+const LETTERS: usize = 4_096;
+
 /// Path that the balancer asks.
 const HEALTH_PATH: &str = "/healthz";
 
@@ -68,6 +80,8 @@
     parts: Parts,
     http: HttpClient,
     ledger: Ledger,
+    /// Taken by the thread that carries them.
+    carried: Mutex<Option<mpsc::Receiver<Letter>>>,
     view: SharedView,
     /// Gates sorted by service; replaced whole when a service appears.
     gates: ArcSwap<Vec<NamedGate>>,
@@ -78,9 +92,11 @@
     /// An entry that knows nothing of the fleet yet.
     #[must_use]
     pub fn new(parts: Parts, make_dispatcher: MakeDispatcher) -> Arc<Self> {
+        let (letters, carried) = mpsc::channel(LETTERS);
         Arc::new(Self {
             http: parts.http(),
-            ledger: Ledger::new(parts.object_api("entry")),
+            ledger: Ledger::new(parts.object_api("entry"), letters),
+            carried: Mutex::new(Some(carried)),
             view: SharedView::default(),
             gates: ArcSwap::default(),
             make_dispatcher,
@@ -121,7 +137,10 @@
     ///
     /// The address cannot be listened at.
     pub async fn serve_peers(self: Arc<Self>) -> std::io::Result<()> {
-        let client: entry::Client = capnp_rpc::new_client(Drafts(Arc::clone(&self)));
+        let client: entry::Client = capnp_rpc::new_client(PeerSide {
+            shards: self.start_charges(),
+            entry: Arc::clone(&self),
+        });
         let at = self.parts.settings.draft_listen;
         let (address, serving) =
             peer::serve(&self.parts.net, &self.parts.tasks, at, client.client).await?;
@@ -144,6 +163,18 @@
         Ok(())
     }
 
+    /// Starts the shards of charged calls, and the courier to other entries.
+    fn start_charges(&self) -> Shards {
+        let shards = Shards::start(&self.parts);
+        let mut carried = self.carried.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(letters) = carried.take() {
+            let courier = Courier::new(&self.parts, shards.clone());
+            let carrying = courier.run(self.parts.clone(), letters);
+            self.parts.tasks.spawn_local(carrying);
+        }
+        shards
+    }
+
     /// The newest view.
     #[must_use]
     pub fn view(&self) -> Arc<View> {
@@ -156,6 +187,11 @@
         self.parts.clock.now()
     }
 
+    /// Starts a task that ends with the process.
+    pub fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
+        self.parts.tasks.spawn(task);
+    }
+
     /// The client towards upstreams.
     #[must_use]
     pub const fn http(&self) -> &HttpClient {
@@ -279,10 +315,13 @@
     }
 }
 
-/// The entry as feeds see it.
-struct Drafts(Arc<Entry>);
+/// The entry as feeds and other entries see it.
+struct PeerSide {
+    entry: Arc<Entry>,
+    shards: Shards,
+}
 
-impl entry::Server for Drafts {
+impl entry::Server for PeerSide {
     async fn draft(
         self: std::rc::Rc<Self>,
         params: entry::DraftParams,
@@ -291,11 +330,37 @@
         let draft = read_draft(params.get()?.get_draft()?)?;
         let progress = params.get()?.get_progress()?;
         let (reports, taken) = mpsc::unbounded_channel();
-        let drafting = async move { self.0.draft(&draft, &reports).await };
+        let drafting = async move { self.entry.draft(&draft, &reports).await };
         let (drafted, ()) = tokio::join!(biased; drafting, pass_on(taken, &progress));
         write_drafted(&drafted, results.get().init_answer());
         Ok(())
     }
+
+    async fn begin(
+        self: std::rc::Rc<Self>,
+        params: entry::BeginParams,
+        mut results: entry::BeginResults,
+    ) -> Result<(), capnp::Error> {
+        let charge = read_charge(params.get()?.get_charge()?)?;
+        let verdict = self.shards.begin(charge).await;
+        write_verdict(&verdict, results.get().init_verdict());
+        Ok(())
+    }
+
+    async fn end(
+        self: std::rc::Rc<Self>,
+        params: entry::EndParams,
+        mut results: entry::EndResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        let ended = EndedClaim {
+            key: params.get_key()?.to_str()?.to_owned(),
+            claim: params.get_claim()?.to_str()?.to_owned(),
+            progress: read_progress(params.get_progress()?)?,
+        };
+        results.get().set_kept(self.shards.end(ended).await);
+        Ok(())
+    }
 }
 
 /// Passes on to the feed what the engines make, and in between that this entry
--- a/crates/firweir/src/process/mod.rs
+++ b/crates/firweir/src/process/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod burn;
 pub mod burn_page;
+pub mod charges;
 pub mod clock;
 pub mod copies;
 pub mod ctl;
@@ -18,6 +19,7 @@
 pub mod observations;
 pub mod run;
 pub mod settings;
+pub mod shard;
 pub mod steward;
 pub mod storage;
 pub mod tasks;
