--- a/crates/bench/src/fault.rs
+++ b/crates/bench/src/fault.rs
@@ -56,6 +56,11 @@
                 freeze_vm(&world, holder, lasting).await;
             }
         }
+        FaultKind::HolderReplace => {
+            if let Some(holder) = holder_in_phase(&world, target, fault.phase).await {
+                replace_vm(&world, holder, lasting).await;
+            }
+        }
         FaultKind::VaultLoss => {
             let index = target % world.borrow().vms.len();
             if let Some(disk) = &world.borrow().vms[index].disk {
--- a/crates/bench/src/trace.rs
+++ b/crates/bench/src/trace.rs
@@ -247,6 +247,8 @@
     HolderKill,
     /// The VM that holds a trainer's feed stops and goes on.
     HolderFreeze,
+    /// The VM that holds a trainer's feed drains, goes, and is replaced.
+    HolderReplace,
     /// A VM dies with its disk and comes back with an empty one.
     VaultLoss,
     /// The disk of a VM's vault takes no more writes.
--- a/crates/bench/src/trainer.rs
+++ b/crates/bench/src/trainer.rs
@@ -157,10 +157,10 @@
 impl Trainer {
     async fn run(&self) {
         let feed = &self.settings.feed;
+        let mut waiting = self.ground.clock.now();
         self.publish(self.kept().version).await;
         let mut unfinished = self.accepted_before().await;
         loop {
-            let waiting = self.ground.clock.now();
             let lot = match unfinished.take() {
                 Some(lot) => lot,
                 None => self.take_and_accept().await,
@@ -170,6 +170,8 @@
             tokio::time::sleep(self.settings.train).await;
             self.judge.busy(feed, self.settings.train);
             self.keep(&lot);
+            // A trainer that cannot publish stands idle as well.
+            waiting = self.ground.clock.now();
             self.publish(self.kept().version).await;
         }
     }
--- a/crates/firweir/tests/support/mod.rs
+++ b/crates/firweir/tests/support/mod.rs
@@ -1,6 +1,8 @@
 //! Starts the real binaries as separate processes on loopback, and waits on
 //! states, never on fixed sleeps. Every process is ended by its id on drop.
 
+#![allow(dead_code, reason = "each file of process tests uses a part of it")]
+
 use std::fs;
 use std::io::Read;
 use std::io::Write;
@@ -25,6 +27,8 @@
 #[derive(Debug, Clone)]
 pub struct VmPorts {
     pub entry: SocketAddr,
+    pub feed: SocketAddr,
+    pub vault: SocketAddr,
     pub settings: PathBuf,
 }
 
@@ -100,6 +104,23 @@
 impl Fleet {
     /// Plans `vms` VMs whose files live in a fresh folder under the target directory.
     pub fn plan(name: &str, vms: usize) -> Self {
+        Self::plan_with(name, vms, |_vm, _first_port| String::new())
+    }
+
+    /// As [`Fleet::plan`], with a vault on each VM, each in a zone of its own.
+    pub fn plan_with_vaults(name: &str, vms: usize) -> Self {
+        let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+        Self::plan_with(name, vms, |vm, first_port| {
+            let data = folder.join(format!("vault-{vm}"));
+            let at = loopback(first_port + 4);
+            format!(
+                r#", "vault_listen": "{at}", "data_folder": "{}""#,
+                data.display()
+            )
+        })
+    }
+
+    fn plan_with(name: &str, vms: usize, more: impl Fn(usize, u16) -> String) -> Self {
         let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
         _ = fs::remove_dir_all(&folder);
         fs::create_dir_all(folder.join("config")).expect("folder");
@@ -110,18 +131,21 @@
                 let first = base + 50 + 10 * index as u16;
                 let settings = folder.join(format!("vm-{index}.json"));
                 let text = format!(
-                    r#"{{"deployment": "test", "node": "vm-{index}", "zone": "local",
+                    r#"{{"deployment": "test", "node": "vm-{index}", "zone": "zone-{index}",
                         "object_api": "{object_api}", "drain_linger_ms": 200,
                         "entry_listen": "{}", "draft_listen": "{}",
-                        "feed_listen": "{}", "steward_listen": "{}"}}"#,
+                        "feed_listen": "{}", "steward_listen": "{}"{}}}"#,
                     loopback(first),
                     loopback(first + 1),
                     loopback(first + 2),
                     loopback(first + 3),
+                    more(index, first),
                 );
                 fs::write(&settings, text).expect("settings");
                 VmPorts {
                     entry: loopback(first),
+                    feed: loopback(first + 2),
+                    vault: loopback(first + 4),
                     settings,
                 }
             })
@@ -210,10 +234,25 @@
 
 /// The status and whole text of one HTTP exchange, or `None` if it broke off.
 pub fn post(to: SocketAddr, path: &str, headers: &str, body: &str) -> Option<(u16, String)> {
+    exchange("POST", to, path, headers, body)
+}
+
+/// The status and whole text of a GET, or `None` if it broke off.
+pub fn get(to: SocketAddr, path: &str) -> Option<(u16, String)> {
+    exchange("GET", to, path, "", "")
+}
+
+fn exchange(
+    method: &str,
+    to: SocketAddr,
+    path: &str,
+    headers: &str,
+    body: &str,
+) -> Option<(u16, String)> {
     let mut stream = TcpStream::connect(to).ok()?;
     stream.set_read_timeout(Some(PATIENCE)).ok()?;
     let request = format!(
-        "POST {path} HTTP/1.1\r\nhost: test\r\nconnection: close\r\n{headers}content-length: {}\r\n\r\n{body}",
+        "{method} {path} HTTP/1.1\r\nhost: test\r\nconnection: close\r\n{headers}content-length: {}\r\n\r\n{body}",
         body.len()
     );
     stream.write_all(request.as_bytes()).ok()?;
