Keep room for live work by how soon training gives slots back

Cause: room for one deviation of live concurrency, followed fast up and slowly down, kept 2.3 of 27 slots idle on average, though a draft ends every 76 ms and a live call takes 600 ms.

--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -143,16 +143,30 @@
 
     /// Slots kept for training while there is any.
     fn training_floor(&self) -> u32 {
-        let wanted = self.lane(Kind::Training).reserve.slots();
+        let wanted = self.lane(Kind::Training).reserve.mean().ceil() as u32;
         let floor = (f64::from(self.slots.open()) * TRAINING_FLOOR) as u32;
         floor.min(wanted)
     }
 
+    /// Time until training gives a slot back, in service times of live work.
+    fn wait_for_training(&self, kind: Kind) -> f64 {
+        let training = self.lane(Kind::Training);
+        let live = self.lane(kind).estimate.mean().as_secs_f64();
+        let next = training.estimate.mean().as_secs_f64() / f64::from(training.in_flight.max(1));
+        if live > 0.0 { next / live } else { 1.0 }
+    }
+
+    /// Slots kept for live work of this kind, those that it holds included.
+    fn reserved(&self, kind: Kind) -> u32 {
+        let wait = self.wait_for_training(kind);
+        self.lane(kind).reserve.slots(wait)
+    }
+
     /// Free slots that this kind leaves to the others.
     fn kept_from(&self, kind: Kind) -> u32 {
         let unused = |kind: Kind| {
-            let lane = self.lane(kind);
-            lane.reserve.slots().saturating_sub(lane.in_flight)
+            self.reserved(kind)
+                .saturating_sub(self.lane(kind).in_flight)
         };
         let training = self.lane(Kind::Training).in_flight;
         let floor = self.training_floor();
@@ -171,12 +185,11 @@
     /// Slots that serve the queue of this kind.
     fn slots_for(&self, kind: Kind) -> u32 {
         let open = self.slots.open();
-        let reserved = |kind: Kind| self.lane(kind).reserve.slots();
-        let live = reserved(Kind::Short) + reserved(Kind::Long);
+        let live = self.reserved(Kind::Short) + self.reserved(Kind::Long);
         let floor = self.training_floor();
         match kind {
             Kind::Short => open.saturating_sub(floor),
-            Kind::Long => open.saturating_sub(floor + reserved(Kind::Short)),
+            Kind::Long => open.saturating_sub(floor + self.reserved(Kind::Short)),
             Kind::Training => open.saturating_sub(live).max(floor),
         }
         .max(1)
