A drain gives its feeds up at once, and waiting trainers are sent on

Cause: a VM that drained released its feeds only after its last call had ended. A trainer that waited for its next lot there held that up, for up to 20 s, in which nobody drafted. A trainer that waited at a holder which had lost the feed waited as long in vain.

Ruled out: finishing the step before the release: a step may last 14 minutes.

Change: release as the drain begins; lots/next answers 503 with Retry-After as soon as the holder has lost the feed; a holder that gave up writes nothing more; a take that was under way as the drain began is released.

--- a/crates/bench/tests/feeds.rs
+++ b/crates/bench/tests/feeds.rs
@@ -42,9 +42,10 @@
     assert!(short.is_empty(), "{}: {short:?}", run.trace);
 }
 
-const FEED_TRACES: [&str; 5] = [
+const FEED_TRACES: [&str; 6] = [
     "feed-api-outage",
     "feed-holder-dies-each-phase",
+    "feed-holder-drains",
     "feed-holder-paused",
     "feed-unfenced-engines",
     "feed-vault-loss",
--- a/crates/firweir/src/process/feed.rs
+++ b/crates/firweir/src/process/feed.rs
@@ -125,8 +125,13 @@
         .spawn_local(Rc::clone(&program).take_calls(calls));
     let draining = Rc::clone(&program);
     Ok(async move {
-        serving.await;
-        draining.release_all().await;
+        let releasing = async {
+            draining.parts.tasks.draining().await;
+            // At once: the next holder takes the sealed lots over, and a trainer
+            // that waits here would hold the drain up.
+            draining.release_all().await;
+        };
+        tokio::join!(biased; serving, releasing);
     })
 }
 
@@ -291,7 +296,12 @@
         self.held
             .borrow_mut()
             .push((feed.to_owned(), Rc::clone(&holder)));
-        holder.run().await;
+        if self.parts.tasks.is_draining() {
+            // The write that took the feed was under way as the drain began.
+            holder.release().await;
+        } else {
+            holder.run().await;
+        }
         self.held.borrow_mut().retain(|(name, _)| name != feed);
         self.parts
             .journal
--- a/crates/firweir/src/process/holder.rs
+++ b/crates/firweir/src/process/holder.rs
@@ -148,6 +148,11 @@
         self.update(|record| record.with_weights(version)).await
     }
 
+    /// Waits until another holder has the feed, or this one gave it up.
+    pub(crate) async fn lost(&self) {
+        self.lost.cancelled().await;
+    }
+
     /// Gives the feed up.
     pub async fn release(&self) {
         // If this write fails, others take the feed once the lease has lapsed.
@@ -164,6 +169,10 @@
         mut next: impl FnMut(&FeedRecord) -> Option<FeedRecord>,
     ) -> Result<(), ObjectError> {
         let _one_at_a_time = self.writing.lock().await;
+        // After a release the record may be at the version that it left behind.
+        if self.lost.is_cancelled() {
+            return Err(ObjectError::Conflict);
+        }
         let held = self.record.borrow().clone();
         let Some(mut value) = next(&held.value) else {
             return Ok(());
--- a/crates/firweir/src/process/trainer.rs
+++ b/crates/firweir/src/process/trainer.rs
@@ -109,7 +109,14 @@
             changes.changed().await.ok()?;
         }
     };
-    lot_response(within(TAKE_WAIT, found).await.flatten().as_deref())
+    // A trainer that waits at a holder which lost the feed would wait in vain,
+    // while the next holder has its lot: it is sent on at once.
+    let taken = tokio::select! {
+        biased;
+        () = holder.lost() => return Refused::not_run("holder-changed", RETRY_AFTER).response(),
+        taken = within(TAKE_WAIT, found) => taken,
+    };
+    lot_response(taken.flatten().as_deref())
 }
 
 async fn accepted_lot(holder: &Rc<Holder>) -> Response<Body> {
