The judge tells long waits apart

Cause: hdrhistogram's saturating_record clamps to the bounds that a histogram was made with, and a histogram made without bounds has 2 as its upper one until it grows, which saturating_record never lets it do.

Ruled out: record in place of saturating_record: it can fail, and its error would have to be dropped.

--- a/crates/bench/src/judge.rs
+++ b/crates/bench/src/judge.rs
@@ -148,9 +148,13 @@
 
 const PRECISION_DIGITS: u8 = 3;
 
+/// Largest value that is told from larger ones: a day in microseconds. Values are
+/// clamped to it, so it has to be above all that a replay can measure.
+const LONGEST: u64 = 86_400_000_000;
+
 fn histogram() -> Histogram<u64> {
-    // The precision is a constant within the allowed range.
-    Histogram::new(PRECISION_DIGITS).expect("three digits are a valid precision")
+    // The bounds and the precision are constants within the allowed range.
+    Histogram::new_with_bounds(1, LONGEST, PRECISION_DIGITS).expect("valid bounds and precision")
 }
 
 impl Default for Judge {
