--- a/crates/firweir/src/process/trainer.rs
+++ b/crates/firweir/src/process/trainer.rs
@@ -110,7 +110,14 @@
         }
     };
     let started = holder.now();
-    let lot = within(TAKE_WAIT, found).await.flatten();
+    // A trainer that waits at a holder which lost the feed would wait in vain,
+    // while the next holder has its lot: it is sent on at once.
+    let taken = tokio::select! {
+        biased;
+        () = holder.lost() => return Refused::not_run("holder-changed", RETRY_AFTER).response(),
+        taken = within(TAKE_WAIT, found) => taken,
+    };
+    let lot = taken.flatten();
     holder.note_take(started, lot.as_deref());
     lot_response(lot.as_deref())
 }
