Half an answer of a dying engine never looks whole

An engine that dies can close its stream in good order, without the event that ends an answer; the entry passed that end on, and the caller held half an answer for a whole one. Change: the entry watches the end of engine streams and passes an end without that event on as a broken connection.

--- a/crates/firweir/src/request/call.rs
+++ b/crates/firweir/src/request/call.rs
@@ -41,11 +41,13 @@
 use crate::request::answer::Refused;
 use crate::request::cost::BYTES_PER_TOKEN;
 use crate::request::cost::estimate_tokens;
+use crate::request::draft::COMPLETIONS_PATH;
 use crate::request::gate::Ask;
 use crate::request::gate::Gate;
 use crate::request::gate::Permit;
 use crate::request::head::CallHead;
 use crate::request::idempotency::Begin;
+use crate::request::stream_end::StreamEnd;
 
 /// Largest request body.
 const REQUEST_LIMIT_BYTES: usize = 1 << 20;
@@ -262,7 +264,8 @@
             Given::Whole(whole) => whole_response(whole),
             Given::Stream(response, permit) => {
                 let (parts, body) = response.into_parts();
-                let tracked = Tracked::new(body, permit, self.deadline);
+                let engine = self.head.path.starts_with(COMPLETIONS_PATH);
+                let tracked = Tracked::new(body, permit, self.deadline, engine);
                 let mut response = Response::new(tracked.boxed_unsync());
                 *response.status_mut() = parts.status;
                 *response.headers_mut() = without_hop_headers(&parts.headers);
@@ -303,21 +306,28 @@
 ///
 /// If the upstream breaks off or the deadline passes, the caller's connection
 /// is broken off as well: a stream that simply ended there would look whole.
+///
+/// An engine that dies may still close its stream in good order, after some
+/// chunks and without the event that ends an answer. The caller would take half an
+/// answer for a whole one, so that end is passed on as a broken connection too.
 struct Tracked {
     body: Incoming,
     permit: Option<Permit>,
     deadline: Pin<Box<Sleep>>,
     bytes: usize,
+    /// Set for engines, whose streams end in a known way.
+    end: Option<StreamEnd>,
 }
 
 impl Tracked {
-    fn new(body: Incoming, permit: Permit, deadline: Instant) -> Self {
+    fn new(body: Incoming, permit: Permit, deadline: Instant, engine: bool) -> Self {
         let deadline = tokio::time::sleep_until(tokio::time::Instant::from_std(deadline));
         Self {
             body,
             permit: Some(permit),
             deadline: Box::pin(deadline),
             bytes: 0,
+            end: engine.then(StreamEnd::default),
         }
     }
 
@@ -338,13 +348,22 @@
     ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
         match Pin::new(&mut self.body).poll_frame(context) {
             Poll::Ready(Some(Ok(frame))) => {
-                self.bytes += frame.data_ref().map_or(0, Bytes::len);
+                if let Some(data) = frame.data_ref() {
+                    self.bytes += data.len();
+                    if let Some(end) = &mut self.end {
+                        end.push(data);
+                    }
+                }
                 Poll::Ready(Some(Ok(frame)))
             }
             Poll::Ready(Some(Err(error))) => {
                 self.finish(Ending::Failed);
                 Poll::Ready(Some(Err(io::Error::other(error))))
             }
+            Poll::Ready(None) if self.end.as_ref().is_some_and(|end| !end.is_whole()) => {
+                self.finish(Ending::Failed);
+                Poll::Ready(Some(Err(io::ErrorKind::UnexpectedEof.into())))
+            }
             Poll::Ready(None) => {
                 self.finish(Ending::Answered);
                 Poll::Ready(None)
--- a/crates/firweir/src/request/mod.rs
+++ b/crates/firweir/src/request/mod.rs
@@ -10,3 +10,4 @@
 pub mod idempotency;
 pub mod lot;
 pub mod record;
+pub mod stream_end;
