Upstreams that all fail stay in use

Cause: three failures in a row ejected an upstream whatever the number already ejected; the panic threshold held for slowness only. After a bad release every upstream is ejected, and callers wait for their deadline with nothing to send their work to. Change: both kinds of ejection stop at the threshold. Shown failing first: without the threshold `failing_everywhere_leaves_upstreams_in_use` failed (fewer than 45 starts in five seconds at ten calls a second); with it, it passes.

--- a/crates/policy/src/health.rs
+++ b/crates/policy/src/health.rs
@@ -88,8 +88,15 @@
         health
     }
 
-    /// Work ended there. Gives whether the upstream has just come back.
-    pub fn ended(&mut self, now: Instant, ending: Ending, cost_tokens: u32, elapsed: Duration) {
+    /// Work ended there; `may_eject` unless too many are ejected already.
+    pub fn ended(
+        &mut self,
+        now: Instant,
+        ending: Ending,
+        cost_tokens: u32,
+        elapsed: Duration,
+        may_eject: bool,
+    ) {
         match ending {
             Ending::Answered => self.answered(now, cost_tokens, elapsed),
             Ending::Unreachable => {
@@ -98,7 +105,7 @@
             }
             Ending::Failed => {
                 self.failures += 1;
-                if self.failures >= FAILURES {
+                if self.failures >= FAILURES && may_eject {
                     self.eject(now);
                 }
             }
--- a/crates/policy/src/slots.rs
+++ b/crates/policy/src/slots.rs
@@ -171,12 +171,7 @@
             slot.health.compare(median_speed);
             slot.overdue = (0.0, 0.0);
         }
-        let ejected = self
-            .held
-            .iter()
-            .filter(|slot| slot.health.is_ejected())
-            .count();
-        let mut left = ejections_allowed(self.held.len()).saturating_sub(ejected);
+        let mut left = self.may_eject();
         for slot in &mut self.held {
             if left > 0 && slot.health.is_outlier() {
                 slot.health.eject(now);
@@ -247,11 +242,13 @@
         let Some(place) = self.place(key) else {
             return;
         };
+        let may_eject = self.may_eject() > 0;
         let slot = &mut self.held[place];
         self.open -= slot.open;
         self.free -= slot.free();
         slot.in_flight = slot.in_flight.saturating_sub(1);
-        slot.health.ended(now, ending, cost_tokens, elapsed);
+        slot.health
+            .ended(now, ending, cost_tokens, elapsed, may_eject);
         slot.open = if slot.state.leaving {
             0
         } else {
@@ -261,6 +258,12 @@
         self.free += slot.free();
     }
 
+    /// Upstreams that may still be ejected before too many are.
+    fn may_eject(&self) -> usize {
+        let ejected = self.held.iter().filter(|slot| slot.health.is_ejected());
+        ejections_allowed(self.held.len()).saturating_sub(ejected.count())
+    }
+
     /// Slots that may be used now, those in use included.
     #[must_use]
     pub const fn open(&self) -> u32 {
--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -390,6 +390,29 @@
     assert_eq!(used.count(), 6);
 }
 
+/// Every upstream fails what it gets, as after a bad release. Ejecting them all
+/// would leave nothing to send work to, and callers would wait for their deadline.
+#[test]
+fn failing_everywhere_leaves_upstreams_in_use() {
+    let mut play = Play::new(&[LIVE]);
+    play.run(Duration::from_secs(10));
+    for _ in 0..60 {
+        for flight in std::mem::take(&mut play.flights) {
+            let finish = Finish {
+                ending: Ending::Failed,
+                elapsed: STEP,
+                tokens: 0,
+            };
+            play.dispatcher.finish(play.now, flight.work, &finish);
+            play.carry_out();
+        }
+        play.run(Duration::from_millis(100));
+    }
+    let before = play.starts_at.len();
+    play.run(Duration::from_secs(5));
+    assert!(play.starts_at.len() >= before + 45);
+}
+
 /// An upstream is marked as leaving while work waits. Work that starts there
 /// afterwards would be cut off with it.
 #[test]
