--- a/crates/bench/tests/judge.rs
+++ b/crates/bench/tests/judge.rs
@@ -39,6 +39,8 @@
         let wait = Duration::from_millis(case.millis);
         judge.call_ended(&CallEnd {
             request: 1,
+            load: 0,
+            hot: false,
             outcome: CallOutcome::Answered,
             latency: wait,
             deadline: wait,
