--- a/crates/bench/src/bin/firweir-slopes.rs
+++ b/crates/bench/src/bin/firweir-slopes.rs
@@ -13,6 +13,7 @@
 use firweir::process::ctl::CtlError;
 use firweir::process::run::exit_code;
 use firweir::version::folder::File;
+use firweir::version::folder::Head;
 use firweir::version::view::MemberState;
 use firweir_bench::fleet::Fleet;
 use firweir_bench::fleet::Node;
@@ -27,14 +28,17 @@
 /// Services in the configuration: a folder of about 20 KB.
 const SERVICES: usize = 100;
 
-/// The fleet settles for this long before anything is measured.
-const SETTLE: Duration = Duration::from_secs(15);
+/// The fleet settles for this long after each trouble.
+const SETTLE: Duration = Duration::from_secs(10);
+
+/// A fleet whose VMs all start at once settles for this long.
+const START: Duration = Duration::from_secs(30);
 
 /// Steady state is measured for this long.
 const STEADY: Duration = Duration::from_secs(20);
 
 /// Loss and a pause are watched for this long.
-const WATCHED: Duration = Duration::from_secs(10);
+const WATCHED: Duration = Duration::from_secs(8);
 
 /// Share of packets lost.
 const LOSS: f64 = 0.05;
@@ -48,7 +52,7 @@
 /// What has not happened by then counts as this late.
 const LONGEST_WAIT: Duration = Duration::from_secs(60);
 
-/// Measures slopes; prints one table of VMs and one of racing operators.
+/// Measures slopes; prints tables of VMs, racing operators and catching up.
 #[derive(FromArgs)]
 struct Flags {
     /// numbers of VMs, with commas (default 9,30,100,420); empty for no table
@@ -80,6 +84,12 @@
 /// Each operator whose number is a multiple of this changes the same file.
 const SHARING: u32 = 4;
 
+/// Changes of one file each, before a VM catches up.
+const CHANGES: usize = 100;
+
+/// Changes that it missed.
+const MISSED: [u64; 5] = [1, 4, 16, 64, 80];
+
 /// Rounds of a race: each is one seed.
 const ROUNDS: u64 = 8;
 
@@ -92,7 +102,36 @@
     if !flags.nodes.is_empty() {
         print_table(flags)?;
     }
-    print_races(flags.seed)
+    print_races(flags.seed)?;
+    print_catch_up();
+    Ok(())
+}
+
+/// Shows what a VM that missed some changes is sent: those changes, or the head.
+fn print_catch_up() {
+    println!(
+        "{:>6} {:>13} {:>11}",
+        "missed", "changes_bytes", "whole_bytes"
+    );
+    let mut heads = vec![Head::default()];
+    for number in 0..CHANGES {
+        let mut files = folder(0);
+        let index = number % SERVICES;
+        let service = format!("service-{index}");
+        files[index].content["services"][&service]["limit_per_upstream"] = json!(100 + number);
+        let next = heads[number].with_folder(&files, &format!("ctl-operator-{number}"));
+        heads.extend(next);
+    }
+    let newest = &heads[heads.len() - 1];
+    let bytes = |json: serde_json::Result<Vec<u8>>| json.map_or(0, |text| text.len());
+    for missed in MISSED {
+        let changes = newest.changes_since(newest.revision - missed);
+        let changes_bytes = changes.map_or("none".to_owned(), |changes| {
+            bytes(serde_json::to_vec(&changes)).to_string()
+        });
+        let whole_bytes = bytes(serde_json::to_vec(newest));
+        println!("{missed:>6} {changes_bytes:>13} {whole_bytes:>11}");
+    }
 }
 
 /// How racing operators fared.
@@ -226,7 +265,7 @@
     fleet.start().await?;
     let operator = fleet.operator(1)?;
     operator.apply_files(&folder(0)).await?;
-    tokio::time::sleep(SETTLE).await;
+    tokio::time::sleep(START).await;
     let mut slope = Slope {
         nodes,
         ..Slope::default()
--- a/crates/bench/src/judge.rs
+++ b/crates/bench/src/judge.rs
@@ -122,6 +122,9 @@
     not_run: BTreeSet<u64>,
     delivered: BTreeSet<(u32, u64)>,
     feeds: BTreeMap<String, FeedState>,
+    /// Newest revision that each VM's entry served, by VM.
+    served: BTreeMap<u32, u64>,
+    config_reverts: u64,
     counts: Counts,
     in_deadline: u64,
     latency_us: Histogram<u64>,
@@ -170,6 +173,8 @@
             not_run: BTreeSet::new(),
             delivered: BTreeSet::new(),
             feeds: BTreeMap::new(),
+            served: BTreeMap::new(),
+            config_reverts: 0,
             counts: Counts::default(),
             in_deadline: 0,
             latency_us: histogram(),
@@ -273,6 +278,13 @@
         }
     }
 
+    /// A VM's entry, restarted or not, serves with this configuration.
+    pub fn serves(&self, vm: u32, revision: u64) {
+        let mut state = lock(&self.state);
+        let before = state.served.insert(vm, revision).unwrap_or(0);
+        state.config_reverts += u64::from(revision < before);
+    }
+
     /// A trainer waited for a lot.
     pub fn idle(&self, feed: &str, idle: Duration) {
         let mut state = lock(&self.state);
@@ -351,6 +363,7 @@
             count("reexecuted", counts.reexecuted, "calls"),
             count("not_run_ran", counts.not_run_ran, "calls"),
             count("samples_delivered", counts.samples_delivered, "samples"),
+            count("config_reverts", state.config_reverts, "reverts"),
             count("steps_accepted", steps, "steps"),
             count("steps_accepted_least", least, "steps"),
             share(
--- a/crates/bench/src/replay.rs
+++ b/crates/bench/src/replay.rs
@@ -29,6 +29,9 @@
 /// Time between looks at calls that are still open.
 const CLOSING_LOOK: Duration = Duration::from_millis(100);
 
+/// Time between looks at the configuration that entries serve.
+const REVISION_LOOK: Duration = Duration::from_millis(250);
+
 /// Share of the trace between two lines of progress.
 const PROGRESS_STEPS: u32 = 10;
 
@@ -100,6 +103,9 @@
     for fault in plan.trace.faults.clone() {
         drop(tokio::task::spawn_local(strike(Rc::clone(&world), fault)));
     }
+    drop(tokio::task::spawn_local(look_at_revisions(Rc::clone(
+        &world,
+    ))));
     let part = Duration::from_secs_f64(plan.trace.duration_s) / PROGRESS_STEPS;
     for step in 1..=PROGRESS_STEPS {
         tokio::time::sleep(part).await;
@@ -154,6 +160,13 @@
     }
 }
 
+async fn look_at_revisions(world: SharedWorld) {
+    loop {
+        world.borrow().check_revisions();
+        tokio::time::sleep(REVISION_LOOK).await;
+    }
+}
+
 async fn close_calls(world: &SharedWorld) {
     let start = tokio::time::Instant::now();
     while world.borrow().callers.open() > 0 && start.elapsed() < CLOSING_LIMIT {
--- a/crates/bench/src/world.rs
+++ b/crates/bench/src/world.rs
@@ -68,6 +68,8 @@
     starts: u64,
     /// Tasks of all its programs; none while it is down.
     pub tasks: Option<Tasks>,
+    /// Its entry as it was last started.
+    pub entry: Option<Arc<Entry>>,
 }
 
 /// One upstream.
@@ -189,6 +191,7 @@
                 address: address(0, index),
                 starts: 0,
                 tasks: None,
+                entry: None,
             });
         }
     }
@@ -277,6 +280,7 @@
         steward::start(parts.clone()).await?;
         let entry = Entry::new(parts.clone(), self.make_dispatcher);
         tasks.spawn(Arc::clone(&entry).serve_callers().await?);
+        self.vms[index].entry = Some(Arc::clone(&entry));
         entry.serve_peers().await?;
         tasks.spawn_local(feed::start(parts).await?);
         Ok(())
@@ -335,6 +339,16 @@
         self.balancer.set(addresses.collect());
     }
 
+    /// Shows the judge which configuration the healthy entries serve.
+    pub fn check_revisions(&self) {
+        for vm in &self.vms {
+            let revision = vm.entry.as_ref().map_or(0, |entry| entry.view().revision);
+            if vm.tasks.is_some() && revision > 0 {
+                self.judge.serves(vm.index, revision);
+            }
+        }
+    }
+
     /// Starts the trainers.
     ///
     /// # Errors
--- a/crates/bench/tests/configuration.rs
+++ b/crates/bench/tests/configuration.rs
@@ -114,9 +114,9 @@
     order: &'static [usize],
 }
 
-/// The object API is down. A VM that a cut kept from the newest change comes
-/// back, and all stewards are replaced one by one, in any order. A steward that
-/// took the first peer's word would serve the older revision again.
+/// The object API is down, and all VMs are replaced one by one, in any order. The
+/// configuration has to be handed on from those that still hold it, or the fleet
+/// would be without one until the platform is back.
 #[test]
 fn no_steward_serves_less_than_the_fleet_holds() {
     let cases = [
@@ -163,6 +163,41 @@
     }
 }
 
+/// A VM was frozen while a change was accepted. It wakes in an outage of the
+/// object API, as another VM starts with nothing and asks it first. Taking its
+/// word, the fresh VM would serve a revision that the fleet has left behind.
+#[test]
+fn a_fresh_vm_does_not_serve_what_a_stale_peer_holds() {
+    for seed in 0..8 {
+        on_paused_clock(async move {
+            let mut fleet = Fleet::plan(5, 3, seed).await.expect("a fleet");
+            fleet.start().await.expect("started");
+            let operator = fleet.operator(1).expect("an operator");
+            for limit in [1, 2] {
+                operator
+                    .apply_files(&[file("10.json", limit)])
+                    .await
+                    .expect("accepted");
+                tokio::time::sleep(IN_FORCE).await;
+                fleet.nodes[1].tasks.freeze();
+            }
+            fleet
+                .platform
+                .trouble(Trouble::Outage, Duration::from_secs(600));
+            fleet.kill(0).await;
+            fleet.nodes[1].tasks.thaw();
+            fleet.start_node(0).await.expect("restarted");
+            let view = &fleet.nodes[0].views[0];
+            for _ in 0..8_000 {
+                tokio::time::sleep(Duration::from_millis(1)).await;
+                let revision = view.load().revision;
+                assert!(revision != 1, "seed {seed}: serves an old revision");
+            }
+            assert_eq!(view.load().revision, 2, "seed {seed}");
+        });
+    }
+}
+
 /// An operator applies while one VM is cut off, and stewards hold it for dead.
 /// The VM still answers callers with the old configuration, and the platform
 /// lists it: "in force everywhere" without it would be a lie.
--- a/crates/firweir/schema/firweir.capnp
+++ b/crates/firweir/schema/firweir.capnp
@@ -96,7 +96,7 @@
   # A program of this VM reports what it observes; `node` and counters are the steward's.
   report @4 (observed :Observed) -> ();
   # Asks for an exchange with a third VM, which the asker could not reach.
-  probe @5 (hello :Hello, target :Text) -> (reached :Bool);
+  probe @5 (hello :Hello, target :Text, node :Text) -> (reached :Bool);
   # The revision with which every program of this VM works.
   inForce @6 () -> (revision :UInt64, node :Text);
 }
--- a/crates/firweir/src/process/rounds.rs
+++ b/crates/firweir/src/process/rounds.rs
@@ -115,13 +115,13 @@
     }
 
     /// An exchange with a third VM succeeds.
-    pub(in crate::process) async fn reaches(&self, target: SocketAddr) -> bool {
+    pub(in crate::process) async fn reaches(&self, node: &str, target: SocketAddr) -> bool {
         let exchanged = within(PROBE_TIMEOUT, self.exchange_with(target, false)).await;
-        let reached = matches!(exchanged, Some(Ok(())));
-        if !reached {
-            self.peers.forget(target);
+        if let Some(Ok(answered)) = exchanged {
+            return answered == node;
         }
-        reached
+        self.peers.forget(target);
+        false
     }
 
     fn age_members(&self) {
@@ -187,7 +187,9 @@
         let start = self.parts.clock.now();
         let whole = self.wants_whole(start);
         match within(EXCHANGE_TIMEOUT, self.exchange_with(target.address, whole)).await {
-            Some(Ok(())) => return,
+            Some(Ok(node)) if target.node.as_ref().is_none_or(|it| *it == node) => return,
+            // Another VM has its address now: the one that is meant is gone.
+            Some(Ok(_)) => self.parts.journal.count("steward.address_reused"),
             Some(Err(error)) if is_answer(&error) => {
                 self.note_refused(&error);
                 return;
@@ -227,15 +229,16 @@
             let chosen = peers.choose_multiple(&mut *self.random.borrow_mut(), HELPERS);
             chosen.copied().collect()
         };
-        let asked = helpers.iter().map(|helper| self.ask(*helper, target));
+        let asked = helpers.iter().map(|helper| self.ask(*helper, node, target));
         join_all(asked).await.contains(&true)
     }
 
-    async fn ask(&self, helper: SocketAddr, target: SocketAddr) -> bool {
+    async fn ask(&self, helper: SocketAddr, node: &str, target: SocketAddr) -> bool {
         let asking = async {
             let peer = self.peers.get(helper).await?;
             let mut request = peer.probe_request();
             request.get().set_target(target.to_string());
+            request.get().set_node(node);
             self.write_hello(request.get().init_hello());
             let response = request.send().promise.await?;
             Ok::<bool, capnp::Error>(response.get()?.get_reached())
@@ -243,7 +246,8 @@
         matches!(within(ASK_TIMEOUT, asking).await, Some(Ok(true)))
     }
 
-    async fn exchange_with(&self, to: SocketAddr, whole: bool) -> Result<(), WireError> {
+    /// Exchanges with whoever is at an address; gives its name.
+    async fn exchange_with(&self, to: SocketAddr, whole: bool) -> Result<String, WireError> {
         let node = {
             let state = self.state.borrow();
             let mut members = state.membership.iter();
@@ -259,8 +263,8 @@
             };
             self.send_exchange(to, &pushed, false).await?;
         }
-        self.greet(node);
-        Ok(())
+        self.greet(node.clone());
+        Ok(node)
     }
 
     /// Tells and listens; gives the peer's name and the revision it holds.
--- a/crates/firweir/src/process/spread.rs
+++ b/crates/firweir/src/process/spread.rs
@@ -15,6 +15,11 @@
     fn supersedes(&self, held: &Self) -> bool;
 }
 
+/// A row that arrives and is held already is known to at least one more VM: so
+/// many sends of it are saved. News that many VMs bring up at once, as at the
+/// start of a fleet, would else be handed on for a minute.
+const KNOWN_ALREADY: u32 = 2;
+
 #[derive(Debug, Clone)]
 struct Held<R> {
     row: R,
@@ -61,6 +66,8 @@
                 let newer = news.row.supersedes(&held.row);
                 if newer {
                     *held = news;
+                } else if !held.row.supersedes(&news.row) {
+                    held.sends_left = held.sends_left.saturating_sub(KNOWN_ALREADY);
                 }
                 newer
             }
--- a/crates/firweir/src/process/steward.rs
+++ b/crates/firweir/src/process/steward.rs
@@ -627,7 +627,8 @@
         self.0.refuse_strangers(params.get_hello()?)?;
         let target = params.get_target()?.to_str()?;
         let target: SocketAddr = target.parse().map_err(WireError::Address)?;
-        let reached = self.0.reaches(target).await;
+        let node = params.get_node()?.to_str()?;
+        let reached = self.0.reaches(node, target).await;
         results.get().set_reached(reached);
         Ok(())
     }
--- a/crates/firweir/src/wire/firweir_capnp.rs
+++ b/crates/firweir/src/wire/firweir_capnp.rs
@@ -5582,11 +5582,19 @@
             pub fn has_target(&self) -> bool {
                 !self.reader.get_pointer_field(1).is_null()
             }
+            #[inline]
+            pub fn get_node(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_node(&self) -> bool {
+                !self.reader.get_pointer_field(2).is_null()
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 2 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 3 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -5668,6 +5676,22 @@
             pub fn has_target(&self) -> bool {
                 !self.builder.is_pointer_field_null(1)
             }
+            #[inline]
+            pub fn get_node(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_node(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false).unwrap()
+            }
+            #[inline]
+            pub fn init_node(self, size: u32) -> ::capnp::text::Builder<'a> {
+                self.builder.get_pointer_field(2).init_text(size)
+            }
+            #[inline]
+            pub fn has_node(&self) -> bool {
+                !self.builder.is_pointer_field_null(2)
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -5682,17 +5706,17 @@
             }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(160, 134, 227, 137, 137, 110, 151, 131),
                 ::capnp::word(22, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 26, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(102, 105, 114, 119, 101, 105, 114, 46),
@@ -5700,21 +5724,28 @@
                 ::capnp::word(101, 119, 97, 114, 100, 46, 112, 114),
                 ::capnp::word(111, 98, 101, 36, 80, 97, 114, 97),
                 ::capnp::word(109, 115, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(41, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(69, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(45, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(73, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(77, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(104, 101, 108, 108, 111, 0, 0, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(30, 103, 184, 93, 201, 194, 190, 251),
@@ -5731,11 +5762,20 @@
                 ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(110, 111, 100, 101, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <crate::firweir_capnp::hello::Owned as ::capnp::introspect::Introspect>::introspect(),
                     1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -5749,9 +5789,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,2,1];
             pub(crate) const TYPE_ID: u64 = 0x8397_6e89_89e3_86a0;
         }
     }
