--- a/crates/bench/src/world.rs
+++ b/crates/bench/src/world.rs
@@ -82,6 +82,8 @@
     pub disk: Option<MemoryStorage>,
     /// Tasks of all its programs; none while it is down.
     pub tasks: Option<Tasks>,
+    /// Its entry as it was last started.
+    pub entry: Option<Arc<Entry>>,
 }
 
 /// One trainer.
@@ -218,6 +220,7 @@
                 starts: 0,
                 disk: (index < self.trace.vaults).then(MemoryStorage::default),
                 tasks: None,
+                entry: None,
             });
         }
     }
@@ -310,6 +313,7 @@
         }
         let entry = Entry::new(parts.clone(), self.make_dispatcher);
         tasks.spawn(Arc::clone(&entry).serve_callers().await?);
+        self.vms[index].entry = Some(Arc::clone(&entry));
         entry.serve_peers().await?;
         tasks.spawn_local(feed::start(parts, self.rules).await?);
         Ok(())
@@ -371,6 +375,16 @@
         self.balancer.set(addresses.collect());
     }
 
+    /// Shows the judge which configuration the healthy entries serve.
+    pub fn check_revisions(&self) {
+        for vm in &self.vms {
+            let revision = vm.entry.as_ref().map_or(0, |entry| entry.view().revision);
+            if vm.tasks.is_some() && revision > 0 {
+                self.judge.serves(vm.index, revision);
+            }
+        }
+    }
+
     /// Starts the trainers.
     ///
     /// # Errors
