--- a/crates/bench/tests/charges.rs
+++ b/crates/bench/tests/charges.rs
@@ -236,6 +236,18 @@
                 Begin(0, 4, 8, Verdict::Run),
             ],
         },
+        ScriptCase {
+            name: "the object API slows down: a claim is stored after its refusal",
+            steps: vec![
+                Begin(0, 1, 1, Verdict::Run),
+                Platform(Trouble::Slow(second * 2 / 5), second * 60),
+                BeginWithin(0, 2, 2, refused(), second),
+                Wait(second * 2),
+                BeginWithin(0, 2, 3, Verdict::Run, second),
+                BeginWithin(0, 3, 4, Verdict::Run, second),
+                Begin(0, 2, 5, Verdict::MayHaveRun),
+            ],
+        },
         ScriptCase {
             name: "the object API is slow: a refused claim leaves the call free",
             steps: vec![
--- a/crates/firweir/src/process/charges.rs
+++ b/crates/firweir/src/process/charges.rs
@@ -23,7 +23,6 @@
 use crate::process::shard::Command;
 use crate::process::shard::EndedClaim;
 use crate::process::shard::Outage;
-use crate::process::shard::READ_BACK_AFTER;
 use crate::process::shard::Shard;
 use crate::request::charge::Charge;
 use crate::request::charge::Progress;
@@ -68,9 +67,7 @@
     /// Starts the shards of an entry; none is held before it is wanted.
     #[must_use]
     pub fn start(parts: &Parts) -> Self {
-        let api = parts
-            .object_api("charges")
-            .reading_back_after(READ_BACK_AFTER);
+        let api = parts.object_api("charges");
         let outage = Outage::default();
         let start = |number| {
             let (queue, commands) = mpsc::channel(QUEUE);
--- a/crates/firweir/src/process/shard.rs
+++ b/crates/firweir/src/process/shard.rs
@@ -53,7 +53,7 @@
 const POINT_ON: Duration = Duration::from_secs(2);
 
 /// A write that was not answered by then is read back.
-pub const READ_BACK_AFTER: Duration = Duration::from_millis(250);
+const READ_BACK_AFTER: Duration = Duration::from_millis(250);
 
 /// Reads of a takeover that are made at once.
 const READS_AT_ONCE: u32 = 16;
@@ -108,6 +108,9 @@
     moved: Option<(SocketAddr, Instant)>,
     failing: bool,
     not_before: Instant,
+    write_started: Instant,
+    /// The API is slow: silence does not tell of a lost reply.
+    patient: bool,
 }
 
 /// A claim that is not stored yet.
@@ -152,6 +155,8 @@
             moved: None,
             failing: false,
             not_before: parts.clock.now(),
+            write_started: parts.clock.now(),
+            patient: false,
             parts,
         }
     }
@@ -289,7 +294,8 @@
             return None;
         }
         self.not_before = now + WRITE_EVERY;
-        let (api, number) = (self.api.clone(), self.number);
+        self.write_started = now;
+        let (api, number) = (self.api_for_write(), self.number);
         let Some(log) = &mut self.log else {
             return Some(Box::pin(
                 async move { Done::Loaded(load(&api, number).await) },
@@ -307,6 +313,25 @@
         }))
     }
 
+    fn api_for_write(&self) -> ObjectApi {
+        if self.patient {
+            self.api.clone()
+        } else {
+            self.api.clone().reading_back_after(READ_BACK_AFTER)
+        }
+    }
+
+    /// A slow API answers the read that settles a write slowly too. Reading back
+    /// early would then send each write twice and answer no claim in time.
+    fn note_pace(&mut self) {
+        let took = self.now().duration_since(self.write_started);
+        if took > READ_BACK_AFTER * 2 {
+            self.patient = true;
+        } else if took < READ_BACK_AFTER {
+            self.patient = false;
+        }
+    }
+
     fn take(&mut self, done: Done, storing: &mut Storing) {
         match done {
             Done::Loaded(Some(log)) => self.loaded(log),
@@ -345,6 +370,7 @@
     }
 
     fn written(&mut self, etag: Etag) {
+        self.note_pace();
         let Some(log) = &mut self.log else {
             return;
         };
