Quarantine of requests that crash their upstreams, partial

Cause: a request that crashes each upstream that runs it was retried and resent until the service was gone; nothing counted it. Reports go by Observed.suspects; from the second loss on the live VMs are told at once.

--- a/crates/bench/src/fault.rs
+++ b/crates/bench/src/fault.rs
@@ -21,6 +21,9 @@
 /// An upstream that leaves goes after this.
 const LEAVE_TIME: Duration = Duration::from_secs(60);
 
+/// Upstreams that a poison request crashed are started again at this pace.
+const POISONED_RESTART: Duration = Duration::from_secs(5);
+
 /// The deployment as concurrent faults share it. No borrow is held across an
 /// `await` but in [`restart_vm`] and [`restart_upstream`], whose listening on
 /// the in-memory network never waits.
@@ -61,6 +64,18 @@
     restart_upstream(world, index).await;
 }
 
+/// Restarts plain upstreams that a poison request crashed, for as long as the
+/// replay runs.
+pub async fn restart_poisoned(world: SharedWorld) {
+    loop {
+        tokio::time::sleep(POISONED_RESTART).await;
+        let crashed = world.borrow().poisoned_upstreams();
+        for index in crashed {
+            restart_upstream(&world, index).await;
+        }
+    }
+}
+
 async fn leave_upstream(world: &SharedWorld, target: usize, lasting: Duration) {
     let index = target % world.borrow().upstreams.len();
     set_leaving(world, index, true);
--- a/crates/bench/src/judge.rs
+++ b/crates/bench/src/judge.rs
@@ -123,6 +123,8 @@
     delivered: BTreeSet<(u32, u64)>,
     feeds: BTreeMap<String, FeedState>,
     counts: Counts,
+    /// Upstreams that each poison request crashed.
+    poisoned: BTreeMap<u64, u64>,
     in_deadline: u64,
     latency_us: Histogram<u64>,
     staleness: Histogram<u64>,
@@ -171,6 +173,7 @@
             delivered: BTreeSet::new(),
             feeds: BTreeMap::new(),
             counts: Counts::default(),
+            poisoned: BTreeMap::new(),
             in_deadline: 0,
             latency_us: histogram(),
             staleness: histogram(),
@@ -218,6 +221,11 @@
         }
     }
 
+    /// An upstream crashed because of the request that it ran.
+    pub fn poisoned(&self, request: u64) {
+        *lock(&self.state).poisoned.entry(request).or_default() += 1;
+    }
+
     /// Distinct requests that services ran.
     #[must_use]
     pub fn executed_count(&self) -> usize {
@@ -350,6 +358,12 @@
             count("mislabelled", counts.mislabelled, "samples"),
             count("reexecuted", counts.reexecuted, "calls"),
             count("not_run_ran", counts.not_run_ran, "calls"),
+            count(
+                "upstreams_lost_to_one",
+                state.poisoned.values().copied().max().unwrap_or(0),
+                "upstreams",
+            ),
+            count("poison_requests", state.poisoned.len() as u64, "requests"),
             count("samples_delivered", counts.samples_delivered, "samples"),
             count("steps_accepted", steps, "steps"),
             count("steps_accepted_least", least, "steps"),
--- a/crates/bench/src/replay.rs
+++ b/crates/bench/src/replay.rs
@@ -13,6 +13,7 @@
 
 use crate::fault::SharedWorld;
 use crate::fault::folder_of;
+use crate::fault::restart_poisoned;
 use crate::fault::strike;
 use crate::report::Run;
 use crate::report::figures;
@@ -97,6 +98,9 @@
     world.borrow().check_health();
     start_trainers(&world).await?;
     offer_load(&world, plan.seed);
+    drop(tokio::task::spawn_local(restart_poisoned(Rc::clone(
+        &world,
+    ))));
     for fault in plan.trace.faults.clone() {
         drop(tokio::task::spawn_local(strike(Rc::clone(&world), fault)));
     }
--- a/crates/bench/src/service.rs
+++ b/crates/bench/src/service.rs
@@ -10,6 +10,7 @@
 use firweir::connection::server::bytes_response;
 use firweir::connection::server::json;
 use firweir::connection::server::read_body;
+use firweir::process::tasks::Tasks;
 use firweir::request::head::IDEMPOTENCY_HEADER;
 use http::Request;
 use http::Response;
@@ -29,6 +30,9 @@
 pub struct Numbered {
     /// Unique among all requests of a run.
     pub request: u64,
+    /// It crashes the upstream that runs it.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub poison: bool,
 }
 
 /// Starts a service instance that takes `work` for each request.
@@ -42,14 +46,20 @@
     work: Duration,
     judge: Judge,
 ) -> io::Result<SocketAddr> {
+    let tasks = ground.tasks.clone();
     let handler = server::handler(move |request| {
-        let judge = judge.clone();
-        Box::pin(async move { answer(&judge, work, request).await })
+        let (judge, tasks) = (judge.clone(), tasks.clone());
+        Box::pin(async move { answer(&judge, &tasks, work, request).await })
     });
     ground.serve(at, handler).await
 }
 
-async fn answer(judge: &Judge, work: Duration, request: Request<Incoming>) -> Response<Body> {
+async fn answer(
+    judge: &Judge,
+    tasks: &Tasks,
+    work: Duration,
+    request: Request<Incoming>,
+) -> Response<Body> {
     let (parts, body) = request.into_parts();
     let body = read_body(body, REQUEST_LIMIT_BYTES)
         .await
@@ -63,5 +73,10 @@
         .and_then(|value| value.to_str().ok());
     judge.executed(numbered.request, key);
     tokio::time::sleep(work).await;
+    if numbered.poison {
+        judge.poisoned(numbered.request);
+        tasks.kill();
+        return std::future::pending().await;
+    }
     json(StatusCode::OK, &numbered)
 }
--- a/crates/bench/src/trace.rs
+++ b/crates/bench/src/trace.rs
@@ -176,6 +176,10 @@
     /// Calls may not be repeated; callers resend them under the same key.
     #[serde(default)]
     pub charged: bool,
+    /// Each call crashes the plain upstream that runs it; callers send it again
+    /// each second.
+    #[serde(default)]
+    pub poison: bool,
     /// Model of an engine call.
     #[serde(default)]
     pub model: String,
--- a/crates/bench/src/world.rs
+++ b/crates/bench/src/world.rs
@@ -1,6 +1,7 @@
 //! One deployment inside the replay: the programs' own code on every VM, and the
 //! stand-ins around them.
 
+use std::cell::Cell;
 use std::io;
 use std::net::IpAddr;
 use std::net::SocketAddr;
@@ -79,6 +80,8 @@
     zone: Zone,
     starts: u64,
     tasks: Tasks,
+    /// A fault of the trace ended it and will start it again.
+    crashed_by_fault: Cell<bool>,
     /// Set for model engines.
     pub engine: Option<Engine>,
 }
@@ -210,6 +213,7 @@
                     zone,
                     starts: 0,
                     tasks: Tasks::new(),
+                    crashed_by_fault: Cell::new(false),
                     engine: None,
                 });
                 self.start_upstream(host as usize).await?;
@@ -227,6 +231,7 @@
         let upstream = &mut self.upstreams[index];
         upstream.starts += 1;
         upstream.tasks = Tasks::new();
+        upstream.crashed_by_fault.set(false);
         let at = upstream.listed.address;
         let part = 1_000 + index as u64 + upstream.starts * 100_000;
         let ground = Ground {
@@ -248,9 +253,22 @@
 
     /// Ends an upstream with all that runs on it.
     pub fn crash_upstream(&self, index: usize) {
+        self.upstreams[index].crashed_by_fault.set(true);
         self.upstreams[index].tasks.kill();
     }
 
+    /// Upstreams that are down and no fault's.
+    #[must_use]
+    pub fn poisoned_upstreams(&self) -> Vec<usize> {
+        let down = |upstream: &UpstreamStand| {
+            upstream.tasks.is_killed() && !upstream.crashed_by_fault.get()
+        };
+        let all = self.upstreams.iter().enumerate();
+        all.filter(|(_, upstream)| down(upstream))
+            .map(|(index, _)| index)
+            .collect()
+    }
+
     /// Starts the programs of a VM.
     ///
     /// # Errors
--- a/crates/firweir/schema/firweir.capnp
+++ b/crates/firweir/schema/firweir.capnp
@@ -124,6 +124,8 @@
   # Charged calls: this entry may hold the shard that the key falls into.
   begin @1 (charge :Charge) -> (verdict :Verdict);
   end @2 (key :Text, claim :Text, progress :Progress) -> (kept :Bool);
+  # Tells of a suspect at once, ahead of the reports between stewards.
+  suspect @3 (node :Text, suspect :Suspect) -> ();
 }
 
 struct Charge {
--- a/crates/firweir/src/process/charges.rs
+++ b/crates/firweir/src/process/charges.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use futures_util::future::join_all;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use xxhash_rust::xxh3::xxh3_64;
@@ -30,6 +31,7 @@
 use crate::request::charge::read_verdict;
 use crate::request::charge::write_charge;
 use crate::request::charge::write_progress;
+use crate::version::view::Suspect;
 use crate::version::view::View;
 use crate::version::view::WireError;
 use crate::wire::firweir_capnp::entry;
@@ -130,6 +132,8 @@
     Begin(Charge, oneshot::Sender<Verdict>),
     /// Note how a claim ended.
     End(EndedClaim, oneshot::Sender<bool>),
+    /// Tell all of a suspect.
+    Suspect(Suspect),
 }
 
 /// A message and the entries that may hold its shard.
@@ -150,6 +154,7 @@
     shards: Shards,
     clock: Arc<dyn Clock>,
     own: SocketAddr,
+    node: String,
 }
 
 impl Courier {
@@ -162,6 +167,7 @@
             shards,
             clock: Arc::clone(&parts.clock),
             own: parts.settings.draft_listen,
+            node: parts.settings.node.clone(),
         })
     }
 
@@ -193,6 +199,10 @@
             Message::End(ended, kept) => {
                 _ = kept.send(self.end(holders, &ended).await);
             }
+            Message::Suspect(suspect) => {
+                let telling = holders.into_iter().map(|to| self.tell(to, suspect));
+                drop(join_all(telling).await);
+            }
         }
     }
 
@@ -255,6 +265,23 @@
         false
     }
 
+    async fn tell(&self, to: SocketAddr, suspect: Suspect) {
+        let told = within(HOLDER_TIMEOUT, self.suspect_at(to, suspect)).await;
+        if !matches!(told, Some(Ok(()))) {
+            self.peers.forget(to);
+        }
+    }
+
+    async fn suspect_at(&self, to: SocketAddr, suspect: Suspect) -> Result<(), WireError> {
+        let mut request = self.peers.get(to).await?.suspect_request();
+        request.get().set_node(&*self.node);
+        let mut builder = request.get().init_suspect();
+        builder.set_fingerprint(suspect.fingerprint);
+        builder.set_upstreams_lost(suspect.upstreams_lost);
+        request.send().promise.await?;
+        Ok(())
+    }
+
     async fn begin_at(&self, to: SocketAddr, charge: &Charge) -> Result<Verdict, WireError> {
         let mut request = self.peers.get(to).await?.begin_request();
         write_charge(charge, request.get().init_charge());
--- a/crates/firweir/src/process/entry.rs
+++ b/crates/firweir/src/process/entry.rs
@@ -3,6 +3,7 @@
 
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::time::Duration;
 use std::time::Instant;
@@ -10,12 +11,17 @@
 use arc_swap::ArcSwap;
 use firweir_policy::dispatch::Balanced;
 use firweir_policy::dispatch::Dispatcher;
+use firweir_policy::suspect::Reported;
+use firweir_policy::suspect::Standing;
+use firweir_policy::suspect::Suspects;
 use http::Method;
 use http::Request;
 use http::Response;
 use http::StatusCode;
 use hyper::body::Incoming;
+use tokio::sync::Semaphore;
 use tokio::sync::mpsc;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::connection::client::HttpClient;
 use crate::connection::peer;
@@ -24,8 +30,10 @@
 use crate::connection::server::json;
 use crate::process::charges::Courier;
 use crate::process::charges::Letter;
+use crate::process::charges::Message;
 use crate::process::charges::Shards;
 use crate::process::follow::follow;
+use crate::process::follow::report;
 use crate::process::run::Parts;
 use crate::process::shard::EndedClaim;
 use crate::request::call::boxed_answer;
@@ -36,7 +44,9 @@
 use crate::request::draft::write_drafted;
 use crate::request::gate::Gate;
 use crate::request::idempotency::Ledger;
+use crate::version::view::Observed;
 use crate::version::view::SharedView;
+use crate::version::view::Suspect;
 use crate::version::view::View;
 use crate::wire::firweir_capnp::entry;
 
@@ -70,12 +80,16 @@
     parts: Parts,
     http: HttpClient,
     ledger: Ledger,
+    letters: mpsc::Sender<Letter>,
     /// Taken by the thread that carries them.
     carried: Mutex<Option<mpsc::Receiver<Letter>>>,
     view: SharedView,
     /// Gates sorted by service; replaced whole when a service appears.
     gates: ArcSwap<Vec<NamedGate>>,
     make_dispatcher: MakeDispatcher,
+    suspects: Mutex<Suspects>,
+    /// Held while a suspect is tried alone.
+    alone: Semaphore,
 }
 
 impl Entry {
@@ -85,11 +99,14 @@
         let (letters, carried) = mpsc::channel(LETTERS);
         Arc::new(Self {
             http: parts.http(),
-            ledger: Ledger::new(parts.object_api("entry"), letters),
+            ledger: Ledger::new(parts.object_api("entry"), letters.clone()),
+            letters,
             carried: Mutex::new(Some(carried)),
             view: SharedView::default(),
             gates: ArcSwap::default(),
             make_dispatcher,
+            suspects: Mutex::default(),
+            alone: Semaphore::new(1),
             parts,
         })
     }
@@ -144,9 +161,86 @@
             follower.take_view(view);
         });
         self.parts.tasks.spawn_local(following);
+        let observer = Arc::clone(&self);
+        let reporting = report(self.parts.clone(), move || observer.observed());
+        self.parts.tasks.spawn_local(reporting);
         Ok(())
     }
 
+    /// What the entry reports to the other VMs.
+    fn observed(&self) -> Observed {
+        let reports = self.suspects().reports(self.now(), 0);
+        let suspects = reports.iter().map(|reported| Suspect {
+            fingerprint: reported.fingerprint,
+            upstreams_lost: reported.lost,
+        });
+        Observed {
+            suspects: suspects.collect(),
+            ..Observed::default()
+        }
+    }
+
+    /// Takes in what other VMs report.
+    fn take_observed(&self, view: &View) {
+        let node = &self.parts.settings.node;
+        let others = view
+            .observed
+            .iter()
+            .filter(|observed| observed.node != *node);
+        let reports = others.flat_map(|observed| {
+            let node = xxh3_64(observed.node.as_bytes());
+            let suspects = observed.suspects.iter();
+            suspects.map(move |suspect| Reported {
+                fingerprint: suspect.fingerprint,
+                node,
+                lost: suspect.upstreams_lost,
+            })
+        });
+        self.suspects().take_reports(reports.collect());
+    }
+
+    /// Notes that an upstream was lost with this request in flight. From the second
+    /// loss on, the live VMs are told at once: its caller may send it again sooner
+    /// than reports spread. Bystanders of one crash cause no message.
+    pub fn note_loss(&self, fingerprint: u64) {
+        let now = self.now();
+        let mut suspects = self.suspects();
+        let upstreams_lost = suspects.lost(now, fingerprint);
+        // Counted over all VMs: the third loss is the first one here.
+        let standing = suspects.standing(now, fingerprint);
+        drop(suspects);
+        if standing == Standing::Free {
+            return;
+        }
+        self.parts.journal.event(
+            "suspect",
+            &[("fingerprint", &fingerprint), ("lost", &upstreams_lost)],
+        );
+        let suspect = Suspect {
+            fingerprint,
+            upstreams_lost,
+        };
+        let view = self.view();
+        let own = self.parts.settings.draft_listen;
+        let members = view.live_members().map(|member| member.draft_address);
+        let letter = Letter {
+            holders: members.filter(|at| *at != own).collect(),
+            message: Message::Suspect(suspect),
+        };
+        // With the queue full, the reports carry it.
+        drop(self.letters.try_send(letter));
+    }
+
+    /// Requests suspected of crashing upstreams.
+    pub fn suspects(&self) -> MutexGuard<'_, Suspects> {
+        self.suspects.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The right to try a suspect; one suspect at a time, so that a crash is its own.
+    pub const fn alone(&self) -> &Semaphore {
+        &self.alone
+    }
+
     /// Starts the shards of charged calls, and the courier to other entries.
     fn start_charges(&self) -> Shards {
         let shards = Shards::start(&self.parts);
@@ -243,6 +337,7 @@
     }
 
     fn take_view(&self, view: &View) {
+        self.take_observed(view);
         let known = self.gates.load();
         let gates: Vec<NamedGate> = view
             .config
@@ -323,4 +418,19 @@
         results.get().set_kept(self.shards.end(ended).await);
         Ok(())
     }
+    async fn suspect(
+        self: std::rc::Rc<Self>,
+        params: entry::SuspectParams,
+        _results: entry::SuspectResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        let suspect = params.get_suspect()?;
+        let notice = Reported {
+            fingerprint: suspect.get_fingerprint(),
+            node: xxh3_64(params.get_node()?.as_bytes()),
+            lost: suspect.get_upstreams_lost(),
+        };
+        self.entry.suspects().take_notice(self.entry.now(), notice);
+        Ok(())
+    }
 }
--- a/crates/firweir/src/request/call.rs
+++ b/crates/firweir/src/request/call.rs
@@ -10,6 +10,8 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use firweir_policy::suspect::SPREAD_TIME;
+use firweir_policy::suspect::Standing;
 use firweir_policy::work::Class;
 use firweir_policy::work::Ending;
 use firweir_policy::work::UpstreamKey;
@@ -27,9 +29,11 @@
 use hyper::body::Body as HttpBody;
 use hyper::body::Frame;
 use hyper::body::Incoming;
+use tokio::sync::SemaphorePermit;
 use tokio::sync::oneshot;
 use tokio::time::Sleep;
 use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::connection::client::ClientError;
 use crate::connection::client::within;
@@ -92,6 +96,8 @@
     headers: HeaderMap,
     body: Bytes,
     deadline: Instant,
+    /// Hash of what an upstream gets to see; the same when it is sent again.
+    fingerprint: u64,
 }
 
 /// Answers one caller.
@@ -110,6 +116,7 @@
     };
     let call = Call {
         deadline: started + head.patience,
+        fingerprint: fingerprint_of(&head, &body),
         headers: parts.headers,
         head,
         body,
@@ -120,6 +127,11 @@
     response
 }
 
+fn fingerprint_of(head: &CallHead, body: &[u8]) -> u64 {
+    let name = format!("{}{}", head.service, head.path);
+    xxh3_64_with_seed(body, xxh3_64(name.as_bytes()))
+}
+
 fn outcome_of(response: &Response<Body>) -> &str {
     let outcome = response.headers().get(OUTCOME_HEADER);
     outcome
@@ -131,7 +143,7 @@
     async fn answer(self, entry: &Arc<Entry>) -> Response<Body> {
         if self.head.idempotency_key.is_none() {
             return match self.run(entry).await {
-                Ok(given) => self.respond(given),
+                Ok(given) => self.respond(entry, given),
                 Err(refused) => refused.response(),
             };
         }
@@ -163,7 +175,7 @@
                     claim.answered(&whole).await;
                     whole_response(whole)
                 }
-                Ok(stream @ Given::Stream(..)) => self.respond(stream),
+                Ok(stream @ Given::Stream(..)) => self.respond(entry, stream),
                 Err(refused) => {
                     if refused.outcome == Outcome::NotRun {
                         claim.not_run().await;
@@ -188,6 +200,7 @@
         let mut avoid = Vec::new();
         let mut may_have_run = false;
         for tries in 1.. {
+            let _alone = self.check_standing(entry, may_have_run).await?;
             let permit = match gate.admit(self.ask(avoid.clone())).await {
                 Ok(permit) => permit,
                 Err(turned) if may_have_run => {
@@ -215,6 +228,37 @@
         }
     }
 
+    /// Leave to try, for a suspect the only one at a time.
+    async fn check_standing<'a>(
+        &self,
+        entry: &'a Entry,
+        may_have_run: bool,
+    ) -> Result<Option<SemaphorePermit<'a>>, Refused> {
+        let standing = entry.suspects().standing(entry.now(), self.fingerprint);
+        let (reason, retry_after) = match standing {
+            Standing::Free => return Ok(None),
+            Standing::Quarantined(clear) => ("quarantined", clear),
+            // No retry here: its third loss must be the last of the fleet.
+            Standing::Alone if may_have_run => ("suspect", SPREAD_TIME),
+            Standing::Alone => match within(self.remaining(entry), entry.alone().acquire()).await {
+                Some(Ok(alone)) => return Ok(Some(alone)),
+                Some(Err(_)) | None => ("suspect", SPREAD_TIME),
+            },
+        };
+        Err(if may_have_run {
+            Refused::unknown(reason, retry_after)
+        } else {
+            Refused::not_run(reason, retry_after)
+        })
+    }
+
+    fn suspicion(&self, entry: &Arc<Entry>) -> Suspicion {
+        Suspicion {
+            entry: Arc::clone(entry),
+            fingerprint: self.fingerprint,
+        }
+    }
+
     fn may_retry(&self, gate: &Gate, ending: Ending, tries: u32) -> bool {
         gate.allow_retry(ending, self.head.idempotent, tries)
     }
@@ -245,8 +289,13 @@
                 .map_err(broken)?;
             Ok(Ok(Response::from_parts(parts, body.to_bytes())))
         };
-        let ending = match within(remaining, sending).await {
+        let sent = within(remaining, sending).await;
+        if matches!(sent, Some(Err(ClientError::Broken(_)))) {
+            entry.note_loss(self.fingerprint);
+        }
+        let ending = match sent {
             Some(Ok(Ok(whole))) if !whole.status().is_server_error() => {
+                entry.suspects().answered(self.fingerprint);
                 permit.finish(
                     Ending::Answered,
                     (whole.body().len() / BYTES_PER_TOKEN) as u32,
@@ -283,12 +332,12 @@
         }
     }
 
-    fn respond(&self, given: Given) -> Response<Body> {
+    fn respond(&self, entry: &Arc<Entry>, given: Given) -> Response<Body> {
         match given {
             Given::Whole(whole) => whole_response(whole),
             Given::Stream(response, permit) => {
                 let (parts, body) = response.into_parts();
-                let tracked = Tracked::new(body, permit, self.deadline);
+                let tracked = Tracked::new(body, permit, self.deadline, self.suspicion(entry));
                 let mut response = Response::new(tracked.boxed_unsync());
                 *response.status_mut() = parts.status;
                 *response.headers_mut() = without_hop_headers(&parts.headers);
@@ -334,21 +383,40 @@
     permit: Option<Permit>,
     deadline: Pin<Box<Sleep>>,
     bytes: usize,
+    suspicion: Suspicion,
+}
+
+/// What tells of a streamed request whether its upstream survived it.
+struct Suspicion {
+    entry: Arc<Entry>,
+    fingerprint: u64,
+}
+
+impl Suspicion {
+    fn note(&self, ending: Ending) {
+        match ending {
+            Ending::Answered => self.entry.suspects().answered(self.fingerprint),
+            Ending::Failed => self.entry.note_loss(self.fingerprint),
+            Ending::Unreachable | Ending::Abandoned => {}
+        }
+    }
 }
 
 impl Tracked {
-    fn new(body: Incoming, permit: Permit, deadline: Instant) -> Self {
+    fn new(body: Incoming, permit: Permit, deadline: Instant, suspicion: Suspicion) -> Self {
         let deadline = tokio::time::sleep_until(tokio::time::Instant::from_std(deadline));
         Self {
             body,
             permit: Some(permit),
             deadline: Box::pin(deadline),
             bytes: 0,
+            suspicion,
         }
     }
 
     fn finish(&mut self, ending: Ending) {
         if let Some(permit) = self.permit.take() {
+            self.suspicion.note(ending);
             permit.finish(ending, (self.bytes / BYTES_PER_TOKEN) as u32);
         }
     }
--- a/crates/firweir/src/wire/firweir_capnp.rs
+++ b/crates/firweir/src/wire/firweir_capnp.rs
@@ -6333,6 +6333,8 @@
     pub type BeginResults<> = ::capnp::capability::Results<crate::firweir_capnp::entry::begin_results::Owned>;
     pub type EndParams<> = ::capnp::capability::Params<crate::firweir_capnp::entry::end_params::Owned>;
     pub type EndResults<> = ::capnp::capability::Results<crate::firweir_capnp::entry::end_results::Owned>;
+    pub type SuspectParams<> = ::capnp::capability::Params<crate::firweir_capnp::entry::suspect_params::Owned>;
+    pub type SuspectResults<> = ::capnp::capability::Results<crate::firweir_capnp::entry::suspect_results::Owned>;
 
     pub struct Client {
         pub client: ::capnp::capability::Client,
@@ -6391,11 +6393,15 @@
         pub fn end_request(&self) -> ::capnp::capability::Request<crate::firweir_capnp::entry::end_params::Owned,crate::firweir_capnp::entry::end_results::Owned> {
             self.client.new_call(_private::TYPE_ID, 2, ::core::option::Option::None)
         }
+        pub fn suspect_request(&self) -> ::capnp::capability::Request<crate::firweir_capnp::entry::suspect_params::Owned,crate::firweir_capnp::entry::suspect_results::Owned> {
+            self.client.new_call(_private::TYPE_ID, 3, ::core::option::Option::None)
+        }
     }
     pub trait Server<> : 'static  {
         fn draft(self: ::capnp::capability::Rc<Self>, _: DraftParams<>, _: DraftResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method entry::Server::draft not implemented".to_string()))) }
         fn begin(self: ::capnp::capability::Rc<Self>, _: BeginParams<>, _: BeginResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method entry::Server::begin not implemented".to_string()))) }
         fn end(self: ::capnp::capability::Rc<Self>, _: EndParams<>, _: EndResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method entry::Server::end not implemented".to_string()))) }
+        fn suspect(self: ::capnp::capability::Rc<Self>, _: SuspectParams<>, _: SuspectResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method entry::Server::suspect not implemented".to_string()))) }
     }
     pub struct ServerDispatch<_T,> {
         pub server: ::capnp::capability::Rc<_T>,
@@ -6428,6 +6434,7 @@
                 0 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::draft(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 1 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::begin(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 2 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::end(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                3 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::suspect(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
             }
         }
@@ -7765,6 +7772,422 @@
             pub(crate) const TYPE_ID: u64 = 0xa6a0_6841_c417_a451;
         }
     }
+
+    pub mod suspect_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_node(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_node(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+            #[inline]
+            pub fn get_suspect(self) -> ::capnp::Result<crate::firweir_capnp::suspect::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_suspect(&self) -> bool {
+                !self.reader.get_pointer_field(1).is_null()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 2 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_node(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_node(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+            }
+            #[inline]
+            pub fn init_node(self, size: u32) -> ::capnp::text::Builder<'a> {
+                self.builder.get_pointer_field(0).init_text(size)
+            }
+            #[inline]
+            pub fn has_node(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+            #[inline]
+            pub fn get_suspect(self) -> ::capnp::Result<crate::firweir_capnp::suspect::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_suspect(&mut self, value: crate::firweir_capnp::suspect::Reader<'_>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
+            }
+            #[inline]
+            pub fn init_suspect(self, ) -> crate::firweir_capnp::suspect::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), 0)
+            }
+            #[inline]
+            pub fn has_suspect(&self) -> bool {
+                !self.builder.is_pointer_field_null(1)
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+            pub fn get_suspect(&self) -> crate::firweir_capnp::suspect::Pipeline {
+                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(1))
+            }
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(174, 188, 246, 73, 181, 247, 82, 144),
+                ::capnp::word(20, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 26, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(102, 105, 114, 119, 101, 105, 114, 46),
+                ::capnp::word(99, 97, 112, 110, 112, 58, 69, 110),
+                ::capnp::word(116, 114, 121, 46, 115, 117, 115, 112),
+                ::capnp::word(101, 99, 116, 36, 80, 97, 114, 97),
+                ::capnp::word(109, 115, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(45, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(110, 111, 100, 101, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(115, 117, 115, 112, 101, 99, 116, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(136, 243, 54, 22, 248, 126, 135, 216),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <crate::firweir_capnp::suspect::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
+            pub(crate) const TYPE_ID: u64 = 0x9052_f7b5_49f6_bcae;
+        }
+    }
+
+    pub mod suspect_results {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <> Reader<'_,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 0 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 17] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(42, 56, 155, 101, 106, 99, 234, 255),
+                ::capnp::word(20, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 34, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(102, 105, 114, 119, 101, 105, 114, 46),
+                ::capnp::word(99, 97, 112, 110, 112, 58, 69, 110),
+                ::capnp::word(116, 114, 121, 46, 115, 117, 115, 112),
+                ::capnp::word(101, 99, 116, 36, 82, 101, 115, 117),
+                ::capnp::word(108, 116, 115, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_field_index(index)
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[];
+            pub(crate) const TYPE_ID: u64 = 0xffea_636a_659b_382a;
+        }
+    }
 }
 
 pub mod charge {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -8,4 +8,5 @@
 pub mod dispatch;
 pub mod queue;
 pub mod retry;
+pub mod suspect;
 pub mod work;
