--- a/crates/bench/src/judge.rs
+++ b/crates/bench/src/judge.rs
@@ -167,6 +167,8 @@
     served: BTreeMap<u32, u64>,
     config_reverts: u64,
     counts: Counts,
+    /// Upstreams that each poison request crashed.
+    poisoned: BTreeMap<u64, u64>,
     in_deadline: u64,
     /// Delivered samples with text of more than one weight version.
     mixed: u64,
@@ -233,6 +235,7 @@
             served: BTreeMap::new(),
             config_reverts: 0,
             counts: Counts::default(),
+            poisoned: BTreeMap::new(),
             in_deadline: 0,
             mixed: 0,
             loads: LoadMeasures::default(),
@@ -339,6 +342,11 @@
         }
     }
 
+    /// An upstream crashed because of the request that it ran.
+    pub fn poisoned(&self, request: u64) {
+        *lock(&self.state).poisoned.entry(request).or_default() += 1;
+    }
+
     /// Distinct requests that services ran.
     #[must_use]
     pub fn executed_count(&self) -> usize {
@@ -482,6 +490,12 @@
             count("mislabelled", counts.mislabelled, "samples"),
             count("reexecuted", counts.reexecuted, "calls"),
             count("not_run_ran", counts.not_run_ran, "calls"),
+            count(
+                "upstreams_lost_to_one",
+                state.poisoned.values().copied().max().unwrap_or(0),
+                "upstreams",
+            ),
+            count("poison_requests", state.poisoned.len() as u64, "requests"),
             count("samples_delivered", counts.samples_delivered, "samples"),
             count("samples_mixed", state.mixed, "samples"),
             count("config_reverts", state.config_reverts, "reverts"),
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -17,4 +17,5 @@
 pub mod share;
 pub mod slots;
 pub mod straggler;
+pub mod suspect;
 pub mod work;
