Pace drafting by how much staleness weighs against idle time

Cause: a step was drafted as soon as the one before was accepted; with a trainer that trains longer than a step takes, every lot was two versions old when taken.

Change: crates/policy/src/pace.rs, the feed setting staleness_weight_percent (default 0: as before), trace feed-trade, measure staleness_mean.

--- a/crates/bench/src/judge.rs
+++ b/crates/bench/src/judge.rs
@@ -470,6 +470,11 @@
             ),
             count("idle_p50_ms", state.step_ms.value_at_quantile(0.5), "ms"),
             count("idle_p99_ms", state.step_ms.value_at_quantile(0.99), "ms"),
+            Measure {
+                name: "staleness_mean",
+                value: state.staleness.mean(),
+                unit: "versions",
+            },
             count(
                 "staleness_p50",
                 state.staleness.value_at_quantile(0.5),
--- a/crates/bench/tests/feeds.rs
+++ b/crates/bench/tests/feeds.rs
@@ -56,3 +56,10 @@
 fn shared_engines_keep_every_feed_whole() {
     assert_held("feed-shared-engines", &[1]);
 }
+
+/// Samples are a version older than they need be: their step was drafted whole
+/// long before the trainer was through with the one before.
+#[test]
+fn a_paced_step_is_fresh_and_in_time() {
+    assert_held("feed-trade", &[1]);
+}
--- a/crates/firweir/src/process/drafting.rs
+++ b/crates/firweir/src/process/drafting.rs
@@ -44,6 +44,10 @@
 /// The trainer gives prompts and scores within this, or is asked again.
 const TRAINER_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Time between looks at whether engines serve new weights while a step waits
+/// for them.
+const START_LOOK: Duration = Duration::from_millis(500);
+
 /// A sample sent for scoring.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct ScoreSample {
@@ -95,6 +99,24 @@
         samples
     }
 
+    /// Waits until the next step is to start. Any change of the record is looked
+    /// at, since new weights end the wait.
+    pub(crate) async fn await_start(&self, feed: &Feed) {
+        let mut changes = self.changes();
+        loop {
+            let weight = feed.staleness_weight_percent;
+            let wait = self.pace.borrow().wait(weight, self.now());
+            if wait.is_zero() {
+                return;
+            }
+            _ = within(wait.min(START_LOOK), changes.changed()).await;
+        }
+    }
+
+    pub(crate) fn now(&self) -> Instant {
+        self.program.parts.clock.now()
+    }
+
     /// All samples of a step in the order in which they start.
     fn order(&self, plan: &StepPlan<'_>) -> Vec<Slot> {
         let slots = plan.slots();
@@ -167,7 +189,7 @@
         let mut segments = Vec::new();
         loop {
             let draft = self.draft(plan, slot, attempt, &segments);
-            let heard = Rc::new(Heard::new(self.program.parts.clock.now()));
+            let heard = Rc::new(Heard::new(self.now()));
             let pause = match self.hand_to_entry(plan, &draft, &heard).await {
                 Ok(Drafted::Answered(made)) => {
                     join_all(&mut segments, made);
@@ -246,7 +268,7 @@
         let Ok(_out) = self.drafts_out.acquire().await else {
             return Ok(Drafted::Failed("stopped".to_owned()));
         };
-        heard.at.set(self.program.parts.clock.now());
+        heard.at.set(self.now());
         let view = self.program.view.load_full();
         let number = draft.group * plan.feed.samples_per_group + draft.index + draft.attempt;
         let live = view.live_members().count();
@@ -286,7 +308,7 @@
     async fn silence(&self, plan: &StepPlan<'_>, heard: &Heard) {
         loop {
             tokio::time::sleep(REPORT_EVERY).await;
-            let silent = is_silent(heard.at.get(), self.program.parts.clock.now());
+            let silent = is_silent(heard.at.get(), self.now());
             let moves = plan.moves_left.get();
             if silent && moves > 0 {
                 plan.moves_left.set(moves - 1);
--- a/crates/firweir/src/process/holder.rs
+++ b/crates/firweir/src/process/holder.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use firweir_policy::pace::Pace;
 use firweir_policy::straggler::Lengths;
 use rand_pcg::Pcg64Mcg;
 use tokio::sync::Semaphore;
@@ -50,6 +51,8 @@
     pub(crate) drafts_out: Semaphore,
     /// Lengths of answers by prompt; a new holder learns them anew.
     pub(crate) lengths: RefCell<Lengths>,
+    /// When the next step starts; a new holder learns this anew too.
+    pub(crate) pace: RefCell<Pace>,
     pub(crate) random: RefCell<Pcg64Mcg>,
 }
 
@@ -70,6 +73,7 @@
             lost: CancellationToken::new(),
             drafts_out: Semaphore::new(DRAFTS_OUT),
             lengths: RefCell::default(),
+            pace: RefCell::default(),
             random: RefCell::new(random),
         })
     }
@@ -126,6 +130,9 @@
             }
         })
         .await?;
+        if outcome.is_ok() {
+            self.pace.borrow_mut().accepted(self.now());
+        }
         Ok(outcome)
     }
 
@@ -135,7 +142,9 @@
     ///
     /// The object API refused, or another holder has the feed.
     pub async fn publish_weights(&self, version: u64) -> Result<(), ObjectError> {
-        self.update(|record| record.with_weights(version)).await
+        self.update(|record| record.with_weights(version)).await?;
+        self.pace.borrow_mut().published(self.now());
+        Ok(())
     }
 
     /// Gives the feed up.
@@ -233,8 +242,13 @@
                 drop(changes.changed().await);
                 continue;
             }
+            self.await_start(&feed).await;
+            let record = self.record();
             let (step, generation) = (record.next_step(), record.next_generation);
+            let started = self.now();
             let samples = self.draft_step(&feed, step).await;
+            let drafted = self.now().saturating_duration_since(started);
+            self.pace.borrow_mut().drafted(drafted);
             self.seal(Lot::seal(&self.name, step, generation, samples))
                 .await;
         }
--- a/crates/firweir/src/process/weights.rs
+++ b/crates/firweir/src/process/weights.rs
@@ -53,11 +53,15 @@
                     .upstreams_of(&feed.service)
                     .iter()
                     .filter(|it| !it.leaving);
-                stream::iter(engines)
+                let serving: Vec<bool> = stream::iter(engines)
                     .map(|engine| self.bring_up_to(engine, &feed, version))
                     .buffer_unordered(WEIGHT_WAVE)
-                    .collect::<()>()
+                    .collect()
                     .await;
+                let newest = self.record.borrow().value.weight_version;
+                if version == newest && serving.iter().all(|serves| *serves) {
+                    self.pace.borrow_mut().swapped();
+                }
             }
             let mut changes = self.changes();
             let newer = changes.wait_for(|_| self.record.borrow().value.weight_version > version);
@@ -65,13 +69,14 @@
         }
     }
 
-    async fn bring_up_to(&self, engine: &Upstream, feed: &Feed, version: u64) {
+    /// Gives whether the engine said that it serves this version or a later one.
+    async fn bring_up_to(&self, engine: &Upstream, feed: &Feed, version: u64) -> bool {
         let http = self.program.parts.http();
         let path = format!("/models/{}", feed.model);
         let reported: Result<ModelState, ClientError> =
             http.get(engine.address, &path, WEIGHT_LOOK_EVERY).await;
         if reported.is_ok_and(|state| state.version >= version) {
-            return;
+            return true;
         }
         let order = WeightOrder {
             model: feed.model.clone(),
@@ -81,15 +86,16 @@
         let ordered: Result<ModelState, ClientError> = http
             .post(engine.address, "/orders/weights", &order, WEIGHT_TIMEOUT)
             .await;
-        if let Err(error) = ordered {
+        if let Err(error) = &ordered {
             self.program.parts.journal.event(
                 "weight_order_failed",
                 &[
                     ("feed", &self.name),
                     ("engine", &engine.address),
-                    ("error", &error),
+                    ("error", error),
                 ],
             );
         }
+        ordered.is_ok_and(|state| state.version >= version)
     }
 }
--- a/crates/firweir/src/version/config.rs
+++ b/crates/firweir/src/version/config.rs
@@ -77,6 +77,10 @@
     /// Sealed lots that may wait for the trainer; drafting pauses at that many.
     #[serde(default = "default_steps_ahead")]
     pub steps_ahead: u32,
+    /// How much staleness weighs against idle time of the trainer, in percent:
+    /// at 0 steps are drafted as early as they can be, at 100 with new weights.
+    #[serde(default)]
+    pub staleness_weight_percent: u32,
 }
 
 const fn default_steps_ahead() -> u32 {
@@ -145,7 +149,7 @@
     },
 ];
 
-const FEED: [Field; 9] = [
+const FEED: [Field; 10] = [
     Field {
         key: "service",
         kind: Kind::Text,
@@ -191,6 +195,11 @@
         kind: Kind::Integer(1, 16),
         required: false,
     },
+    Field {
+        key: "staleness_weight_percent",
+        kind: Kind::Integer(0, 100),
+        required: false,
+    },
 ];
 
 impl Config {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,6 +6,7 @@
 //! every decision can be read and tested without a network.
 
 pub mod dispatch;
+pub mod pace;
 pub mod queue;
 pub mod retry;
 pub mod straggler;
