--- a/crates/firweir/src/version/config.rs
+++ b/crates/firweir/src/version/config.rs
@@ -105,6 +105,10 @@
     /// What its trainer is promised, for the report on service-level burn.
     #[serde(default)]
     pub objective: Option<FeedObjective>,
+    /// How much staleness weighs against idle time of the trainer, in percent:
+    /// at 0 steps are drafted as early as they can be, at 100 with new weights.
+    #[serde(default)]
+    pub staleness_weight_percent: u32,
 }
 
 const fn default_steps_ahead() -> u32 {
@@ -178,7 +182,7 @@
     },
 ];
 
-const FEED: [Field; 10] = [
+const FEED: [Field; 11] = [
     Field {
         key: "service",
         kind: Kind::Text,
@@ -224,6 +228,11 @@
         kind: Kind::Integer(1, 16),
         required: false,
     },
+    Field {
+        key: "staleness_weight_percent",
+        kind: Kind::Integer(0, 100),
+        required: false,
+    },
     Field {
         key: "objective",
         kind: Kind::Object,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod health;
 pub mod lane;
 pub mod limit;
+pub mod pace;
 pub mod reserve;
 pub mod retry;
 pub mod route;
