A fresh VM tries all it has heard of before it serves

Cause: a VM that was cut off holds all others for dead. A fresh one that met it first, in an outage of the object API, took it for the only peer and served the older revision that it held.

Ruled out: a frozen VM as the stale peer. It reads the answer of its watch when it wakes, so that it is not behind; the test of before could not fail for it and is replaced by a stricter one, with a VM that is truly behind (asserted).

Change: a fresh steward is ready once it has tried every address that it has heard of, dead or not, or met eight peers, or read the object API.

--- a/crates/bench/tests/configuration.rs
+++ b/crates/bench/tests/configuration.rs
@@ -11,6 +11,7 @@
 use firweir::version::folder::Head;
 use firweir_bench::fleet::Fleet;
 use firweir_bench::object_api::Trouble;
+use firweir_bench::pipe::Zone;
 use serde_json::json;
 use tokio::task::LocalSet;
 
@@ -163,29 +164,38 @@
     }
 }
 
-/// A VM was frozen while a change was accepted. It wakes in an outage of the
-/// object API, as another VM starts with nothing and asks it first. Taking its
-/// word, the fresh VM would serve a revision that the fleet has left behind.
+/// A VM is cut off while a change is accepted. Then the object API fails, and the
+/// VM is reached again by one other alone, which starts with nothing and may ask
+/// it first. Taking its word, the fresh VM would serve a revision that the fleet
+/// has left behind.
 #[test]
 fn a_fresh_vm_does_not_serve_what_a_stale_peer_holds() {
     for seed in 0..8 {
         on_paused_clock(async move {
-            let mut fleet = Fleet::plan(5, 3, seed).await.expect("a fleet");
+            let mut fleet = Fleet::plan(5, 5, seed).await.expect("a fleet");
             fleet.start().await.expect("started");
             let operator = fleet.operator(1).expect("an operator");
-            for limit in [1, 2] {
-                operator
-                    .apply_files(&[file("10.json", limit)])
-                    .await
-                    .expect("accepted");
-                tokio::time::sleep(IN_FORCE).await;
-                fleet.nodes[1].tasks.freeze();
+            operator
+                .apply_files(&[file("10.json", 1)])
+                .await
+                .expect("accepted");
+            tokio::time::sleep(IN_FORCE).await;
+            fleet.cut_off(1, Duration::from_secs(30));
+            for zone in [2, 3, 4].map(Zone) {
+                fleet.fabric.cut(Zone(1), zone, Duration::from_secs(600));
+                fleet.fabric.cut(zone, Zone(1), Duration::from_secs(600));
             }
+            operator
+                .apply_files(&[file("10.json", 2)])
+                .await
+                .expect("accepted");
+            tokio::time::sleep(Duration::from_secs(29)).await;
             fleet
                 .platform
                 .trouble(Trouble::Outage, Duration::from_secs(600));
             fleet.kill(0).await;
-            fleet.nodes[1].tasks.thaw();
+            tokio::time::sleep(Duration::from_secs(2)).await;
+            assert_eq!(fleet.nodes[1].views[0].load().revision, 1, "still behind");
             fleet.start_node(0).await.expect("restarted");
             let view = &fleet.nodes[0].views[0];
             for _ in 0..8_000 {
--- a/crates/firweir/src/process/rounds.rs
+++ b/crates/firweir/src/process/rounds.rs
@@ -54,7 +54,7 @@
 const ABSENT_ROUNDS: usize = 10;
 
 /// A fresh steward serves programs once it has exchanged with this many VMs, or
-/// with all that are alive: with 9 VMs it then holds the newest revision that any
+/// has tried all that it has heard of: with 9 VMs it then holds the newest revision that any
 /// of them holds, and with 420 it is no further behind than a change that is
 /// still spreading.
 const READY_PEERS: usize = 8;
@@ -133,19 +133,16 @@
     }
 
     fn target(&self, turn: usize) -> Option<Target> {
+        if !self.is_ready()
+            && let Some(target) = self.untried_target(turn)
+        {
+            return Some(target);
+        }
         let state = self.state.borrow();
         let neighbours = state.membership.neighbours();
-        let greeted = |node: &String| state.greeted.binary_search(node).is_ok();
-        let stranger = (!self.is_ready())
-            .then(|| {
-                let mut peers = state.membership.alive_peers();
-                peers.find(|peer| !greeted(&peer.node))
-            })
-            .flatten();
-        let member = match stranger {
-            Some(stranger) => Some(stranger),
-            None if neighbours.is_empty() => None,
-            None => Some(neighbours[turn % neighbours.len()]),
+        let member = match neighbours.len() {
+            0 => None,
+            count => Some(neighbours[turn % count]),
         };
         if let Some(member) = member {
             return Some(Target {
@@ -186,7 +183,9 @@
     async fn round(self: Rc<Self>, target: Target) {
         let start = self.parts.clock.now();
         let whole = self.wants_whole(start);
-        match within(EXCHANGE_TIMEOUT, self.exchange_with(target.address, whole)).await {
+        let exchanged = within(EXCHANGE_TIMEOUT, self.exchange_with(target.address, whole)).await;
+        self.note_tried(target.address);
+        match exchanged {
             Some(Ok(node)) if target.node.as_ref().is_none_or(|it| *it == node) => return,
             // Another VM has its address now: the one that is meant is gone.
             Some(Ok(_)) => self.parts.journal.count("steward.address_reused"),
@@ -295,23 +294,54 @@
         hello.set_node(&self.parts.settings.node);
     }
 
-    /// Notes that a peer was met. A VM that has met enough of them holds the
-    /// newest revision that it can learn of, even with the object API down.
+    /// A VM that a fresh steward has heard of by any way and not tried yet. One
+    /// that its first peer holds for dead is among them: that peer may itself be
+    /// cut off, and hold all others for dead.
+    fn untried_target(&self, turn: usize) -> Option<Target> {
+        let own = self.parts.settings.steward_listen;
+        let state = self.state.borrow();
+        let mut known: Vec<SocketAddr> = state
+            .membership
+            .iter()
+            .map(|member| member.steward_address)
+            .chain(state.listed.iter().map(|vm| vm.steward))
+            .chain(self.parts.settings.seeds.iter().copied())
+            .collect();
+        known.sort();
+        known.dedup();
+        known.retain(|it| *it != own && state.tried.binary_search(it).is_err());
+        let address = *known.get(turn % known.len().max(1))?;
+        Some(Target {
+            node: None,
+            address,
+        })
+    }
+
+    /// Notes that a peer was met.
     fn greet(&self, node: String) {
+        let mut state = self.state.borrow_mut();
+        if let Err(position) = state.greeted.binary_search(&node)
+            && !self.is_ready()
+        {
+            state.greeted.insert(position, node);
+        }
+    }
+
+    /// Notes that an exchange with this address has ended, well or not. A VM that
+    /// has met enough peers, or tried all it has heard of, holds the newest
+    /// revision that it can learn of, even with the object API down.
+    fn note_tried(&self, address: SocketAddr) {
         if self.is_ready() {
             return;
         }
         let met = {
             let mut state = self.state.borrow_mut();
-            if let Err(position) = state.greeted.binary_search(&node) {
-                state.greeted.insert(position, node);
+            if let Err(position) = state.tried.binary_search(&address) {
+                state.tried.insert(position, address);
             }
-            let greeted = &state.greeted;
-            let mut peers = state.membership.alive_peers();
-            greeted.len() >= READY_PEERS
-                || peers.all(|peer| greeted.binary_search(&peer.node).is_ok())
+            state.greeted.len()
         };
-        if met {
+        if met >= READY_PEERS || (met > 0 && self.untried_target(0).is_none()) {
             self.set_ready();
         }
     }
--- a/crates/firweir/src/process/steward.rs
+++ b/crates/firweir/src/process/steward.rs
@@ -92,6 +92,8 @@
     pub(in crate::process) listed: Vec<EntryVm>,
     /// VMs with which this steward has exchanged since its start.
     pub(in crate::process) greeted: Vec<String>,
+    /// Addresses that it has tried since its start.
+    pub(in crate::process) tried: Vec<SocketAddr>,
     pub(in crate::process) comparison: Comparison,
     /// When a member, an upstream or the configuration last changed here.
     pub(in crate::process) changed_at: Option<Instant>,
@@ -182,6 +184,7 @@
             upstreams: Upstreams::default(),
             listed: Vec::new(),
             greeted: Vec::new(),
+            tried: Vec::new(),
             comparison: Comparison::default(),
             changed_at: None,
             head: Head::default(),
