--- a/crates/policy/src/health.rs
+++ b/crates/policy/src/health.rs
@@ -47,16 +47,8 @@
 /// What one answer or one look at running work says of an upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum State {
-    Serving {
-        since: Option<Instant>,
-    },
-    /// Not tried for a while: a try costs nothing but time, since no byte is sent.
-    Unreachable {
-        until: Instant,
-    },
-    Ejected {
-        until: Instant,
-    },
+    Serving { since: Option<Instant> },
+    Ejected { until: Instant },
     Probing,
 }
 
@@ -109,11 +101,7 @@
             Ending::Answered => self.answered(now, cost_tokens, elapsed),
             Ending::Unreachable => {
                 let until = now + UNREACHABLE_PAUSE;
-                if !self.is_ejected() || matches!(self.state, State::Unreachable { .. }) {
-                    self.state = State::Unreachable { until };
-                } else {
-                    self.state = State::Ejected { until };
-                }
+                self.state = State::Ejected { until };
             }
             Ending::Failed => {
                 self.failures += 1;
@@ -209,11 +197,7 @@
                 let part = SLOW_START_FROM + (1.0 - SLOW_START_FROM) * grown;
                 (f64::from(share) * part).ceil() as u32
             }
-            State::Unreachable { until } | State::Ejected { until } if until > now => 0,
-            State::Unreachable { .. } => {
-                self.state = State::Serving { since: Some(now) };
-                (f64::from(share) * SLOW_START_FROM).ceil() as u32
-            }
+            State::Ejected { until } if until > now => 0,
             State::Ejected { .. } => {
                 self.state = State::Probing;
                 share.min(1)
