--- a/crates/firweir/tests/processes.rs
+++ b/crates/firweir/tests/processes.rs
@@ -5,6 +5,7 @@
 
 use support::Fleet;
 use support::Process;
+use support::feeds;
 use support::post;
 use support::wait_for;
 
@@ -13,17 +14,6 @@
     "cards": {"kind": "plain", "limit_per_upstream": 32, "default_deadline_ms": 5000}
 }}"#;
 
-fn feeds(fleet: &Fleet) -> String {
-    let trainer = format!("127.0.0.1:{}", fleet.object_api.port() + 2);
-    format!(
-        r#"{{"feeds": {{"lots": {{
-            "service": "models", "model": "recipes", "trainer": "{trainer}",
-            "groups_per_step": 2, "samples_per_group": 4, "max_tokens": 200,
-            "staleness_bound_versions": 3, "draft_timeout_ms": 5000
-        }}}}}}"#
-    )
-}
-
 fn start_vm(fleet: &Fleet, vm: usize) -> Vec<Process> {
     ["steward", "entry", "feed"]
         .iter()
--- a/crates/firweir/tests/support/mod.rs
+++ b/crates/firweir/tests/support/mod.rs
@@ -234,6 +234,18 @@
     panic!("waited {PATIENCE:?} for {what}");
 }
 
+/// A configuration file with the feed `lots`, of eight samples a step.
+pub fn feeds(fleet: &Fleet) -> String {
+    let trainer = format!("127.0.0.1:{}", fleet.object_api.port() + 2);
+    format!(
+        r#"{{"feeds": {{"lots": {{
+            "service": "models", "model": "recipes", "trainer": "{trainer}",
+            "groups_per_step": 2, "samples_per_group": 4, "max_tokens": 200,
+            "staleness_bound_versions": 3, "draft_timeout_ms": 5000
+        }}}}}}"#
+    )
+}
+
 /// The status and whole text of one HTTP exchange, or `None` if it broke off.
 pub fn post(to: SocketAddr, path: &str, headers: &str, body: &str) -> Option<(u16, String)> {
     exchange("POST", to, path, headers, body)
--- a/crates/firweir/tests/vaults.rs
+++ b/crates/firweir/tests/vaults.rs
@@ -20,6 +20,7 @@
 use firweir::version::view::View;
 use support::Fleet;
 use support::Process;
+use support::feeds;
 use support::get;
 use support::wait_for;
 
@@ -154,17 +155,6 @@
     "models": {"kind": "engine", "limit_per_upstream": 32, "default_deadline_ms": 20000}
 }}"#;
 
-fn feeds(fleet: &Fleet) -> String {
-    let trainer = format!("127.0.0.1:{}", fleet.object_api.port() + 2);
-    format!(
-        r#"{{"feeds": {{"lots": {{
-            "service": "models", "model": "recipes", "trainer": "{trainer}",
-            "groups_per_step": 2, "samples_per_group": 4, "max_tokens": 200,
-            "staleness_bound_versions": 3, "draft_timeout_ms": 5000
-        }}}}}}"#
-    )
-}
-
 fn accepted(fleet: &Fleet, vm: usize) -> Option<String> {
     let (status, text) = get(fleet.vms[vm].feed, "/feeds/lots/lots/accepted")?;
     let (_, body) = text.split_once("\r\n\r\n")?;
--- a/crates/policy/src/health.rs
+++ b/crates/policy/src/health.rs
@@ -60,6 +60,8 @@
     answers: u32,
     failures: u32,
     ejections: u32,
+    /// It was ejected for being slow, not for failing.
+    slow: bool,
     /// How much longer running work has taken than expected, 1 if none.
     overdue: f64,
     slowness: f64,
@@ -75,6 +77,7 @@
             answers: 0,
             failures: 0,
             ejections: 0,
+            slow: false,
             overdue: 1.0,
             slowness: 1.0,
         }
@@ -101,6 +104,7 @@
             Ending::Answered => self.answered(now, cost_tokens, elapsed),
             Ending::Unreachable => {
                 let until = now + UNREACHABLE_PAUSE;
+                self.slow = false;
                 self.state = State::Ejected { until };
             }
             Ending::Failed => {
@@ -111,7 +115,9 @@
             }
             Ending::Abandoned => {
                 if self.state == State::Probing {
+                    let slow = self.slow;
                     self.eject(now);
+                    self.slow = slow;
                 }
             }
         }
@@ -166,14 +172,29 @@
         matches!(self.state, State::Serving { .. }) && self.slowness >= OUTLIER_FACTOR
     }
 
+    /// It is on trial after it had failed: a caller that tries it in vain is tried
+    /// elsewhere at once. One that was slow would make its caller wait, so live
+    /// calls do not try it as long as its peers have room.
+    #[must_use]
+    pub fn is_on_trial(&self) -> bool {
+        self.state == State::Probing && !self.slow
+    }
+
     /// It gets no work, or a probe only.
     #[must_use]
     pub const fn is_ejected(&self) -> bool {
         !matches!(self.state, State::Serving { .. })
     }
 
+    /// Ejects it for being slow.
+    pub fn eject_slow(&mut self, now: Instant) {
+        self.eject(now);
+        self.slow = true;
+    }
+
     /// Ejects it for a while, longer each time.
-    pub fn eject(&mut self, now: Instant) {
+    fn eject(&mut self, now: Instant) {
+        self.slow = false;
         let pause = EJECT_FIRST * 2_u32.pow(self.ejections.min(8));
         self.ejections += 1;
         self.failures = 0;
--- a/crates/policy/src/slots.rs
+++ b/crates/policy/src/slots.rs
@@ -174,7 +174,7 @@
         let mut left = self.may_eject();
         for slot in &mut self.held {
             if left > 0 && slot.health.is_outlier() {
-                slot.health.eject(now);
+                slot.health.eject_slow(now);
                 left -= 1;
             }
         }
@@ -231,7 +231,7 @@
                 slowness: slot.health.slowness(),
                 local_zone: slot.state.local_zone,
                 first: first == Some(place as u32),
-                probing: slot.health.is_ejected(),
+                probing: slot.health.is_on_trial(),
             };
             let score = weighed.score();
             if best.is_none_or(|(lowest, _)| score < lowest) {
