--- a/crates/firweir/src/process/charges.rs
+++ b/crates/firweir/src/process/charges.rs
@@ -138,16 +138,16 @@
 
 /// A message and the entries that may hold its shard.
 #[derive(Debug)]
-pub struct Letter {
+pub struct Outgoing {
     /// In the order in which they are asked.
     pub holders: Vec<SocketAddr>,
     /// What is asked.
     pub message: Message,
 }
 
-/// Carries messages to other entries, on the thread that `capnp-rpc` stays on.
+/// Sends messages to other entries, on the thread that `capnp-rpc` stays on.
 #[derive(Debug)]
-pub struct Courier {
+pub struct PeerSender {
     peers: Peers<entry::Client>,
     /// Entries that did not answer, until when they are asked last.
     passed_over: RefCell<Vec<(SocketAddr, Instant)>>,
@@ -157,8 +157,8 @@
     node: String,
 }
 
-impl Courier {
-    /// A courier for the entry that has these shards.
+impl PeerSender {
+    /// A sender for the entry that has these shards.
     #[must_use]
     pub fn new(parts: &Parts, shards: Shards) -> Rc<Self> {
         Rc::new(Self {
@@ -171,19 +171,19 @@
         })
     }
 
-    /// Carries letters for as long as the process lives.
-    pub async fn run(self: Rc<Self>, parts: Parts, mut letters: mpsc::Receiver<Letter>) {
-        while let Some(letter) = letters.recv().await {
-            let courier = Rc::clone(&self);
+    /// Sends messages for as long as the process lives.
+    pub async fn run(self: Rc<Self>, parts: Parts, mut outbox: mpsc::Receiver<Outgoing>) {
+        while let Some(outgoing) = outbox.recv().await {
+            let sender = Rc::clone(&self);
             parts
                 .tasks
-                .spawn_local(async move { courier.carry(letter).await });
+                .spawn_local(async move { sender.send(outgoing).await });
         }
     }
 
-    async fn carry(&self, letter: Letter) {
-        let holders = self.answering_first(letter.holders);
-        match letter.message {
+    async fn send(&self, outgoing: Outgoing) {
+        let holders = self.answering_first(outgoing.holders);
+        match outgoing.message {
             Message::Begin(charge, verdict) => {
                 let ended = EndedClaim {
                     key: charge.key.clone(),
--- a/crates/firweir/src/process/entry.rs
+++ b/crates/firweir/src/process/entry.rs
@@ -31,9 +31,9 @@
 use crate::connection::server;
 use crate::connection::server::Body;
 use crate::connection::server::json;
-use crate::process::charges::Courier;
-use crate::process::charges::Letter;
 use crate::process::charges::Message;
+use crate::process::charges::Outgoing;
+use crate::process::charges::PeerSender;
 use crate::process::charges::Shards;
 use crate::process::demand::Demands;
 use crate::process::demand::Sharing;
@@ -63,8 +63,8 @@
 /// Time between looks at time-bound decisions.
 const TICK_EVERY: Duration = Duration::from_millis(100);
 
-/// Messages about charged calls that wait to be carried; more are refused.
-const LETTERS: usize = 4_096;
+/// Messages about charged calls that wait to be sent; more are refused.
+const OUTBOX_LENGTH: usize = 4_096;
 
 /// Path that the balancer asks.
 const HEALTH_PATH: &str = "/healthz";
@@ -90,9 +90,9 @@
     parts: Parts,
     http: HttpClient,
     ledger: Ledger,
-    letters: mpsc::Sender<Letter>,
+    outbox: mpsc::Sender<Outgoing>,
     /// Taken by the thread that carries them.
-    carried: Mutex<Option<mpsc::Receiver<Letter>>>,
+    queued: Mutex<Option<mpsc::Receiver<Outgoing>>>,
     view: SharedView,
     /// Gates sorted by service; replaced whole when a service appears.
     gates: ArcSwap<Vec<NamedGate>>,
@@ -106,12 +106,12 @@
     /// An entry that knows nothing of the fleet yet.
     #[must_use]
     pub fn new(parts: Parts, make_dispatcher: MakeDispatcher) -> Arc<Self> {
-        let (letters, carried) = mpsc::channel(LETTERS);
+        let (outbox, queued) = mpsc::channel(OUTBOX_LENGTH);
         Arc::new(Self {
             http: parts.http(),
-            ledger: Ledger::new(parts.object_api("entry"), letters.clone()),
-            letters,
-            carried: Mutex::new(Some(carried)),
+            ledger: Ledger::new(parts.object_api("entry"), outbox.clone()),
+            outbox,
+            queued: Mutex::new(Some(queued)),
             view: SharedView::default(),
             gates: ArcSwap::default(),
             make_dispatcher,
@@ -244,12 +244,12 @@
                 ("told", &told),
             ],
         );
-        let letter = Letter {
+        let outgoing = Outgoing {
             holders,
             message: Message::Suspect(suspect),
         };
         // With the queue full, the reports carry it.
-        drop(self.letters.try_send(letter));
+        drop(self.outbox.try_send(outgoing));
     }
 
     /// Requests suspected of crashing upstreams.
@@ -262,14 +262,14 @@
         &self.alone
     }
 
-    /// Starts the shards of charged calls, and the courier to other entries.
+    /// Starts the shards of charged calls, and the sender of messages to other entries.
     fn start_charges(&self) -> Shards {
         let shards = Shards::start(&self.parts);
-        let mut carried = self.carried.lock().unwrap_or_else(PoisonError::into_inner);
-        if let Some(letters) = carried.take() {
-            let courier = Courier::new(&self.parts, shards.clone());
-            let carrying = courier.run(self.parts.clone(), letters);
-            self.parts.tasks.spawn_local(carrying);
+        let mut queued = self.queued.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(outbox) = queued.take() {
+            let sender = PeerSender::new(&self.parts, shards.clone());
+            let sending = sender.run(self.parts.clone(), outbox);
+            self.parts.tasks.spawn_local(sending);
         }
         shards
     }
--- a/crates/firweir/src/request/idempotency.rs
+++ b/crates/firweir/src/request/idempotency.rs
@@ -20,8 +20,8 @@
 
 use crate::connection::client::within;
 use crate::connection::object::ObjectApi;
-use crate::process::charges::Letter;
 use crate::process::charges::Message;
+use crate::process::charges::Outgoing;
 use crate::process::charges::holders;
 use crate::process::charges::shard_of;
 use crate::process::shard::EndedClaim;
@@ -53,13 +53,13 @@
 #[derive(Debug)]
 pub struct Ledger {
     names: ObjectApi,
-    letters: mpsc::Sender<Letter>,
+    outbox: mpsc::Sender<Outgoing>,
 }
 
 /// The sole right to run one charged call.
 #[derive(Debug)]
 pub struct Claim {
-    letters: mpsc::Sender<Letter>,
+    outbox: mpsc::Sender<Outgoing>,
     holders: Vec<SocketAddr>,
     key: String,
     name: String,
@@ -90,11 +90,11 @@
 }
 
 impl Ledger {
-    /// A ledger whose letters are carried from the other end of `letters`, and
+    /// A ledger whose messages are sent from the other end of `outbox`, and
     /// whose claims are named by `names`.
     #[must_use]
-    pub const fn new(names: ObjectApi, letters: mpsc::Sender<Letter>) -> Self {
-        Self { names, letters }
+    pub const fn new(names: ObjectApi, outbox: mpsc::Sender<Outgoing>) -> Self {
+        Self { names, outbox }
     }
 
     /// Claims a charged call within `patience`, or finds what became of it.
@@ -105,17 +105,17 @@
             claim: self.names.write_id(),
         };
         let claim = Claim {
-            letters: self.letters.clone(),
+            outbox: self.outbox.clone(),
             holders: holders(view, shard_of(&charge.key)),
             key: charge.key.clone(),
             name: charge.claim.clone(),
         };
         let (verdict, decided) = oneshot::channel();
-        let letter = Letter {
+        let outgoing = Outgoing {
             holders: claim.holders.clone(),
             message: Message::Begin(charge, verdict),
         };
-        let decided = match self.letters.try_send(letter) {
+        let decided = match self.outbox.try_send(outgoing) {
             Ok(()) => within(patience, decided).await.and_then(Result::ok),
             Err(_full) => None,
         };
@@ -169,11 +169,11 @@
             claim: self.name,
             progress,
         };
-        let letter = Letter {
+        let outgoing = Outgoing {
             holders: self.holders,
             message: Message::End(ended, kept),
         };
-        if self.letters.send(letter).await.is_ok() {
+        if self.outbox.send(outgoing).await.is_ok() {
             _ = within(END_WAIT, noted).await;
         }
     }
