--- a/crates/bench/src/object_api.rs
+++ b/crates/bench/src/object_api.rs
@@ -15,6 +15,7 @@
 use firweir::connection::server::json;
 use firweir::connection::server::read_body;
 use firweir::process::clock::Clock;
+use firweir::process::watched::Watched;
 use http::HeaderMap;
 use http::HeaderValue;
 use http::Method;
@@ -24,7 +25,6 @@
 use http::header;
 use hyper::body::Incoming;
 use serde::Serialize;
-use tokio::sync::watch;
 
 use crate::stand::Ground;
 use crate::stand::lock;
@@ -115,7 +115,7 @@
     clock: Arc<dyn Clock>,
     vm_list_lag: Duration,
     state: Arc<Mutex<State>>,
-    changed: watch::Sender<u64>,
+    changed: Watched<u64>,
 }
 
 impl ObjectApiStand {
@@ -147,7 +147,7 @@
             clock: Arc::clone(&ground.clock),
             vm_list_lag,
             state: Arc::new(Mutex::new(state)),
-            changed: watch::Sender::new(0),
+            changed: Watched::new(0),
         }
     }
 
@@ -286,7 +286,7 @@
             return empty(StatusCode::TOO_MANY_REQUESTS);
         }
         let known = headers.get(header::IF_NONE_MATCH);
-        let mut changed = self.changed.subscribe();
+        let mut changed = self.changed.watch();
         let deadline = tokio::time::Instant::now() + wait;
         loop {
             let found = self.find(key);
@@ -353,7 +353,7 @@
             Err(place) => state.objects.insert(place, object),
         }
         drop(state);
-        self.changed.send_modify(|count| *count += 1);
+        self.changed.modify(|count| *count += 1);
         with_etag(empty(StatusCode::OK), version)
     }
 }
--- a/crates/firweir/src/process/holder.rs
+++ b/crates/firweir/src/process/holder.rs
@@ -10,7 +10,6 @@
 use firweir_policy::straggler::Lengths;
 use rand_pcg::Pcg64Mcg;
 use tokio::sync::Semaphore;
-use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
 use crate::connection::client::within;
@@ -20,6 +19,8 @@
 use crate::process::copies::Fetched;
 use crate::process::feed::FeedProgram;
 use crate::process::feed::record_key;
+use crate::process::watched::Watched;
+use crate::process::watched::Watcher;
 use crate::request::lot::Lot;
 use crate::request::record::AcceptError;
 use crate::request::record::Acceptance;
@@ -61,7 +62,7 @@
     /// One write at a time: each is made against the version of the one before.
     writing: tokio::sync::Mutex<()>,
     lots: RefCell<Vec<Rc<Lot>>>,
-    changes: watch::Sender<u64>,
+    changes: Watched<u64>,
     lost: CancellationToken,
     pub(crate) drafts_out: Semaphore,
     /// Lengths of answers by prompt; a new holder learns them anew.
@@ -84,7 +85,7 @@
             record: RefCell::new(record),
             writing: tokio::sync::Mutex::new(()),
             lots: RefCell::default(),
-            changes: watch::Sender::new(0),
+            changes: Watched::new(0),
             lost: CancellationToken::new(),
             drafts_out: Semaphore::new(DRAFTS_OUT),
             lengths: RefCell::default(),
@@ -119,8 +120,8 @@
 
     /// Tells when the record changes.
     #[must_use]
-    pub fn changes(&self) -> watch::Receiver<u64> {
-        self.changes.subscribe()
+    pub fn changes(&self) -> Watcher<u64> {
+        self.changes.watch()
     }
 
     /// Accepts a lot for the trainer.
@@ -236,7 +237,7 @@
             Ok(record) => {
                 *self.record.borrow_mut() = record;
                 self.drop_old_lots();
-                self.changes.send_modify(|count| *count += 1);
+                self.changes.modify(|count| *count += 1);
                 Ok(())
             }
             Err(ObjectError::Conflict) => {
@@ -323,7 +324,7 @@
             let record = self.record();
             let ahead = record.sealed.len() >= feed.steps_ahead as usize;
             if ahead || record.weight_version == 0 || self.program.parts.tasks.is_draining() {
-                drop(changes.changed().await);
+                changes.changed().await;
                 continue;
             }
             self.await_start(&feed).await;
@@ -393,7 +394,7 @@
 
     fn add_lot(&self, lot: Rc<Lot>) {
         self.lots.borrow_mut().push(lot);
-        self.changes.send_modify(|count| *count += 1);
+        self.changes.modify(|count| *count += 1);
     }
 
     fn event(&self, name: &str, step: u64) {
--- a/crates/firweir/src/process/mod.rs
+++ b/crates/firweir/src/process/mod.rs
@@ -29,5 +29,6 @@
 pub mod trainer;
 pub mod upstreams;
 pub mod vault;
+pub mod watched;
 pub mod watcher;
 pub mod weights;
--- a/crates/firweir/src/process/steward.rs
+++ b/crates/firweir/src/process/steward.rs
@@ -10,7 +10,6 @@
 
 use rand_pcg::Pcg64Mcg;
 use tokio::sync::Notify;
-use tokio::sync::watch;
 
 use crate::connection::client::within;
 use crate::connection::object::EntryVm;
@@ -23,6 +22,7 @@
 use crate::process::run::Parts;
 use crate::process::spread::sends_among;
 use crate::process::upstreams::Upstreams;
+use crate::process::watched::Watched;
 use crate::version::config::Config;
 use crate::version::folder::Head;
 use crate::version::folder::HeadError;
@@ -114,8 +114,8 @@
     pub(in crate::process) peers: Peers<steward::Client>,
     pub(in crate::process) state: RefCell<State>,
     pub(in crate::process) random: RefCell<Pcg64Mcg>,
-    published: watch::Sender<u64>,
-    ready: watch::Sender<bool>,
+    published: Watched<u64>,
+    ready: Watched<bool>,
     changed: Notify,
     /// There is news to hand on.
     pub(in crate::process) news: Notify,
@@ -200,8 +200,8 @@
             peers: Peers::new(&parts),
             state: RefCell::new(state),
             random: RefCell::new(parts.random(1)),
-            published: watch::Sender::new(generation),
-            ready: watch::Sender::new(false),
+            published: Watched::new(generation),
+            ready: Watched::new(false),
             changed: Notify::new(),
             news: Notify::new(),
             reports_changed: Notify::new(),
@@ -281,16 +281,14 @@
     }
 
     pub(in crate::process) fn is_ready(&self) -> bool {
-        *self.ready.borrow()
+        self.ready.get()
     }
 
     /// This VM holds the newest revision that it can learn of.
     pub(in crate::process) fn set_ready(&self) {
-        self.ready.send_if_modified(|ready| {
-            let was = *ready;
-            *ready = true;
-            !was
-        });
+        if !self.ready.get() {
+            self.ready.set(true);
+        }
     }
 
     /// Lets the VM's programs see a change soon.
@@ -326,7 +324,7 @@
             state.view.observed = state.live_reports();
             state.view.generation
         };
-        self.published.send_replace(generation);
+        self.published.set(generation);
     }
 
     /// What this steward tells a peer: what changed, or all.
@@ -562,16 +560,10 @@
         let (known, revision) = (params.get_known(), params.get_revision());
         let program = params.get_program()?.to_str()?;
         self.0.heard_of(program, revision);
-        let mut ready = self.0.ready.subscribe();
-        drop(within(VIEW_WAIT, ready.wait_for(|ready| *ready)).await);
-        let mut published = self.0.published.subscribe();
-        drop(
-            within(
-                VIEW_WAIT,
-                published.wait_for(|generation| *generation != known),
-            )
-            .await,
-        );
+        let mut ready = self.0.ready.watch();
+        _ = within(VIEW_WAIT, ready.until(|ready| ready)).await;
+        let mut published = self.0.published.watch();
+        _ = within(VIEW_WAIT, published.until(|generation| generation != known)).await;
         let state = self.0.state.borrow();
         if self.0.is_ready() {
             write_view(&state, revision, results.get().init_view());
--- a/crates/firweir/src/process/trainer.rs
+++ b/crates/firweir/src/process/trainer.rs
@@ -106,7 +106,7 @@
             if let Some(lot) = first.and_then(|lot| holder.lot(lot.step, lot.generation)) {
                 return Some(lot);
             }
-            changes.changed().await.ok()?;
+            changes.changed().await;
         }
     };
     let started = holder.now();
--- a/crates/firweir/src/process/weights.rs
+++ b/crates/firweir/src/process/weights.rs
@@ -64,8 +64,8 @@
                 }
             }
             let mut changes = self.changes();
-            let newer = changes.wait_for(|_| self.record.borrow().value.weight_version > version);
-            drop(within(WEIGHT_LOOK_EVERY, newer).await);
+            let newer = changes.until(|_| self.record.borrow().value.weight_version > version);
+            _ = within(WEIGHT_LOOK_EVERY, newer).await;
         }
     }
 
