--- a/crates/firweir/src/connection/server.rs
+++ b/crates/firweir/src/connection/server.rs
@@ -33,8 +33,9 @@
     tower::util::BoxCloneSyncService<Request<Incoming>, Response<Body>, Infallible>;
 
 /// A request head that is not whole by then ends the connection, so that slow
-/// callers cannot hold connections open for nothing.
-const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
+/// callers cannot hold connections open for nothing. It bounds idle time between
+/// requests as well, and callers reuse connections that were idle for 12 s.
+const HEADER_TIMEOUT: Duration = Duration::from_secs(15);
 
 /// Pause after a connection could not be accepted. Out of file descriptors, the
 /// next attempt fails as well, and without a pause the loop would take a core.
--- /dev/null
+++ b/crates/node/src/drafting.rs
@@ -0,0 +1,656 @@
+//! Drafts the items of the submissions that this node runs: takes decisions from
+//! [`Placement`], sends items to engines and reads their streams.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use firweir::process::clock::Clock;
+use firweir::process::log::Journal;
+use firweir_policy::placement::Draft;
+use firweir_policy::placement::DraftEnding;
+use firweir_policy::placement::DraftKey;
+use firweir_policy::placement::EngineState;
+use firweir_policy::placement::ModelKey;
+use firweir_policy::placement::Placement;
+use firweir_policy::work::UpstreamKey;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use memchr::memmem;
+use tokio::sync::Notify;
+use tokio::task::AbortHandle;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::dialect::Dialect;
+use crate::dialect::DraftRequest;
+use crate::dialect::StreamEvent;
+use crate::fleet::Fleet;
+use crate::link::Exchange;
+use crate::link::LinkError;
+use crate::link::Links;
+use crate::model::Item;
+use crate::model::ItemResult;
+use crate::model::ItemState;
+use crate::model::Upstream;
+use crate::submission::board::Board;
+
+/// A first event later than this means that the engine is dark or its queue long.
+/// Engines make a first event within some 100 ms, and 0.9 s later while they load.
+const FIRST_EVENT: Duration = Duration::from_millis(2_500);
+
+/// A pause between events longer than this means that the engine is dark: events
+/// come each 50 ms, a slow engine's each 200 ms, and loading takes 0.9 s and more.
+const NEXT_EVENT: Duration = Duration::from_millis(2_000);
+
+/// An event longer than this is no event.
+const EVENT_LIMIT_BYTES: usize = 1 << 20;
+
+/// Time between looks at what nothing else wakes up for.
+const LOOK_EVERY: Duration = Duration::from_millis(250);
+
+/// What an item has so far.
+#[derive(Debug, Clone, Default)]
+struct Progress {
+    /// Data of the events so far.
+    events: Vec<String>,
+    /// Number of the last event; 0 for none.
+    last_event: u64,
+    /// Versions that made an event, ascending.
+    versions: Vec<u64>,
+    /// Failures that an engine told of.
+    failures: u32,
+}
+
+impl Progress {
+    fn add(&mut self, event: StreamEvent, version: u64) {
+        self.last_event = event.number;
+        self.events.push(event.data);
+        if let Err(at) = self.versions.binary_search(&version) {
+            self.versions.insert(at, version);
+        }
+    }
+
+    fn restart(&mut self) {
+        *self = Self {
+            failures: self.failures,
+            ..Self::default()
+        };
+    }
+}
+
+/// How one attempt on an engine ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Attempt {
+    /// The stream came to its end.
+    Whole,
+    /// The engine says that it did not run the item.
+    NotRun,
+    /// The engine says that the item failed.
+    Failed,
+    /// The engine says that the item can never be done.
+    Impossible,
+    /// The connection or the stream broke, or nothing came any more.
+    Broken(&'static str),
+    /// The events so far cannot be part of the sample.
+    Unusable(&'static str),
+}
+
+#[derive(Debug)]
+struct Job {
+    key: DraftKey,
+    board: Arc<Board>,
+    place: usize,
+    progress: Progress,
+    /// Set while it runs.
+    task: Option<AbortHandle>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    placement: Placement,
+    /// Sorted by key.
+    jobs: Vec<Job>,
+    /// Sorted by key.
+    engines: Vec<(UpstreamKey, Arc<Upstream>)>,
+    /// Sorted by instance. Never removed, so that a key names one instance.
+    keys: Vec<(String, UpstreamKey)>,
+    /// Sorted by service and model. Never removed either.
+    models: Vec<(String, ModelKey)>,
+    next_draft: u64,
+    config_version: u64,
+}
+
+/// Drafts items; cheap to clone.
+#[derive(Debug, Clone)]
+pub struct Drafting {
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    fleet: Arc<Fleet>,
+    dialect: Arc<dyn Dialect>,
+    links: Links,
+    clock: Arc<dyn Clock>,
+    journal: Journal,
+    state: Mutex<State>,
+    wake: Notify,
+}
+
+impl Drafting {
+    /// Nothing to draft yet.
+    #[must_use]
+    pub fn new(
+        fleet: Arc<Fleet>,
+        dialect: Arc<dyn Dialect>,
+        links: Links,
+        clock: Arc<dyn Clock>,
+        journal: Journal,
+    ) -> Self {
+        let shared = Shared {
+            fleet,
+            dialect,
+            links,
+            clock,
+            journal,
+            state: Mutex::default(),
+            wake: Notify::new(),
+        };
+        Self {
+            shared: Arc::new(shared),
+        }
+    }
+
+    /// Drafts all items of a submission that have no result yet.
+    pub fn add(&self, board: &Arc<Board>) {
+        let mut state = self.lock();
+        for place in 0..board.items.len() {
+            if board.is_open(place) {
+                let key = DraftKey(state.next_draft);
+                state.next_draft += 1;
+                state.jobs.push(Job {
+                    key,
+                    board: Arc::clone(board),
+                    place,
+                    progress: Progress::default(),
+                    task: None,
+                });
+                self.offer(&mut state, key);
+            }
+        }
+        drop(state);
+        self.shared.wake.notify_one();
+    }
+
+    /// Stops drafting a submission; engines stop as their connections close.
+    pub fn remove(&self, submission: &str) {
+        let now = self.shared.clock.now();
+        let mut guard = self.lock();
+        let state = &mut *guard;
+        let (gone, kept) = std::mem::take(&mut state.jobs)
+            .into_iter()
+            .partition(|job| job.board.id == submission);
+        state.jobs = kept;
+        let gone: Vec<Job> = gone;
+        let is_gone = |key: DraftKey| gone.binary_search_by_key(&key, |job| job.key).is_ok();
+        state.placement.cancel(is_gone);
+        for job in &gone {
+            if let Some(task) = &job.task {
+                task.abort();
+                state.placement.finish(now, job.key, DraftEnding::Cancelled);
+            }
+        }
+        drop(guard);
+        self.shared.wake.notify_one();
+    }
+
+    /// Places drafts for as long as the process lives.
+    pub async fn run(self) {
+        let mut until = tokio::time::Instant::now();
+        loop {
+            tokio::select! {
+                () = self.shared.wake.notified() => {}
+                () = self.shared.fleet.changed() => {}
+                () = tokio::time::sleep_until(until) => {}
+            }
+            until = self.place();
+        }
+    }
+
+    /// Starts what can start; tells when to look again.
+    fn place(&self) -> tokio::time::Instant {
+        let now = self.shared.clock.now();
+        let mut state = self.lock();
+        self.take_engines(&mut state);
+        self.give_up_expired(&mut state);
+        while let Some((draft, engine)) = state.placement.next(now) {
+            self.start(&mut state, draft, engine);
+        }
+        let look = state.placement.next_look(now);
+        let look = look.unwrap_or(now + LOOK_EVERY).min(now + LOOK_EVERY);
+        tokio::time::Instant::from_std(look)
+    }
+
+    fn take_engines(&self, state: &mut State) {
+        let upstreams = self.shared.fleet.upstreams();
+        let config = self.shared.fleet.config();
+        let mut engines = Vec::new();
+        let mut states = Vec::new();
+        for upstream in upstreams
+            .iter()
+            .filter(|upstream| !upstream.models.is_empty())
+        {
+            let key = state.key_of(&upstream.instance);
+            engines.push((key, Arc::clone(upstream)));
+            if upstream.leaving {
+                continue;
+            }
+            let mut versions: Vec<(ModelKey, u64)> = upstream
+                .models
+                .iter()
+                .map(|held| {
+                    (
+                        state.model_key(&upstream.service, &held.model),
+                        held.version,
+                    )
+                })
+                .collect();
+            versions.sort_unstable();
+            let service = config.service(&upstream.service);
+            states.push(EngineState {
+                key,
+                slots: upstream.slots,
+                memory_tokens: service.map_or(0, |service| service.memory_tokens),
+                local_zone: false,
+                versions,
+            });
+        }
+        engines.sort_by_key(|(key, _)| *key);
+        state.engines = engines;
+        state.placement.set_engines(states);
+        if state.config_version != config.version {
+            state.config_version = config.version;
+            self.offer_again(state);
+        }
+    }
+
+    /// Routes may lead elsewhere now.
+    fn offer_again(&self, state: &mut State) {
+        state.placement.cancel(|_| true);
+        let waiting: Vec<DraftKey> = state
+            .jobs
+            .iter()
+            .filter(|job| job.task.is_none())
+            .map(|job| job.key)
+            .collect();
+        for key in waiting {
+            self.offer(state, key);
+        }
+    }
+
+    /// Lets an item wait for an engine, or gives it up if its route is gone.
+    fn offer(&self, state: &mut State, key: DraftKey) {
+        let Some(at) = state.job_at(key) else {
+            return;
+        };
+        let board = Arc::clone(&state.jobs[at].board);
+        let place = state.jobs[at].place;
+        let config = self.shared.fleet.config();
+        let route = config.route(&board.head.host, &board.head.path);
+        let Some(target) = route.and_then(|route| route.targets.first()) else {
+            // Without a configuration nothing is known of routes.
+            if config.version > 0 {
+                self.abandon(state, key, "route-gone");
+            }
+            return;
+        };
+        let item = &board.items[place];
+        let model = state.model_key(&target.service, &board.head.model);
+        state.placement.offer(Draft {
+            key,
+            group: xxh3_64(item.group.as_bytes()),
+            model,
+            min_version: board.head.min_version,
+            tokens: item.prompt_tokens + item.expected_tokens,
+            rank: board.head.accepted_ms,
+        });
+    }
+
+    fn abandon(&self, state: &mut State, key: DraftKey, reason: &'static str) {
+        let Some(at) = state.job_at(key) else {
+            return;
+        };
+        let job = state.jobs.remove(at);
+        let item = &job.board.items[job.place];
+        self.shared.journal.event(
+            "item_abandoned",
+            &[
+                ("submission", &job.board.id),
+                ("item", &item.id),
+                ("reason", &reason),
+                ("failures", &job.progress.failures),
+            ],
+        );
+        let result = ItemResult {
+            item: item.id.clone(),
+            state: ItemState::Abandoned,
+            text: String::new(),
+            versions: Vec::new(),
+        };
+        job.board.note(self.shared.clock.now(), result);
+    }
+
+    fn give_up_expired(&self, state: &mut State) {
+        let now_ms = self.shared.clock.since_epoch().as_millis() as u64;
+        let config = self.shared.fleet.config();
+        let expired = |job: &Job| {
+            let head = &job.board.head;
+            let route = config.route(&head.host, &head.path);
+            route.is_some_and(|route| head.accepted_ms + route.queue_ttl_ms < now_ms)
+        };
+        let expired: Vec<DraftKey> = state
+            .jobs
+            .iter()
+            .filter(|job| job.task.is_none() && expired(job))
+            .map(|job| job.key)
+            .collect();
+        for key in expired {
+            state.placement.cancel(|held| held == key);
+            self.abandon(state, key, "expired");
+        }
+    }
+
+    fn start(&self, state: &mut State, key: DraftKey, engine: UpstreamKey) {
+        let now = self.shared.clock.now();
+        let engine = state.engine(engine);
+        let (Some(at), Some(upstream)) = (state.job_at(key), engine) else {
+            state.placement.finish(now, key, DraftEnding::Cancelled);
+            return;
+        };
+        let job = &mut state.jobs[at];
+        let (board, place) = (Arc::clone(&job.board), job.place);
+        let progress = job.progress.clone();
+        let drafting = self.clone();
+        let task = tokio::spawn(async move {
+            drafting.draft(key, board, place, upstream, progress).await;
+        });
+        job.task = Some(task.abort_handle());
+    }
+
+    async fn draft(
+        self,
+        key: DraftKey,
+        board: Arc<Board>,
+        place: usize,
+        upstream: Arc<Upstream>,
+        mut progress: Progress,
+    ) {
+        let started = self.shared.clock.now();
+        let before = progress.events.len();
+        let mut run = Run {
+            shared: &self.shared,
+            board: &board,
+            item: &board.items[place],
+            upstream: &upstream,
+            first_event: None,
+        };
+        let attempt = run.attempt(&mut progress).await;
+        let first_event = run.first_event;
+        let ended = self.shared.clock.now();
+        let made = (progress.events.len().saturating_sub(before)) as u32;
+        if attempt != Attempt::Whole {
+            self.shared.journal.event(
+                "draft_ended",
+                &[
+                    ("submission", &board.id),
+                    ("item", &board.items[place].id),
+                    ("upstream", &upstream.instance),
+                    ("outcome", &format_args!("{attempt:?}")),
+                    ("events", &made),
+                    ("took_ms", &ended.duration_since(started).as_millis()),
+                ],
+            );
+        }
+        let ending = match attempt {
+            Attempt::Whole => DraftEnding::Done {
+                events: made,
+                elapsed: first_event.map_or(Duration::ZERO, |first| ended.duration_since(first)),
+            },
+            Attempt::NotRun => DraftEnding::Refused,
+            Attempt::Impossible | Attempt::Failed | Attempt::Unusable(_) => DraftEnding::Cancelled,
+            Attempt::Broken(_) => DraftEnding::Failed,
+        };
+        self.ended(key, attempt, ending, progress);
+    }
+
+    fn ended(&self, key: DraftKey, attempt: Attempt, ending: DraftEnding, progress: Progress) {
+        let now = self.shared.clock.now();
+        let mut state = self.lock();
+        state.placement.finish(now, key, ending);
+        if let Some(at) = state.job_at(key) {
+            state.jobs[at].task = None;
+            state.jobs[at].progress = progress;
+            self.settle(&mut state, key, at, attempt);
+        }
+        drop(state);
+        self.shared.wake.notify_one();
+    }
+
+    /// Lists the item, or lets it wait for another engine.
+    fn settle(&self, state: &mut State, key: DraftKey, at: usize, attempt: Attempt) {
+        match attempt {
+            Attempt::Whole => {
+                let job = state.jobs.remove(at);
+                let result = ItemResult {
+                    item: job.board.items[job.place].id.clone(),
+                    state: ItemState::Completed,
+                    text: job.progress.events.join("\n"),
+                    versions: job.progress.versions,
+                };
+                job.board.note(self.shared.clock.now(), result);
+            }
+            Attempt::Impossible => self.abandon(state, key, "impossible"),
+            Attempt::Failed => {
+                let job = &mut state.jobs[at];
+                job.progress.failures += 1;
+                let head = &job.board.head;
+                let config = self.shared.fleet.config();
+                let route = config.route(&head.host, &head.path);
+                let most = route.map_or(u32::MAX, |route| route.max_attempts.max(1));
+                if job.progress.failures >= most {
+                    self.abandon(state, key, "failed");
+                } else {
+                    self.offer(state, key);
+                }
+            }
+            Attempt::Unusable(_) => {
+                state.jobs[at].progress.restart();
+                self.offer(state, key);
+            }
+            Attempt::NotRun | Attempt::Broken(_) => self.offer(state, key),
+        }
+    }
+
+    /// A panic in a decision leaves the others usable.
+    fn lock(&self) -> MutexGuard<'_, State> {
+        let state = self.shared.state.lock();
+        state.unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    fn job_at(&self, key: DraftKey) -> Option<usize> {
+        self.jobs.binary_search_by_key(&key, |job| job.key).ok()
+    }
+
+    fn engine(&self, key: UpstreamKey) -> Option<Arc<Upstream>> {
+        let at = self.engines.binary_search_by_key(&key, |(held, _)| *held);
+        at.ok().map(|at| Arc::clone(&self.engines[at].1))
+    }
+
+    fn key_of(&mut self, instance: &str) -> UpstreamKey {
+        let found = self
+            .keys
+            .binary_search_by(|(held, _)| held.as_str().cmp(instance));
+        match found {
+            Ok(at) => self.keys[at].1,
+            Err(at) => {
+                let key = UpstreamKey(self.keys.len() as u32);
+                self.keys.insert(at, (instance.to_owned(), key));
+                key
+            }
+        }
+    }
+
+    fn model_key(&mut self, service: &str, model: &str) -> ModelKey {
+        let name = format!("{service}/{model}");
+        match self.models.binary_search_by(|(held, _)| held.cmp(&name)) {
+            Ok(at) => self.models[at].1,
+            Err(at) => {
+                let key = ModelKey(self.models.len() as u32);
+                self.models.insert(at, (name, key));
+                key
+            }
+        }
+    }
+}
+
+/// One attempt of one item on one engine.
+struct Run<'a> {
+    shared: &'a Shared,
+    board: &'a Board,
+    item: &'a Item,
+    upstream: &'a Upstream,
+    first_event: Option<Instant>,
+}
+
+impl Run<'_> {
+    async fn attempt(&mut self, progress: &mut Progress) -> Attempt {
+        let draft = DraftRequest {
+            item: self.item,
+            host: &self.board.head.host,
+            upstream: self.upstream,
+            after_event: progress.last_event,
+        };
+        let request = match self.shared.dialect.draft_request(&draft) {
+            Ok(request) => request,
+            Err(error) => {
+                self.shared.journal.event(
+                    "item_unusable",
+                    &[("item", &self.item.id), ("cause", &error)],
+                );
+                return Attempt::Impossible;
+            }
+        };
+        let sending = self.shared.links.send(self.upstream.address, request);
+        let exchange = match tokio::time::timeout(FIRST_EVENT, sending).await {
+            Ok(Ok(exchange)) => exchange,
+            Ok(Err(LinkError::Refused)) => return Attempt::Broken("refused"),
+            Ok(Err(LinkError::NotSent)) => return Attempt::Broken("not-sent"),
+            Ok(Err(_)) => return Attempt::Broken("no-head"),
+            Err(_elapsed) => return Attempt::Broken("head-late"),
+        };
+        self.read(exchange, progress).await
+    }
+
+    async fn read(&mut self, exchange: Exchange, progress: &mut Progress) -> Attempt {
+        let Exchange { answer, lease } = exchange;
+        let (head, body) = answer.into_parts();
+        let said = self.shared.dialect.answer_head(&head);
+        if said.request_id.as_deref() != Some(self.item.id.as_str()) {
+            return Attempt::Broken("foreign-answer");
+        }
+        match head.status {
+            StatusCode::OK if said.proven => {}
+            StatusCode::UNPROCESSABLE_ENTITY => return Attempt::Impossible,
+            _ if said.not_run => {
+                if body.collect().await.is_ok() {
+                    lease.keep();
+                }
+                return Attempt::NotRun;
+            }
+            StatusCode::INTERNAL_SERVER_ERROR => return Attempt::Failed,
+            _ => return Attempt::Broken("status"),
+        }
+        let Some(version) = said.version else {
+            return Attempt::Broken("no-version");
+        };
+        let attempt = self.read_events(body, version, progress).await;
+        if attempt == Attempt::Whole {
+            lease.keep();
+        }
+        attempt
+    }
+
+    async fn read_events(
+        &mut self,
+        mut body: Incoming,
+        mut version: u64,
+        progress: &mut Progress,
+    ) -> Attempt {
+        let mut buffer = BytesMut::new();
+        loop {
+            let patience = match self.first_event {
+                None => FIRST_EVENT,
+                Some(_) => NEXT_EVENT,
+            };
+            let frame = match tokio::time::timeout(patience, body.frame()).await {
+                Ok(Some(Ok(frame))) => frame,
+                Ok(Some(Err(_broken))) => return Attempt::Broken("stream"),
+                Ok(None) if buffer.is_empty() && progress.last_event > 0 => return Attempt::Whole,
+                Ok(None) => return Attempt::Broken("cut-event"),
+                Err(_elapsed) => return Attempt::Broken("silent"),
+            };
+            if let Ok(data) = frame.into_data() {
+                buffer.extend_from_slice(&data);
+            }
+            while let Some(event) = next_event(&mut buffer) {
+                let event = match self.shared.dialect.stream_event(&event) {
+                    Ok(event) => event,
+                    Err(_malformed) => return Attempt::Broken("malformed-event"),
+                };
+                version = event.version.unwrap_or(version);
+                if let Err(unusable) = self.check(&event, version, progress) {
+                    return unusable;
+                }
+                self.first_event
+                    .get_or_insert_with(|| self.shared.clock.now());
+                progress.add(event, version);
+            }
+            if buffer.len() > EVENT_LIMIT_BYTES {
+                return Attempt::Broken("long-event");
+            }
+        }
+    }
+
+    /// An event is the next one, made by weights that the trainer takes.
+    fn check(&self, event: &StreamEvent, version: u64, progress: &Progress) -> Result<(), Attempt> {
+        if event.number != progress.last_event + 1 {
+            return Err(Attempt::Broken("event-out-of-order"));
+        }
+        if version < self.board.head.min_version {
+            return Err(Attempt::Unusable("version-too-old"));
+        }
+        let head = &self.board.head;
+        let config = self.shared.fleet.config();
+        let route = config.route(&head.host, &head.path);
+        let single = route.is_some_and(|route| route.single_version);
+        if single && progress.versions.iter().any(|held| *held != version) {
+            return Err(Attempt::Unusable("version-changed"));
+        }
+        Ok(())
+    }
+}
+
+/// Takes the first whole event out of the buffer.
+fn next_event(buffer: &mut BytesMut) -> Option<Bytes> {
+    let end = memmem::find(buffer, b"\n\n")?;
+    let event = buffer.split_to(end + 2).freeze();
+    Some(event.slice(..end))
+}
--- /dev/null
+++ b/crates/node/src/fleet.rs
@@ -0,0 +1,255 @@
+//! What this node holds to be true of the platform: configuration, upstreams,
+//! versions of weights. Read without locks; replaced whole.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use arc_swap::ArcSwap;
+use firweir::process::clock::Clock;
+use firweir::process::log::Journal;
+use tokio::sync::Notify;
+
+use crate::dialect::Dialect;
+use crate::dialect::Object;
+use crate::follow::Change;
+use crate::model::Config;
+use crate::model::ModelVersion;
+use crate::model::Upstream;
+
+/// Entries of upstreams lapse while the store is down, and are back within two
+/// seconds of its return. For this long after a gap, an entry that is missing
+/// is kept, so that an outage of the store does not empty the list.
+const ENTRIES_RETURN: Duration = Duration::from_millis(2_500);
+
+/// An upstream in the list.
+#[derive(Debug, Clone)]
+struct Listed {
+    /// Name of its object.
+    name: String,
+    upstream: Arc<Upstream>,
+    /// It is gone from the platform's list, and is dropped here at this time.
+    drop_at: Option<Instant>,
+}
+
+/// Shared state of a node.
+#[derive(Debug)]
+pub struct Fleet {
+    clock: Arc<dyn Clock>,
+    journal: Journal,
+    dialect: Arc<dyn Dialect>,
+    config: ArcSwap<Config>,
+    /// Sorted by instance.
+    upstreams: ArcSwap<Vec<Arc<Upstream>>>,
+    /// Sorted by model.
+    named: ArcSwap<Vec<ModelVersion>>,
+    changed: Notify,
+}
+
+/// The list of upstreams as its follower keeps it.
+#[derive(Debug, Default)]
+pub struct UpstreamList {
+    /// Sorted by name.
+    listed: Vec<Listed>,
+    regained: Option<Instant>,
+}
+
+impl Fleet {
+    /// Nothing is known yet.
+    #[must_use]
+    pub fn new(clock: Arc<dyn Clock>, journal: Journal, dialect: Arc<dyn Dialect>) -> Arc<Self> {
+        Arc::new(Self {
+            clock,
+            journal,
+            dialect,
+            config: ArcSwap::default(),
+            upstreams: ArcSwap::default(),
+            named: ArcSwap::default(),
+            changed: Notify::new(),
+        })
+    }
+
+    /// The configuration in force; its version is 0 as long as none is known.
+    #[must_use]
+    pub fn config(&self) -> Arc<Config> {
+        self.config.load_full()
+    }
+
+    /// All upstreams that are not gone, sorted by instance.
+    #[must_use]
+    pub fn upstreams(&self) -> Arc<Vec<Arc<Upstream>>> {
+        self.upstreams.load_full()
+    }
+
+    /// The newest version of each model that a trainer named.
+    #[must_use]
+    pub fn named(&self) -> Arc<Vec<ModelVersion>> {
+        self.named.load_full()
+    }
+
+    /// Waits for a change of anything above.
+    pub async fn changed(&self) {
+        self.changed.notified().await;
+    }
+
+    /// Takes in a configuration; one older than the one in force changes nothing,
+    /// since a read from before an outage must not take back what callers saw.
+    pub fn take_config(&self, change: Change) {
+        let object = match change {
+            Change::All(objects) => objects.into_iter().next_back(),
+            Change::Put(object) => Some(object),
+            Change::Gone(_) => None,
+        };
+        let Some(object) = object else {
+            return;
+        };
+        match self.dialect.config(&object) {
+            Ok(mut config) if config.version > self.config.load().version => {
+                config.sort();
+                let (version, routes) = (config.version, config.routes.len());
+                self.config.store(Arc::new(config));
+                self.journal.event(
+                    "config_taken",
+                    &[("version", &version), ("routes", &routes)],
+                );
+                self.changed.notify_waiters();
+            }
+            Ok(_) => {}
+            Err(error) => self.journal.event(
+                "config_refused",
+                &[("revision", &object.revision), ("cause", &error)],
+            ),
+        }
+    }
+
+    /// Takes in versions that trainers named; they only grow.
+    pub fn take_version(&self, change: Change) {
+        let objects = match change {
+            Change::All(objects) => objects,
+            Change::Put(object) => vec![object],
+            Change::Gone(_) => return,
+        };
+        let mut named = Vec::clone(&self.named.load());
+        for object in objects {
+            let version = match self.dialect.weight_version(&object) {
+                Ok(version) => version,
+                Err(error) => {
+                    self.journal.event(
+                        "version_refused",
+                        &[("object", &object.name), ("cause", &error)],
+                    );
+                    continue;
+                }
+            };
+            match named.binary_search_by(|held: &ModelVersion| held.model.cmp(&version.model)) {
+                Ok(at) if named[at].version >= version.version => continue,
+                Ok(at) => named[at].version = version.version,
+                Err(at) => named.insert(at, version.clone()),
+            }
+            self.journal.event(
+                "version_named",
+                &[("model", &version.model), ("version", &version.version)],
+            );
+        }
+        self.named.store(Arc::new(named));
+        self.changed.notify_waiters();
+    }
+
+    /// Takes in a change of the list of upstreams.
+    pub fn take_upstreams(&self, list: &mut UpstreamList, change: Change) {
+        let now = self.clock.now();
+        match change {
+            Change::All(objects) => {
+                if !list.listed.is_empty() {
+                    list.regained = Some(now);
+                }
+                let names: Vec<&str> = objects.iter().map(|object| object.name.as_str()).collect();
+                let missing: Vec<String> = list
+                    .listed
+                    .iter()
+                    .map(|held| held.name.clone())
+                    .filter(|name| !names.contains(&name.as_str()))
+                    .collect();
+                for name in missing {
+                    self.remove(list, &name, now);
+                }
+                for object in objects {
+                    self.put(list, &object);
+                }
+            }
+            Change::Put(object) => self.put(list, &object),
+            Change::Gone(name) => self.remove(list, &name, now),
+        }
+        self.publish(list);
+    }
+
+    /// Drops upstreams whose time has come.
+    pub fn drop_gone(&self, list: &mut UpstreamList) {
+        let now = self.clock.now();
+        let before = list.listed.len();
+        list.listed
+            .retain(|held| held.drop_at.is_none_or(|drop_at| drop_at > now));
+        if list.listed.len() != before {
+            self.publish(list);
+        }
+    }
+
+    fn put(&self, list: &mut UpstreamList, object: &Object) {
+        let upstream = match self.dialect.upstream(object) {
+            Ok(upstream) => upstream,
+            Err(error) => {
+                self.journal.event(
+                    "upstream_refused",
+                    &[("object", &object.name), ("cause", &error)],
+                );
+                return;
+            }
+        };
+        let at = list.listed.partition_point(|held| held.name < object.name);
+        let known = list.listed.get(at).filter(|held| held.name == object.name);
+        if known.is_none_or(|held| held.upstream.leaving != upstream.leaving) {
+            let (instance, leaving) = (&upstream.instance, upstream.leaving);
+            self.journal.event(
+                "upstream_listed",
+                &[("upstream", instance), ("leaving", &leaving)],
+            );
+        }
+        let listed = Listed {
+            name: object.name.clone(),
+            upstream: Arc::new(upstream),
+            drop_at: None,
+        };
+        match list.listed.get_mut(at) {
+            Some(held) if held.name == object.name => *held = listed,
+            _ => list.listed.insert(at, listed),
+        }
+    }
+
+    fn remove(&self, list: &mut UpstreamList, name: &str, now: Instant) {
+        let Ok(at) = list
+            .listed
+            .binary_search_by(|held| held.name.as_str().cmp(name))
+        else {
+            return;
+        };
+        let kept_until = list.regained.map(|regained| regained + ENTRIES_RETURN);
+        match kept_until {
+            Some(until) if until > now => list.listed[at].drop_at = Some(until),
+            _ => {
+                list.listed.remove(at);
+            }
+        }
+        self.journal.event("upstream_gone", &[("upstream", &name)]);
+    }
+
+    fn publish(&self, list: &UpstreamList) {
+        let mut upstreams: Vec<Arc<Upstream>> = list
+            .listed
+            .iter()
+            .map(|held| Arc::clone(&held.upstream))
+            .collect();
+        upstreams.sort_by(|a, b| a.instance.cmp(&b.instance));
+        self.upstreams.store(Arc::new(upstreams));
+        self.changed.notify_waiters();
+    }
+}
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,20 @@
+//! One VM of firweir on a platform that keeps what must last: live calls,
+//! submissions of trainers and orders of weights in one process, with no state of
+//! its own that outlives it.
+//!
+//! What the platform says is translated by an adapter ([`dialect::Dialect`]); all
+//! decisions, state and recovery are here and in `firweir-policy`.
+
+pub mod dialect;
+pub mod drafting;
+pub mod fleet;
+pub mod follow;
+pub mod link;
+pub mod live;
+pub mod model;
+pub mod node;
+pub mod respond;
+pub mod settings;
+pub mod store;
+pub mod submission;
+pub mod weights;
--- /dev/null
+++ b/crates/node/src/live.rs
@@ -0,0 +1,486 @@
+//! Live calls: a client's request is admitted, sent to an upstream, tried again
+//! where that is safe, and answered with the upstream's bytes or a typed outcome.
+
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::task::Context;
+use std::task::Poll;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use firweir::connection::client::within;
+use firweir::connection::server::Body;
+use firweir::connection::server::bytes_response;
+use firweir::connection::server::read_body;
+use firweir::process::clock::Clock;
+use firweir::process::entry::balanced;
+use firweir::process::log::Journal;
+use firweir::request::gate::Ask;
+use firweir::request::gate::Gate;
+use firweir::request::gate::Permit;
+use firweir_policy::work::Class;
+use firweir_policy::work::Ending;
+use firweir_policy::work::Fleet as Sharing;
+use firweir_policy::work::UpstreamKey;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http::request;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use hyper::body::Body as HttpBody;
+use hyper::body::Frame;
+use hyper::body::Incoming;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::dialect::Dialect;
+use crate::dialect::RoutedCall;
+use crate::fleet::Fleet;
+use crate::link::Lease;
+use crate::link::LinkError;
+use crate::link::Links;
+use crate::model::Route;
+use crate::model::RouteKind;
+use crate::model::Upstream;
+use crate::respond::Outcome;
+use crate::respond::refusal;
+
+/// How long a client is kept waiting that does not say how long it waits.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// Largest answer that is not streamed.
+const ANSWER_LIMIT_BYTES: usize = 32 << 20;
+
+/// Part of the time left that one try may take while others may follow: an
+/// upstream that went silent then leaves time for one that answers.
+const TRY_PART: f64 = 0.4;
+
+/// A try gets at least this long: plain services answer within tens of
+/// milliseconds, and a loaded one within a few hundred.
+const TRY_LEAST: Duration = Duration::from_millis(250);
+
+/// When a client may come back whose call found no upstream that took it.
+const COME_BACK: Duration = Duration::from_millis(100);
+
+/// When a client may come back while this node knows no configuration yet.
+const NOT_READY: Duration = Duration::from_millis(300);
+
+#[derive(Debug)]
+struct NamedGate {
+    service: String,
+    gate: Arc<Gate>,
+}
+
+/// Answers live calls; shared by all connections.
+#[derive(Debug)]
+pub struct Live {
+    fleet: Arc<Fleet>,
+    dialect: Arc<dyn Dialect>,
+    links: Links,
+    clock: Arc<dyn Clock>,
+    journal: Journal,
+    zone: String,
+    /// Sorted by service.
+    gates: Mutex<Vec<NamedGate>>,
+}
+
+/// How one try ended.
+enum Try {
+    /// A whole answer, or the head of a stream.
+    Answer(Response<Body>),
+    /// An upstream failed the request; its answer stands if no other does better.
+    FailedAnswer(Response<Body>),
+    /// The upstream did not run the request.
+    NotRun,
+    /// Nothing was sent.
+    NotSent,
+    /// Something was sent and no whole answer came.
+    Unknown,
+}
+
+struct Call<'a> {
+    route: &'a Route,
+    routed: &'a RoutedCall,
+    head: &'a request::Parts,
+    body: Bytes,
+    deadline: Instant,
+}
+
+impl Live {
+    /// Answers nothing before the fleet knows a configuration.
+    #[must_use]
+    pub fn new(
+        fleet: Arc<Fleet>,
+        dialect: Arc<dyn Dialect>,
+        links: Links,
+        clock: Arc<dyn Clock>,
+        journal: Journal,
+        zone: String,
+    ) -> Arc<Self> {
+        Arc::new(Self {
+            fleet,
+            dialect,
+            links,
+            clock,
+            journal,
+            zone,
+            gates: Mutex::default(),
+        })
+    }
+
+    /// Brings the gates up to what the fleet knows.
+    pub fn take_fleet(&self) {
+        let upstreams = self.fleet.upstreams();
+        for service in &self.fleet.config().services {
+            let gate = self.gate(&service.name);
+            let of_service = || upstreams.iter().filter(|held| held.service == service.name);
+            let limit = of_service().map(|held| held.slots).max().unwrap_or(1);
+            let listed: Vec<_> = of_service().map(|held| gate_upstream(held)).collect();
+            gate.set_upstreams(&listed, &self.zone, limit, &Sharing::ALONE);
+        }
+    }
+
+    /// Lets time-bound decisions happen.
+    pub fn tick(&self) {
+        let gates = self.gates.lock().unwrap_or_else(PoisonError::into_inner);
+        for named in gates.iter() {
+            named.gate.tick();
+        }
+    }
+
+    fn gate(&self, service: &str) -> Arc<Gate> {
+        let mut gates = self.gates.lock().unwrap_or_else(PoisonError::into_inner);
+        match gates.binary_search_by(|named| named.service.as_str().cmp(service)) {
+            Ok(at) => Arc::clone(&gates[at].gate),
+            Err(at) => {
+                let gate = Gate::new(Arc::clone(&self.clock), balanced());
+                let named = NamedGate {
+                    service: service.to_owned(),
+                    gate: Arc::clone(&gate),
+                };
+                gates.insert(at, named);
+                gate
+            }
+        }
+    }
+
+    /// Answers one call.
+    pub async fn answer(
+        self: &Arc<Self>,
+        routed: &RoutedCall,
+        route: &Route,
+        head: &request::Parts,
+        body: Incoming,
+    ) -> Response<Body> {
+        let started = self.clock.now();
+        let patience = routed.patience.unwrap_or(PATIENCE).min(route.timeout());
+        let limit = self.fleet.config().max_body_bytes;
+        let body = match within(patience, read_body(body, limit)).await {
+            Some(Some(body)) => body,
+            Some(None) => {
+                let status = StatusCode::PAYLOAD_TOO_LARGE;
+                return refusal(Outcome::BadRequest(status), "body-too-large");
+            }
+            None => return refusal(Outcome::NotRun(COME_BACK), "body-late"),
+        };
+        let call = Call {
+            route,
+            routed,
+            head,
+            body,
+            deadline: started + patience,
+        };
+        let answer = self.run(&call).await;
+        let took_ms = self.clock.now().duration_since(started).as_millis();
+        self.journal.event(
+            "call",
+            &[
+                ("request", &routed.request_id),
+                ("route", &route.name),
+                ("status", &answer.status().as_u16()),
+                ("took_ms", &took_ms),
+                ("patience_ms", &patience.as_millis()),
+            ],
+        );
+        answer
+    }
+
+    async fn run(self: &Arc<Self>, call: &Call<'_>) -> Response<Body> {
+        let service = pick_target(call.route, &call.routed.request_id);
+        let gate = self.gate(service);
+        gate.count_offered();
+        let idempotent = call.route.kind == RouteKind::Idempotent;
+        let attempts = call.route.max_attempts.max(1);
+        let mut avoid: Vec<UpstreamKey> = Vec::new();
+        let mut failed_answer = None;
+        let mut may_have_run = false;
+        let mut sent = 0;
+        while sent < attempts {
+            let permit = match gate.admit(call.ask(&avoid)).await {
+                Ok(permit) => permit,
+                Err(turned) if !may_have_run => {
+                    let retry_after = turned.retry_after.min(call.patience_left(&*self.clock) / 3);
+                    return refusal(Outcome::NotRun(retry_after), turned.reason.as_str());
+                }
+                Err(_) => break,
+            };
+            avoid.push(permit.upstream());
+            let last = sent + 1 >= attempts || !idempotent;
+            let outcome = self.try_upstream(call, service, permit, last).await;
+            sent += u32::from(!matches!(outcome, Try::NotSent));
+            match outcome {
+                Try::Answer(answer) => return answer,
+                Try::FailedAnswer(answer) => {
+                    may_have_run = true;
+                    failed_answer = Some(answer);
+                }
+                Try::NotRun | Try::NotSent => {}
+                Try::Unknown => may_have_run = true,
+            }
+            let in_time = self.clock.now() < call.deadline;
+            if !in_time || (may_have_run && !idempotent) {
+                break;
+            }
+        }
+        self.give_up(call, failed_answer, may_have_run)
+    }
+
+    /// The final answer of a call that no upstream answered.
+    fn give_up(
+        &self,
+        call: &Call<'_>,
+        failed_answer: Option<Response<Body>>,
+        may_have_run: bool,
+    ) -> Response<Body> {
+        if let Some(answer) = failed_answer {
+            return answer;
+        }
+        if !may_have_run {
+            return refusal(Outcome::NotRun(COME_BACK), "no-upstream-took-it");
+        }
+        if self.clock.now() >= call.deadline {
+            return refusal(Outcome::OutOfTime, "out-of-time");
+        }
+        refusal(Outcome::Unknown, "upstream-failed")
+    }
+
+    async fn try_upstream(
+        self: &Arc<Self>,
+        call: &Call<'_>,
+        service: &str,
+        permit: Permit,
+        last: bool,
+    ) -> Try {
+        let upstreams = self.fleet.upstreams();
+        let upstream = upstreams
+            .iter()
+            .find(|held| held.address == permit.address() && held.service == service);
+        let remaining = call.patience_left(&*self.clock);
+        let Some(upstream) = upstream.filter(|_| !remaining.is_zero()) else {
+            permit.finish(Ending::Unreachable, 0);
+            return Try::NotSent;
+        };
+        let patience = if last {
+            remaining
+        } else {
+            remaining.mul_f64(TRY_PART).max(TRY_LEAST).min(remaining)
+        };
+        let request = self.upstream_request(call, upstream, remaining);
+        let sending = self.exchange(call, upstream, request, permit);
+        match within(patience, sending).await {
+            Some(outcome) => outcome,
+            None => {
+                self.note_try(call, upstream, "late");
+                Try::Unknown
+            }
+        }
+    }
+
+    fn upstream_request(
+        &self,
+        call: &Call<'_>,
+        upstream: &Upstream,
+        remaining: Duration,
+    ) -> Request<Full<Bytes>> {
+        let mut request = Request::new(Full::new(call.body.clone()));
+        *request.method_mut() = call.head.method.clone();
+        *request.uri_mut() = call.head.uri.clone();
+        let headers = &call.head.headers;
+        *request.headers_mut() = self.dialect.forwarded_headers(headers, upstream, remaining);
+        request
+    }
+
+    async fn exchange(
+        self: &Arc<Self>,
+        call: &Call<'_>,
+        upstream: &Upstream,
+        request: Request<Full<Bytes>>,
+        permit: Permit,
+    ) -> Try {
+        let exchange = match self.links.send(upstream.address, request).await {
+            Ok(exchange) => exchange,
+            Err(error) => {
+                self.note_try(call, upstream, "no-answer");
+                return match error {
+                    LinkError::Refused | LinkError::NotSent => {
+                        permit.finish(Ending::Unreachable, 0);
+                        Try::NotSent
+                    }
+                    LinkError::Broken | LinkError::Late => {
+                        permit.finish(Ending::Failed, 0);
+                        Try::Unknown
+                    }
+                };
+            }
+        };
+        let (head, body) = exchange.answer.into_parts();
+        let said = self.dialect.answer_head(&head);
+        let own = said.request_id.as_deref().unwrap_or_default() == call.routed.request_id;
+        if said.not_run {
+            if body.collect().await.is_ok() {
+                exchange.lease.keep();
+            }
+            permit.finish(Ending::Abandoned, 0);
+            return Try::NotRun;
+        }
+        if !own || !said.proven {
+            self.note_try(call, upstream, "foreign-answer");
+            permit.finish(Ending::Failed, 0);
+            return Try::Unknown;
+        }
+        let headers = self.dialect.returned_headers(&head.headers);
+        if matches!(call.route.kind, RouteKind::Streaming { .. }) && head.status.is_success() {
+            let stream = Stream {
+                body,
+                lease: Some(exchange.lease),
+                permit: Some(permit),
+            };
+            let mut answer = Response::new(stream.boxed_unsync());
+            *answer.status_mut() = head.status;
+            *answer.headers_mut() = headers;
+            return Try::Answer(answer);
+        }
+        let Ok(body) = Limited::new(body, ANSWER_LIMIT_BYTES).collect().await else {
+            self.note_try(call, upstream, "broken-answer");
+            permit.finish(Ending::Failed, 0);
+            return Try::Unknown;
+        };
+        exchange.lease.keep();
+        let mut answer = bytes_response(head.status, body.to_bytes());
+        *answer.headers_mut() = headers;
+        if head.status.is_server_error() {
+            permit.finish(Ending::Failed, 0);
+            return Try::FailedAnswer(answer);
+        }
+        permit.finish(Ending::Answered, 0);
+        Try::Answer(answer)
+    }
+
+    fn note_try(&self, call: &Call<'_>, upstream: &Upstream, outcome: &str) {
+        self.journal.event(
+            "try_failed",
+            &[
+                ("request", &call.routed.request_id),
+                ("upstream", &upstream.instance),
+                ("outcome", &outcome),
+                ("left_ms", &call.patience_left(&*self.clock).as_millis()),
+            ],
+        );
+    }
+
+    /// The answer while no configuration is known.
+    #[must_use]
+    pub fn not_ready() -> Response<Body> {
+        refusal(Outcome::NotRun(NOT_READY), "no-configuration")
+    }
+}
+
+impl Call<'_> {
+    fn ask(&self, avoid: &[UpstreamKey]) -> Ask {
+        Ask {
+            class: Class::Live,
+            caller: 0,
+            prefix: xxh3_64(self.routed.request_id.as_bytes()),
+            cost_tokens: 1,
+            deadline: self.deadline,
+            avoid: avoid.to_vec(),
+        }
+    }
+
+    fn patience_left(&self, clock: &dyn Clock) -> Duration {
+        self.deadline.saturating_duration_since(clock.now())
+    }
+}
+
+fn gate_upstream(upstream: &Upstream) -> firweir::version::view::Upstream {
+    firweir::version::view::Upstream {
+        service: upstream.service.clone(),
+        address: upstream.address,
+        zone: upstream.zone.clone(),
+        leaving: upstream.leaving,
+    }
+}
+
+/// The service that this request falls to, by the weights of the route's targets.
+fn pick_target<'a>(route: &'a Route, request_id: &str) -> &'a str {
+    let total: u64 = route
+        .targets
+        .iter()
+        .map(|target| u64::from(target.weight))
+        .sum();
+    let mut point = xxh3_64(request_id.as_bytes()) % total.max(1);
+    for target in &route.targets {
+        let weight = u64::from(target.weight);
+        if point < weight {
+            return &target.service;
+        }
+        point -= weight;
+    }
+    route.targets.first().map_or("", |target| &target.service)
+}
+
+/// A streamed answer that gives its connection and its place back at its end.
+struct Stream {
+    body: Incoming,
+    lease: Option<Lease>,
+    permit: Option<Permit>,
+}
+
+impl Stream {
+    fn finish(&mut self, ending: Ending) {
+        if let Some(permit) = self.permit.take() {
+            permit.finish(ending, 0);
+        }
+        if let Some(lease) = self.lease.take().filter(|_| ending == Ending::Answered) {
+            lease.keep();
+        }
+    }
+}
+
+impl HttpBody for Stream {
+    type Data = Bytes;
+    type Error = std::io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, std::io::Error>>> {
+        match Pin::new(&mut self.body).poll_frame(context) {
+            Poll::Ready(Some(Ok(frame))) => Poll::Ready(Some(Ok(frame))),
+            // Broken off here too: a stream that simply ended would look whole.
+            Poll::Ready(Some(Err(error))) => {
+                self.finish(Ending::Failed);
+                Poll::Ready(Some(Err(std::io::Error::other(error))))
+            }
+            Poll::Ready(None) => {
+                self.finish(Ending::Answered);
+                Poll::Ready(None)
+            }
+            Poll::Pending => Poll::Pending,
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/model.rs
@@ -0,0 +1,221 @@
+//! What the platform tells a node, in the product's own words: configuration,
+//! upstreams, versions of weights, submissions.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// How often a request of a route may run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RouteKind {
+    /// May be run again after any failure.
+    Idempotent,
+    /// Runs at most once for each attempt of a client.
+    Charged,
+    /// A stream of events; `resumable` ones may go on at another upstream.
+    Streaming {
+        /// A stream may be continued after the last event that arrived.
+        resumable: bool,
+    },
+    /// Submissions of a trainer.
+    Rollout,
+}
+
+/// A service and its part of a route's requests.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Target {
+    /// Name of the service.
+    pub service: String,
+    /// Part of the requests, relative to the other targets.
+    pub weight: u32,
+}
+
+/// Where requests of one host and path prefix go.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Route {
+    /// Name of the route.
+    pub name: String,
+    /// Value of the `Host` header.
+    pub host: String,
+    /// Begin of the path; ends with a slash.
+    pub path_prefix: String,
+    /// What may be repeated.
+    pub kind: RouteKind,
+    /// Longest time that a client is kept waiting.
+    pub timeout_ms: u64,
+    /// Services that may run the requests.
+    pub targets: Vec<Target>,
+    /// Upstreams that one attempt of a client may be sent to.
+    pub max_attempts: u32,
+    /// A submission's item may be given up after this time.
+    pub queue_ttl_ms: u64,
+    /// A sample may not mix versions of weights.
+    pub single_version: bool,
+}
+
+impl Route {
+    /// Longest time that a client is kept waiting.
+    #[must_use]
+    pub const fn timeout(&self) -> Duration {
+        Duration::from_millis(self.timeout_ms)
+    }
+}
+
+/// What all upstreams of one service have in common.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Service {
+    /// Name of the service.
+    pub name: String,
+    /// Tokens that an engine's memory holds; 0 for plain services.
+    pub memory_tokens: u64,
+}
+
+/// One version of the operator's configuration.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Config {
+    /// Grows with each change.
+    pub version: u64,
+    /// Sorted by host; longest prefix first within one host.
+    pub routes: Vec<Route>,
+    /// Sorted by name.
+    pub services: Vec<Service>,
+    /// Longest body that a client may send.
+    pub max_body_bytes: usize,
+}
+
+impl Config {
+    /// Brings routes and services into the order that look-ups need.
+    pub fn sort(&mut self) {
+        self.services.sort_by(|a, b| a.name.cmp(&b.name));
+        self.routes.sort_by(|a, b| {
+            let longest_first = b.path_prefix.len().cmp(&a.path_prefix.len());
+            a.host.cmp(&b.host).then(longest_first)
+        });
+    }
+
+    /// The route with the longest prefix of `path` at `host`.
+    #[must_use]
+    pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
+        let from = self.routes.partition_point(|r| r.host.as_str() < host);
+        let of_host = self.routes[from..].iter().take_while(|r| r.host == host);
+        of_host
+            .into_iter()
+            .find(|route| path.starts_with(&route.path_prefix))
+    }
+
+    /// A service by its name.
+    #[must_use]
+    pub fn service(&self, name: &str) -> Option<&Service> {
+        let at = self
+            .services
+            .binary_search_by(|service| service.name.as_str().cmp(name));
+        at.ok().map(|at| &self.services[at])
+    }
+}
+
+/// Version of one model's weights.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ModelVersion {
+    /// Name of the model.
+    pub model: String,
+    /// Version of its weights.
+    pub version: u64,
+}
+
+/// One start of a process of a service.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Upstream {
+    /// Names this start; a restart has another name.
+    pub instance: String,
+    /// Service that it answers for.
+    pub service: String,
+    /// Where it answers.
+    pub address: SocketAddr,
+    /// Its availability zone.
+    pub zone: String,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// It gets no new work.
+    pub leaving: bool,
+    /// Models that it has loaded, sorted by name.
+    pub models: Vec<ModelVersion>,
+}
+
+impl Upstream {
+    /// Version of a model here, if the upstream has it.
+    #[must_use]
+    pub fn version_of(&self, model: &str) -> Option<u64> {
+        let at = self
+            .models
+            .binary_search_by(|held| held.model.as_str().cmp(model));
+        at.ok().map(|at| self.models[at].version)
+    }
+}
+
+/// A header of an item, as its trainer sent it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ItemHeader {
+    /// Its name.
+    pub name: String,
+    /// Its value.
+    pub value: String,
+}
+
+/// One sample that a trainer asks for.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Item {
+    /// Its id, which is the id of its requests too.
+    pub id: String,
+    /// Items of one group share their prompt.
+    pub group: String,
+    /// Path at the upstream.
+    pub path: String,
+    /// Headers for the upstream.
+    pub headers: Vec<ItemHeader>,
+    /// Body for the upstream, in base64 as it came.
+    pub body_base64: String,
+    /// Tokens of the prompt.
+    pub prompt_tokens: u32,
+    /// Tokens of the answer as the trainer estimates them; often far off.
+    pub expected_tokens: u32,
+}
+
+/// All samples of one step of a trainer.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Submission {
+    /// Its id.
+    pub id: String,
+    /// Model that makes the samples.
+    pub model: String,
+    /// Oldest version of the weights that may make a token of it.
+    pub min_version: u64,
+    /// Groups that the trainer waits for.
+    pub target_groups: u32,
+    /// The samples, in the trainer's order.
+    pub items: Vec<Item>,
+}
+
+/// How an item ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ItemState {
+    /// Its text is whole.
+    Completed,
+    /// It was given up.
+    Abandoned,
+}
+
+/// The end of one item, listed once and never changed.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ItemResult {
+    /// Id of the item.
+    pub item: String,
+    /// How it ended.
+    pub state: ItemState,
+    /// Data of all events, separated by line feeds.
+    pub text: String,
+    /// Versions of the weights that made an event of the text, ascending.
+    pub versions: Vec<u64>,
+}
--- /dev/null
+++ b/crates/node/src/node.rs
@@ -0,0 +1,440 @@
+//! One node: what its parts are, and how it starts, drains and ends.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use firweir::connection::net::SharedNet;
+use firweir::connection::net::TcpNet;
+use firweir::connection::server;
+use firweir::connection::server::Body;
+use firweir::connection::server::read_body;
+use firweir::process::clock::Clock;
+use firweir::process::clock::SystemClock;
+use firweir::process::log::Journal;
+use firweir::process::tasks::Tasks;
+use http::Method;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use hyper::body::Incoming;
+use quick_error::quick_error;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+
+use crate::dialect::ClientCall;
+use crate::dialect::Dialect;
+use crate::dialect::Kind;
+use crate::dialect::RoutedCall;
+use crate::drafting::Drafting;
+use crate::fleet::Fleet;
+use crate::fleet::UpstreamList;
+use crate::follow::Change;
+use crate::follow::follow;
+use crate::link::Links;
+use crate::live::Live;
+use crate::model::RouteKind;
+use crate::respond::Outcome;
+use crate::respond::empty;
+use crate::respond::refusal;
+use crate::settings::NodeSettings;
+use crate::store::Store;
+use crate::submission::desk::Asker;
+use crate::submission::desk::Desk;
+use crate::submission::desk::DeskParts;
+use crate::submission::desk::Question;
+use crate::submission::records::Runner;
+use crate::weights::HOLDER_PATH;
+use crate::weights::SystemBootClock;
+use crate::weights::Weights;
+use crate::weights::WeightsParts;
+
+/// How long clients are still taken after SIGTERM: the balancer asks once a second
+/// and stops after two misses.
+const CLIENT_LINGER: Duration = Duration::from_millis(2_500);
+
+/// The process ends this long before it would be killed.
+const END_BEFORE_KILL: Duration = Duration::from_millis(1_000);
+
+/// Time between looks at time-bound decisions of live calls.
+const TICK_EVERY: Duration = Duration::from_millis(100);
+
+quick_error! {
+    /// Why a node cannot run.
+    #[derive(Debug)]
+    pub enum NodeError {
+        /// An address cannot be listened at, or a signal not be taken.
+        Io(err: io::Error) {
+            display("cannot start: {err}")
+            source(err)
+            from()
+        }
+        /// A key of the settings is missing that this role needs.
+        Missing(key: &'static str) {
+            display("settings lack {key}")
+        }
+    }
+}
+
+/// What the parts of a node share.
+#[derive(Debug)]
+struct Node {
+    dialect: Arc<dyn Dialect>,
+    fleet: Arc<Fleet>,
+    live: Arc<Live>,
+    desk: Desk,
+    weights: Weights,
+    tasks: Tasks,
+}
+
+/// What both roles of a VM are built from.
+#[derive(Debug, Clone)]
+struct Base {
+    settings: NodeSettings,
+    dialect: Arc<dyn Dialect>,
+    clock: Arc<dyn Clock>,
+    journal: Journal,
+    links: Links,
+    store: Store,
+    net: SharedNet,
+    tasks: Tasks,
+}
+
+impl Base {
+    fn new(settings: NodeSettings, dialect: Arc<dyn Dialect>) -> io::Result<Self> {
+        let clock: Arc<dyn Clock> = Arc::new(SystemClock);
+        let journal = Journal::new(Arc::clone(&clock), &settings.node, None)?;
+        let links = Links::new(Arc::clone(&clock));
+        let start_ms = clock.since_epoch().as_millis();
+        let writer = format!("{}-{start_ms}-{:08x}", settings.node, rand::random::<u32>());
+        let store = Store::new(
+            Arc::clone(&dialect),
+            links.clone(),
+            settings.store,
+            Arc::clone(&clock),
+            &writer,
+        );
+        Ok(Self {
+            settings,
+            dialect,
+            clock,
+            journal,
+            links,
+            store,
+            net: Arc::new(TcpNet),
+            tasks: Tasks::new(),
+        })
+    }
+
+    fn follow(&self, kind: Kind, take: impl FnMut(Change) + Send + 'static) {
+        let following = follow(self.store.clone(), self.journal.clone(), kind, take);
+        self.tasks.spawn(following);
+    }
+
+    /// Waits for SIGTERM; settings files that change are read again at a restart.
+    async fn until_terminated(&self) -> io::Result<()> {
+        let mut term = signal(SignalKind::terminate())?;
+        let mut reload = signal(SignalKind::hangup())?;
+        loop {
+            tokio::select! {
+                _ = term.recv() => break,
+                _ = reload.recv() => self.journal.event("settings_signalled", &[]),
+            }
+        }
+        self.journal.event("drain_started", &[]);
+        self.tasks.drain();
+        Ok(())
+    }
+}
+
+/// Runs a node that takes clients until SIGTERM has drained it.
+///
+/// # Errors
+///
+/// The settings lack an address, or it cannot be listened at.
+pub async fn run_front(settings: NodeSettings, dialect: Arc<dyn Dialect>) -> Result<(), NodeError> {
+    let base = Base::new(settings, dialect)?;
+    let settings = &base.settings;
+    let client_listen = settings
+        .client_listen
+        .ok_or(NodeError::Missing("client_listen"))?;
+    let ready_listen = settings
+        .ready_listen
+        .ok_or(NodeError::Missing("ready_listen"))?;
+    let peer_listen = settings
+        .peer_listen
+        .ok_or(NodeError::Missing("peer_listen"))?;
+    let node = build(&base, peer_listen);
+    start_followers(&base, &node);
+    let outlive = settings.grace().saturating_sub(END_BEFORE_KILL);
+    let clients = serve(&base, &node, client_listen, CLIENT_LINGER, Node::client).await?;
+    let ready = serve(&base, &node, ready_listen, outlive, Node::client).await?;
+    let peers = serve(&base, &node, peer_listen, outlive, Node::peer).await?;
+    base.tasks.spawn(ready);
+    base.tasks.spawn(peers);
+    base.journal
+        .event("node_started", &[("address", &client_listen)]);
+    let drained = async {
+        clients.await;
+        // Submissions go on here while other nodes pass their questions on.
+        tokio::time::sleep(outlive.saturating_sub(CLIENT_LINGER)).await;
+    };
+    let terminated = async {
+        base.until_terminated().await?;
+        tokio::time::sleep(outlive).await;
+        Ok::<(), io::Error>(())
+    };
+    tokio::select! {
+        () = drained => {}
+        ended = terminated => ended?,
+    }
+    base.journal.event("node_ended", &[]);
+    Ok(())
+}
+
+/// Runs a node on a VM with a disk, which keeps nothing there: requests to empty it
+/// are reported as done at once.
+///
+/// # Errors
+///
+/// Signals cannot be taken.
+pub async fn run_disk(settings: NodeSettings, dialect: Arc<dyn Dialect>) -> Result<(), NodeError> {
+    let base = Base::new(settings, dialect)?;
+    let (name, store) = (base.settings.node.clone(), base.store.clone());
+    let journal = base.journal.clone();
+    let (asked, mut asking) = tokio::sync::mpsc::unbounded_channel();
+    base.follow(Kind::Evacuations, move |change| {
+        let objects = match change {
+            Change::All(objects) => objects,
+            Change::Put(object) => vec![object],
+            Change::Gone(_) => return,
+        };
+        for object in objects {
+            if object.name == name && !object.reported {
+                // The receiver lives as long as the process.
+                drop(asked.send(object));
+            }
+        }
+    });
+    base.tasks.spawn(async move {
+        while let Some(object) = asking.recv().await {
+            report_evacuated(&store, &journal, &object.name).await;
+        }
+    });
+    base.journal.event("node_started", &[]);
+    base.until_terminated().await?;
+    base.journal.event("node_ended", &[]);
+    Ok(())
+}
+
+/// Reports a VM as empty, until the store has taken it.
+async fn report_evacuated(store: &Store, journal: &Journal, name: &str) {
+    loop {
+        let outcome = match store.read(Kind::Evacuations, name).await {
+            Ok(Some(object)) if !object.reported => {
+                let (name, revision) = (object.name, object.revision);
+                let report = crate::dialect::StoreCall::ReportEvacuated { name, revision };
+                store.call(&report).await.map(drop)
+            }
+            Ok(_) => return,
+            Err(error) => Err(error),
+        };
+        if let Err(error) = outcome {
+            journal.event("evacuation_unreported", &[("cause", &error)]);
+            tokio::time::sleep(Duration::from_millis(500)).await;
+        }
+    }
+}
+
+fn build(base: &Base, peer_listen: SocketAddr) -> Arc<Node> {
+    let me = Runner {
+        node: base.settings.node.clone(),
+        address: peer_listen,
+    };
+    let (clock, journal) = (&base.clock, &base.journal);
+    let dialect = &base.dialect;
+    let fleet = Fleet::new(Arc::clone(clock), journal.clone(), Arc::clone(dialect));
+    let live = Live::new(
+        Arc::clone(&fleet),
+        Arc::clone(dialect),
+        base.links.clone(),
+        Arc::clone(clock),
+        journal.clone(),
+        base.settings.zone.clone(),
+    );
+    let drafting = Drafting::new(
+        Arc::clone(&fleet),
+        Arc::clone(dialect),
+        base.links.clone(),
+        Arc::clone(clock),
+        journal.clone(),
+    );
+    base.tasks.spawn(drafting.clone().run());
+    let desk = Desk::new(DeskParts {
+        me: me.clone(),
+        store: base.store.clone(),
+        links: base.links.clone(),
+        dialect: Arc::clone(dialect),
+        drafting,
+        clock: Arc::clone(clock),
+        journal: journal.clone(),
+    });
+    let weights = Weights::new(WeightsParts {
+        me,
+        lease: base.settings.lease(),
+        fleet: Arc::clone(&fleet),
+        store: base.store.clone(),
+        links: base.links.clone(),
+        dialect: Arc::clone(dialect),
+        clock: Arc::clone(clock),
+        boot_clock: Arc::new(SystemBootClock),
+        journal: journal.clone(),
+    });
+    base.tasks.spawn(weights.clone().run());
+    Arc::new(Node {
+        dialect: Arc::clone(dialect),
+        fleet,
+        live,
+        desk,
+        weights,
+        tasks: base.tasks.clone(),
+    })
+}
+
+fn start_followers(base: &Base, node: &Arc<Node>) {
+    let (fleet, live) = (Arc::clone(&node.fleet), Arc::clone(&node.live));
+    base.follow(Kind::Configuration, move |change| {
+        fleet.take_config(change);
+        live.take_fleet();
+    });
+    let list = Arc::new(std::sync::Mutex::new(UpstreamList::default()));
+    let (fleet, live) = (Arc::clone(&node.fleet), Arc::clone(&node.live));
+    let followed = Arc::clone(&list);
+    base.follow(Kind::Upstreams, move |change| {
+        let mut list = followed
+            .lock()
+            .unwrap_or_else(std::sync::PoisonError::into_inner);
+        fleet.take_upstreams(&mut list, change);
+        live.take_fleet();
+    });
+    let fleet = Arc::clone(&node.fleet);
+    base.follow(Kind::WeightVersions, move |change| {
+        fleet.take_version(change)
+    });
+    let desk = node.desk.clone();
+    base.follow(Kind::Submissions, move |change| desk.take_heads(change));
+    let (fleet, live) = (Arc::clone(&node.fleet), Arc::clone(&node.live));
+    base.tasks.spawn(async move {
+        loop {
+            tokio::time::sleep(TICK_EVERY).await;
+            let mut list = list
+                .lock()
+                .unwrap_or_else(std::sync::PoisonError::into_inner);
+            fleet.drop_gone(&mut list);
+            drop(list);
+            live.tick();
+        }
+    });
+}
+
+async fn serve<F, A>(
+    base: &Base,
+    node: &Arc<Node>,
+    at: SocketAddr,
+    linger: Duration,
+    answer: F,
+) -> io::Result<impl Future<Output = ()> + Send + use<F, A>>
+where
+    F: Fn(Arc<Node>, Request<Incoming>) -> A + Copy + Send + Sync + 'static,
+    A: Future<Output = Response<Body>> + Send + 'static,
+{
+    let node = Arc::clone(node);
+    let handler = server::handler(move |request| Box::pin(answer(Arc::clone(&node), request)));
+    let (_, serving) = server::serve(&base.net, &base.tasks, at, linger, handler).await?;
+    Ok(serving)
+}
+
+impl Node {
+    /// Answers a client, or the balancer.
+    async fn client(self: Arc<Self>, request: Request<Incoming>) -> Response<Body> {
+        let (head, body) = request.into_parts();
+        let (id, question) = match self.dialect.client_call(&head) {
+            ClientCall::Ready => return self.ready(),
+            ClientCall::Routed(routed) => return self.routed(&routed, &head, body).await,
+            ClientCall::ReadResults {
+                submission,
+                after,
+                wait,
+            } => (submission, Question::Results { after, wait }),
+            ClientCall::ReadItem { submission, item } => (submission, Question::Item(item)),
+            ClientCall::End { submission } => (submission, Question::End),
+        };
+        self.desk.ask(Asker::Client, &id, &question, &head).await
+    }
+
+    /// Answers another node.
+    async fn peer(self: Arc<Self>, request: Request<Incoming>) -> Response<Body> {
+        let (head, _body) = request.into_parts();
+        if head.uri.path() == HOLDER_PATH {
+            return empty(if self.weights.is_able() {
+                StatusCode::OK
+            } else {
+                StatusCode::SERVICE_UNAVAILABLE
+            });
+        }
+        let (id, question) = match self.dialect.client_call(&head) {
+            ClientCall::ReadResults {
+                submission,
+                after,
+                wait,
+            } => (submission, Question::Results { after, wait }),
+            ClientCall::ReadItem { submission, item } => (submission, Question::Item(item)),
+            ClientCall::End { submission } => (submission, Question::End),
+            ClientCall::Ready | ClientCall::Routed(_) => return empty(StatusCode::NOT_FOUND),
+        };
+        self.desk.ask(Asker::Peer, &id, &question, &head).await
+    }
+
+    /// Not ready before a configuration is known, or once a drain has begun.
+    fn ready(&self) -> Response<Body> {
+        let ready = self.fleet.config().version > 0 && !self.tasks.is_draining();
+        empty(if ready {
+            StatusCode::OK
+        } else {
+            StatusCode::SERVICE_UNAVAILABLE
+        })
+    }
+
+    async fn routed(
+        &self,
+        routed: &RoutedCall,
+        head: &http::request::Parts,
+        body: Incoming,
+    ) -> Response<Body> {
+        let config = self.fleet.config();
+        if config.version == 0 {
+            return Live::not_ready();
+        }
+        let Some(route) = config.route(&routed.host, head.uri.path()) else {
+            return refusal(Outcome::BadRequest(StatusCode::NOT_FOUND), "no-route");
+        };
+        if route.kind != RouteKind::Rollout || head.method != Method::POST {
+            return self.live.answer(routed, route, head, body).await;
+        }
+        let Some(body) = read_body(body, config.max_body_bytes).await else {
+            let status = StatusCode::PAYLOAD_TOO_LARGE;
+            return refusal(Outcome::BadRequest(status), "body-too-large");
+        };
+        match self.dialect.submission(&routed.request_id, &body) {
+            Ok(submission) => {
+                let path = head.uri.path();
+                self.desk.accept(&routed.host, path, submission).await
+            }
+            Err(_) => refusal(
+                Outcome::BadRequest(StatusCode::BAD_REQUEST),
+                "malformed-submission",
+            ),
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/settings.rs
@@ -0,0 +1,83 @@
+//! Settings of a node: a JSON file that the operator's tooling writes.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use quick_error::quick_error;
+use serde::Deserialize;
+
+quick_error! {
+    /// Why a settings file cannot be used.
+    #[derive(Debug)]
+    pub enum SettingsError {
+        /// It cannot be read.
+        Unreadable(path: PathBuf, err: std::io::Error) {
+            display("{}: {err}", path.display())
+            source(err)
+        }
+        /// It is not what the settings say.
+        Malformed(path: PathBuf, err: serde_json::Error) {
+            display("{}: {err}", path.display())
+            source(err)
+        }
+    }
+}
+
+/// Settings of one node.
+#[derive(Debug, Clone, Deserialize)]
+pub struct NodeSettings {
+    /// Name of the VM.
+    pub node: String,
+    /// Its availability zone.
+    pub zone: String,
+    /// Address of the platform's store.
+    pub store: SocketAddr,
+    /// Where clients are taken; absent on VMs that take none.
+    #[serde(default)]
+    pub client_listen: Option<SocketAddr>,
+    /// Where the balancer asks whether this node takes clients.
+    #[serde(default)]
+    pub ready_listen: Option<SocketAddr>,
+    /// Where other nodes are taken.
+    #[serde(default)]
+    pub peer_listen: Option<SocketAddr>,
+    /// Time from SIGTERM to SIGKILL.
+    pub grace_s: f64,
+    /// Engines may hear from another holder of the orders only after this long.
+    pub lease_ms: u64,
+    /// Least severe events to log: off, error, warn, info or debug.
+    #[serde(default = "default_log_level")]
+    pub log_level: String,
+}
+
+fn default_log_level() -> String {
+    "info".to_owned()
+}
+
+impl NodeSettings {
+    /// Reads a settings file.
+    ///
+    /// # Errors
+    ///
+    /// The file cannot be read, or a key is missing or has a wrong value.
+    pub fn load(path: &Path) -> Result<Self, SettingsError> {
+        let text = std::fs::read(path)
+            .map_err(|error| SettingsError::Unreadable(path.to_owned(), error))?;
+        serde_json::from_slice(&text)
+            .map_err(|error| SettingsError::Malformed(path.to_owned(), error))
+    }
+
+    /// Time from SIGTERM to SIGKILL.
+    #[must_use]
+    pub fn grace(&self) -> Duration {
+        Duration::from_secs_f64(self.grace_s.max(0.0))
+    }
+
+    /// Engines may hear from another holder of the orders only after this long.
+    #[must_use]
+    pub const fn lease(&self) -> Duration {
+        Duration::from_millis(self.lease_ms)
+    }
+}
--- /dev/null
+++ b/crates/node/src/store.rs
@@ -0,0 +1,217 @@
+//! Client of the platform's store. Every write has a condition, and a write
+//! without an answer is settled before its caller goes on.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use firweir::process::clock::Clock;
+use serde::Deserialize;
+use serde::Serialize;
+use serde_json::value::RawValue;
+
+use crate::dialect::Dialect;
+use crate::dialect::Kind;
+use crate::dialect::Object;
+use crate::dialect::StoreAnswer;
+use crate::dialect::StoreCall;
+use crate::dialect::StoreError;
+use crate::link::LinkError;
+use crate::link::Links;
+
+/// The store answers in milliseconds; past this it counts as not answering.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// Pause before a failed write is tried again, at first and at most. Each call
+/// costs, also in an outage, and an outage takes seconds.
+const PAUSE_FIRST: Duration = Duration::from_millis(100);
+const PAUSE_MOST: Duration = Duration::from_millis(800);
+
+/// How a creation ended for certain.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Created {
+    /// This write made the object.
+    Now,
+    /// Another write had made it.
+    Before,
+}
+
+/// The part of every value that names the write which made it.
+#[derive(Debug, Deserialize)]
+struct Stamp {
+    write: String,
+}
+
+/// Client of the store; cheap to clone.
+#[derive(Debug, Clone)]
+pub struct Store {
+    dialect: Arc<dyn Dialect>,
+    links: Links,
+    address: SocketAddr,
+    clock: Arc<dyn Clock>,
+    writer: Arc<str>,
+    writes: Arc<AtomicU64>,
+}
+
+impl Store {
+    /// A client that names its writes after `writer`, which no other process has.
+    #[must_use]
+    pub fn new(
+        dialect: Arc<dyn Dialect>,
+        links: Links,
+        address: SocketAddr,
+        clock: Arc<dyn Clock>,
+        writer: &str,
+    ) -> Self {
+        Self {
+            dialect,
+            links,
+            address,
+            clock,
+            writer: writer.into(),
+            writes: Arc::default(),
+        }
+    }
+
+    /// A name for the next write.
+    #[must_use]
+    pub fn write_id(&self) -> String {
+        let number = self.writes.fetch_add(1, Ordering::Relaxed);
+        format!("{}-{number}", self.writer)
+    }
+
+    /// One call, tried once.
+    ///
+    /// # Errors
+    ///
+    /// As [`StoreError`] tells.
+    pub async fn call(&self, call: &StoreCall) -> Result<StoreAnswer, StoreError> {
+        let timeout = match call {
+            StoreCall::Watch { wait, .. } => *wait + CALL_TIMEOUT,
+            _ => CALL_TIMEOUT,
+        };
+        let request = self.dialect.store_request(call);
+        match self.links.call(self.address, request, timeout).await {
+            Ok(answer) => self.dialect.store_answer(call, &answer),
+            Err(LinkError::Refused | LinkError::NotSent) => Err(StoreError::Unreachable),
+            Err(LinkError::Broken | LinkError::Late) => Err(StoreError::Unknown),
+        }
+    }
+
+    /// Reads an object; `None` if there is none.
+    ///
+    /// # Errors
+    ///
+    /// The store did not answer.
+    pub async fn read(&self, kind: Kind, name: &str) -> Result<Option<Object>, StoreError> {
+        let name = name.to_owned();
+        match self.call(&StoreCall::Read { kind, name }).await {
+            Ok(StoreAnswer::Object(object)) => Ok(Some(object)),
+            Ok(_) | Err(StoreError::Missing) => Ok(None),
+            Err(error) => Err(error),
+        }
+    }
+
+    /// Creates an object, tried until it is certain whether this write or an
+    /// earlier one made it.
+    ///
+    /// A creation without an answer may still be carried out seconds later.
+    /// Only the same creation, sent again, settles it: it succeeds, or it meets
+    /// the object, which names its write.
+    ///
+    /// # Errors
+    ///
+    /// [`StoreError::Unknown`] if it is open at `until` whether the object will
+    /// appear; any other error says that this write made nothing.
+    pub async fn create<T: Serialize + Sync>(
+        &self,
+        kind: Kind,
+        name: &str,
+        value: &T,
+        write: &str,
+        until: Instant,
+    ) -> Result<Created, StoreError> {
+        let call = StoreCall::Create {
+            kind,
+            name: name.to_owned(),
+            value: to_raw(value)?,
+        };
+        let mut open = false;
+        let mut pause = PAUSE_FIRST;
+        loop {
+            let failed = match self.call(&call).await {
+                Ok(_) => return Ok(Created::Now),
+                Err(StoreError::Conflict) => match self.read(kind, name).await {
+                    Ok(Some(object)) if is_made_by(&object, write) => return Ok(Created::Now),
+                    Ok(Some(_)) => return Ok(Created::Before),
+                    Ok(None) => StoreError::Conflict,
+                    Err(error) => error,
+                },
+                Err(error) => error,
+            };
+            match failed {
+                StoreError::Unknown => open = true,
+                StoreError::Refused(_) | StoreError::Unreachable | StoreError::Conflict => {}
+                other => return Err(other),
+            }
+            if self.clock.now() + pause >= until {
+                return Err(if open { StoreError::Unknown } else { failed });
+            }
+            tokio::time::sleep(pause).await;
+            pause = (pause * 2).min(PAUSE_MOST);
+        }
+    }
+
+    /// Replaces an object that must be at `revision`, and gives it as it is then.
+    ///
+    /// A conflict is read back: an earlier try whose answer was lost may have
+    /// made the change.
+    ///
+    /// # Errors
+    ///
+    /// [`StoreError::Conflict`] if another write came first;
+    /// [`StoreError::Unknown`] if it is open whether this one was made.
+    pub async fn replace<T: Serialize + Sync>(
+        &self,
+        kind: Kind,
+        name: &str,
+        revision: u64,
+        value: &T,
+        write: &str,
+    ) -> Result<Object, StoreError> {
+        let call = StoreCall::Replace {
+            kind,
+            name: name.to_owned(),
+            revision,
+            value: to_raw(value)?,
+        };
+        let mut failed = StoreError::Unknown;
+        for _ in 0..REPLACE_TRIES {
+            failed = match self.call(&call).await {
+                Ok(StoreAnswer::Object(object)) => return Ok(object),
+                Ok(_) | Err(StoreError::Unknown) => StoreError::Unknown,
+                Err(StoreError::Conflict) => match self.read(kind, name).await? {
+                    Some(object) if is_made_by(&object, write) => return Ok(object),
+                    _ => return Err(StoreError::Conflict),
+                },
+                Err(error) => return Err(error),
+            };
+        }
+        Err(failed)
+    }
+}
+
+/// Tries of one replacement whose answers are lost: a third of them are in a bad
+/// spell, so that three in a row are rare.
+const REPLACE_TRIES: u32 = 3;
+
+fn to_raw<T: Serialize>(value: &T) -> Result<Box<RawValue>, StoreError> {
+    serde_json::value::to_raw_value(value).map_err(|error| StoreError::Malformed(error.into()))
+}
+
+fn is_made_by(object: &Object, write: &str) -> bool {
+    serde_json::from_str::<Stamp>(object.value.get()).is_ok_and(|stamp| stamp.write == write)
+}
--- /dev/null
+++ b/crates/node/src/submission/board.rs
@@ -0,0 +1,410 @@
+//! One submission that this node runs: which items have ended, and the log that
+//! makes their results last.
+//!
+//! The log is a chain of chunks in the platform's store, each created once, its
+//! number one above the last. Two nodes that both believe that they run a submission
+//! meet at the same number, and only one of them creates it; the other takes over what
+//! it finds there. So no item is listed twice and no position ever changes, with no
+//! lease and no clock.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use firweir::process::clock::Clock;
+use firweir::process::log::Journal;
+use tokio::sync::Notify;
+
+use crate::dialect::Kind;
+use crate::dialect::StoreError;
+use crate::model::Item;
+use crate::model::ItemResult;
+use crate::store::Created;
+use crate::store::Store;
+use crate::submission::records::Chunk;
+use crate::submission::records::Head;
+use crate::submission::records::Part;
+use crate::submission::records::cut;
+use crate::submission::records::numbered;
+use crate::submission::records::result_bytes;
+
+/// Results that make no group whole wait this long for others: each write costs,
+/// and a trainer reads whole groups about twice a second.
+const GATHER: Duration = Duration::from_millis(300);
+
+/// How long one write is tried before the log looks anew at who runs it.
+const WRITE_PATIENCE: Duration = Duration::from_secs(4);
+
+/// Most bytes of texts in one page of results.
+const PAGE_LIMIT_BYTES: usize = 900_000;
+
+/// Where an item stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Standing {
+    /// It has no result yet.
+    Open,
+    /// It has a result that is being written.
+    Pending,
+    /// Its result is listed.
+    Listed,
+}
+
+#[derive(Debug)]
+struct State {
+    standings: Vec<Standing>,
+    /// Sorted by id: places in the trainer's order.
+    places: Vec<(String, usize)>,
+    listed: Vec<ItemResult>,
+    pending: Vec<ItemResult>,
+    pending_since: Option<Instant>,
+    chunks: usize,
+    ended: bool,
+}
+
+/// One submission that this node runs.
+#[derive(Debug)]
+pub struct Board {
+    /// Its id.
+    pub id: String,
+    /// Its head as it was when this node began to run it.
+    pub head: Head,
+    /// Its items, in the trainer's order.
+    pub items: Vec<Arc<Item>>,
+    state: Mutex<State>,
+    listed: Notify,
+    pending: Notify,
+    /// Another node runs it.
+    given_up: AtomicBool,
+}
+
+impl Board {
+    /// A submission of which nothing is listed yet.
+    #[must_use]
+    pub fn new(id: String, head: Head, items: Vec<Item>) -> Arc<Self> {
+        let mut places: Vec<(String, usize)> = items
+            .iter()
+            .enumerate()
+            .map(|(place, item)| (item.id.clone(), place))
+            .collect();
+        places.sort();
+        let state = State {
+            standings: vec![Standing::Open; items.len()],
+            places,
+            listed: Vec::new(),
+            pending: Vec::new(),
+            pending_since: None,
+            chunks: 0,
+            ended: head.ended,
+        };
+        Arc::new(Self {
+            id,
+            head,
+            items: items.into_iter().map(Arc::new).collect(),
+            state: Mutex::new(state),
+            listed: Notify::new(),
+            pending: Notify::new(),
+            given_up: AtomicBool::new(false),
+        })
+    }
+
+    /// Reads a submission and its log from the store.
+    ///
+    /// # Errors
+    ///
+    /// The store did not answer, or lacks a part.
+    pub async fn load(store: &Store, id: &str, head: Head) -> Result<Arc<Self>, StoreError> {
+        let mut items = Vec::new();
+        for number in 0..head.parts as usize {
+            let object = store
+                .read(Kind::SubmissionParts, &numbered(id, number))
+                .await?
+                .ok_or(StoreError::Missing)?;
+            let part: Part = serde_json::from_str(object.value.get())
+                .map_err(|error| StoreError::Malformed(error.into()))?;
+            items.extend(part.items);
+        }
+        let board = Self::new(id.to_owned(), head, items);
+        board.catch_up(store).await?;
+        Ok(board)
+    }
+
+    /// Takes in the chunks that the store has beyond those known here.
+    ///
+    /// # Errors
+    ///
+    /// The store did not answer.
+    pub async fn catch_up(&self, store: &Store) -> Result<(), StoreError> {
+        loop {
+            let number = self.lock().chunks;
+            let name = numbered(&self.id, number);
+            let Some(object) = store.read(Kind::ResultChunks, &name).await? else {
+                return Ok(());
+            };
+            let chunk: Chunk = serde_json::from_str(object.value.get())
+                .map_err(|error| StoreError::Malformed(error.into()))?;
+            self.append(number, chunk.results);
+        }
+    }
+
+    /// Notes how an item ended. A second result of an item is dropped.
+    pub fn note(&self, now: Instant, result: ItemResult) {
+        let mut state = self.lock();
+        let Some(place) = state.place(&result.item) else {
+            return;
+        };
+        if state.standings[place] != Standing::Open {
+            return;
+        }
+        state.standings[place] = Standing::Pending;
+        state.pending.push(result);
+        state.pending_since.get_or_insert(now);
+        drop(state);
+        self.pending.notify_one();
+    }
+
+    /// Whether an item still needs a draft.
+    #[must_use]
+    pub fn is_open(&self, place: usize) -> bool {
+        self.is_running() && self.lock().standings[place] == Standing::Open
+    }
+
+    /// This node runs it, and more of it is wanted.
+    #[must_use]
+    pub fn is_running(&self) -> bool {
+        !self.given_up.load(Ordering::Acquire) && !self.lock().ended
+    }
+
+    /// No more of it is wanted.
+    pub fn end(&self) {
+        self.lock().ended = true;
+        self.pending.notify_one();
+        self.listed.notify_waiters();
+    }
+
+    /// Another node runs it from now on.
+    pub fn give_up(&self) {
+        self.given_up.store(true, Ordering::Release);
+        self.pending.notify_one();
+        self.listed.notify_waiters();
+    }
+
+    /// Another node runs it.
+    #[must_use]
+    pub fn is_given_up(&self) -> bool {
+        self.given_up.load(Ordering::Acquire)
+    }
+
+    /// Every item is listed.
+    #[must_use]
+    pub fn is_complete(&self) -> bool {
+        let state = self.lock();
+        state.listed.len() == state.standings.len()
+    }
+
+    /// Results from a position on, at most a page; waits for a first one.
+    pub async fn results(&self, after: usize, wait: Duration) -> Vec<ItemResult> {
+        let until = tokio::time::Instant::now() + wait;
+        loop {
+            let listed = self.listed.notified();
+            tokio::pin!(listed);
+            // Before the look, so that a result listed in between is not missed.
+            listed.as_mut().enable();
+            let page = self.page(after);
+            if !page.is_empty() || self.is_given_up() {
+                return page;
+            }
+            if tokio::time::timeout_at(until, listed).await.is_err() {
+                return Vec::new();
+            }
+        }
+    }
+
+    /// An item that has no result yet.
+    #[must_use]
+    pub fn unlisted(&self, item: &str) -> Option<Arc<Item>> {
+        let place = self.lock().place(item)?;
+        Some(Arc::clone(&self.items[place]))
+    }
+
+    /// Writes results for as long as this node runs the submission.
+    pub async fn keep_log(self: Arc<Self>, store: Store, clock: Arc<dyn Clock>, journal: Journal) {
+        loop {
+            self.gather(&*clock).await;
+            if self.is_given_up() {
+                return;
+            }
+            let batch = self.lock().take_batch();
+            if batch.is_empty() {
+                if self.lock().ended || self.is_complete() {
+                    return;
+                }
+                continue;
+            }
+            self.write(&store, &*clock, &journal, batch).await;
+        }
+    }
+
+    /// Waits until there are results to write.
+    async fn gather(&self, clock: &dyn Clock) {
+        loop {
+            let due = {
+                let state = self.lock();
+                if state.ended || self.is_given_up() || state.is_due(&self.items) {
+                    return;
+                }
+                state.pending_since.map(|since| since + GATHER)
+            };
+            match due {
+                None => self.pending.notified().await,
+                Some(due) if due <= clock.now() => return,
+                Some(due) => {
+                    let due = tokio::time::Instant::from_std(due);
+                    drop(tokio::time::timeout_at(due, self.pending.notified()).await);
+                }
+            }
+        }
+    }
+
+    async fn write(
+        &self,
+        store: &Store,
+        clock: &dyn Clock,
+        journal: &Journal,
+        results: Vec<ItemResult>,
+    ) {
+        let chunk = Chunk {
+            write: store.write_id(),
+            results,
+        };
+        let number = self.lock().chunks;
+        let name = numbered(&self.id, number);
+        let started = clock.now();
+        while !self.is_given_up() {
+            let until = clock.now() + WRITE_PATIENCE;
+            let kind = Kind::ResultChunks;
+            match store.create(kind, &name, &chunk, &chunk.write, until).await {
+                Ok(Created::Now) => {
+                    let took_ms = clock.now().duration_since(started).as_millis();
+                    journal.event(
+                        "results_listed",
+                        &[
+                            ("submission", &self.id),
+                            ("chunk", &number),
+                            ("results", &chunk.results.len()),
+                            ("took_ms", &took_ms),
+                        ],
+                    );
+                    self.append(number, chunk.results);
+                    return;
+                }
+                Ok(Created::Before) => {
+                    journal.event(
+                        "results_met",
+                        &[("submission", &self.id), ("chunk", &number)],
+                    );
+                    self.put_back(started, chunk.results);
+                    if let Err(error) = self.catch_up(store).await {
+                        journal.event(
+                            "results_unread",
+                            &[("submission", &self.id), ("cause", &error)],
+                        );
+                    }
+                    return;
+                }
+                Err(error) => journal.event(
+                    "results_unwritten",
+                    &[
+                        ("submission", &self.id),
+                        ("chunk", &number),
+                        ("cause", &error),
+                    ],
+                ),
+            }
+        }
+    }
+
+    /// Lists the results of one chunk.
+    fn append(&self, number: usize, results: Vec<ItemResult>) {
+        let mut state = self.lock();
+        if state.chunks != number {
+            return;
+        }
+        state.chunks += 1;
+        for result in results {
+            let Some(place) = state.place(&result.item) else {
+                continue;
+            };
+            state.standings[place] = Standing::Listed;
+            state.pending.retain(|held| held.item != result.item);
+            state.listed.push(result);
+        }
+        drop(state);
+        self.listed.notify_waiters();
+    }
+
+    /// Gives back results whose chunk another node had made.
+    fn put_back(&self, now: Instant, results: Vec<ItemResult>) {
+        let mut state = self.lock();
+        state.pending_since.get_or_insert(now);
+        state.pending.splice(0..0, results);
+    }
+
+    fn page(&self, after: usize) -> Vec<ItemResult> {
+        let state = self.lock();
+        let mut size = 0;
+        let mut page = Vec::new();
+        for result in state.listed.iter().skip(after) {
+            size += result_bytes(result);
+            if !page.is_empty() && size > PAGE_LIMIT_BYTES {
+                break;
+            }
+            page.push(result.clone());
+        }
+        page
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    fn place(&self, item: &str) -> Option<usize> {
+        let at = self
+            .places
+            .binary_search_by(|(id, _)| id.as_str().cmp(item));
+        at.ok().map(|at| self.places[at].1)
+    }
+
+    /// A pending result makes its group whole, or nothing else is to come.
+    fn is_due(&self, items: &[Arc<Item>]) -> bool {
+        let open = |group: &str| {
+            let mut places = items.iter().zip(&self.standings);
+            places.any(|(item, standing)| item.group == group && *standing == Standing::Open)
+        };
+        self.pending.iter().any(|result| {
+            let place = self.place(&result.item);
+            place.is_some_and(|place| !open(&items[place].group))
+        })
+    }
+
+    /// The pending results that fit one chunk.
+    fn take_batch(&mut self) -> Vec<ItemResult> {
+        let mut batches = cut(std::mem::take(&mut self.pending), result_bytes);
+        if batches.is_empty() {
+            self.pending_since = None;
+            return Vec::new();
+        }
+        let first = batches.remove(0);
+        self.pending = batches.into_iter().flatten().collect();
+        if self.pending.is_empty() {
+            self.pending_since = None;
+        }
+        first
+    }
+}
--- /dev/null
+++ b/crates/node/src/submission/desk.rs
@@ -0,0 +1,639 @@
+//! Who runs which submission, and what clients ask about them.
+//!
+//! The node that accepts a submission runs it. Any other node passes questions on to
+//! it. A node that finds the runner gone takes the submission over by a conditional
+//! change of its head, reads its items and results from the store and goes on.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use firweir::connection::server::Body;
+use firweir::connection::server::bytes_response;
+use firweir::process::clock::Clock;
+use firweir::process::log::Journal;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http::request;
+use http_body_util::Full;
+
+use crate::dialect::Dialect;
+use crate::dialect::Kind;
+use crate::dialect::Object;
+use crate::dialect::ResultPage;
+use crate::dialect::StoreError;
+use crate::drafting::Drafting;
+use crate::follow::Change;
+use crate::link::LinkError;
+use crate::link::Links;
+use crate::model::Submission;
+use crate::respond::Outcome;
+use crate::respond::empty;
+use crate::respond::refusal;
+use crate::respond::with_json;
+use crate::store::Created;
+use crate::store::Store;
+use crate::submission::board::Board;
+use crate::submission::records::Head;
+use crate::submission::records::Part;
+use crate::submission::records::Runner;
+use crate::submission::records::cut;
+use crate::submission::records::item_bytes;
+use crate::submission::records::numbered;
+
+/// How long an acceptance is tried. Clients wait seconds for it, and one that is
+/// refused in time is accepted elsewhere.
+const ACCEPT_PATIENCE: Duration = Duration::from_millis(2_500);
+
+/// Time for a runner's answer beyond what it was asked to wait.
+const PEER_PATIENCE: Duration = Duration::from_millis(800);
+
+/// A runner that was not reached for this long is taken for gone. Shorter, and
+/// a pause of its VM moves what it runs; longer, and its trainer waits.
+const GONE_AFTER: Duration = Duration::from_millis(2_000);
+
+/// When a client may ask again where it is not known who runs a submission.
+const ASK_AGAIN: Duration = Duration::from_millis(250);
+
+/// Tries to change a head that others change too.
+const HEAD_TRIES: usize = 4;
+
+/// Where a question comes from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Asker {
+    /// A client; the question may be passed on.
+    Client,
+    /// Another node, which takes this one for the runner.
+    Peer,
+}
+
+/// A question about one submission.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Question {
+    /// Its results from a position on.
+    Results {
+        /// Results before it are left out.
+        after: usize,
+        /// How long to wait for a first one.
+        wait: Duration,
+    },
+    /// The body of an item.
+    Item(String),
+    /// Its end.
+    End,
+}
+
+#[derive(Debug, Clone)]
+struct Known {
+    id: String,
+    revision: u64,
+    head: Head,
+}
+
+#[derive(Debug)]
+struct Unreached {
+    address: SocketAddr,
+    since: Instant,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    /// Sorted by id.
+    heads: Vec<Known>,
+    /// Sorted by id.
+    boards: Vec<Arc<Board>>,
+    /// Submissions that are being accepted or read from the store.
+    starting: Vec<String>,
+    unreached: Vec<Unreached>,
+}
+
+/// All submissions as this node knows them; cheap to clone.
+#[derive(Debug, Clone)]
+pub struct Desk {
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    me: Runner,
+    store: Store,
+    links: Links,
+    dialect: Arc<dyn Dialect>,
+    drafting: Drafting,
+    clock: Arc<dyn Clock>,
+    journal: Journal,
+    state: Mutex<State>,
+    /// Held while a submission is read from the store: one after the other.
+    loading: tokio::sync::Mutex<()>,
+}
+
+/// What a desk works with.
+#[derive(Debug)]
+pub struct DeskParts {
+    /// This node.
+    pub me: Runner,
+    /// The platform's store.
+    pub store: Store,
+    /// Connections to other nodes.
+    pub links: Links,
+    /// Writes pages of results.
+    pub dialect: Arc<dyn Dialect>,
+    /// Drafts items.
+    pub drafting: Drafting,
+    /// The clock.
+    pub clock: Arc<dyn Clock>,
+    /// Events.
+    pub journal: Journal,
+}
+
+impl Desk {
+    /// Nothing is known yet.
+    #[must_use]
+    pub fn new(parts: DeskParts) -> Self {
+        let shared = Shared {
+            me: parts.me,
+            store: parts.store,
+            links: parts.links,
+            dialect: parts.dialect,
+            drafting: parts.drafting,
+            clock: parts.clock,
+            journal: parts.journal,
+            state: Mutex::default(),
+            loading: tokio::sync::Mutex::default(),
+        };
+        Self {
+            shared: Arc::new(shared),
+        }
+    }
+
+    /// Takes in heads as the store shows them.
+    pub fn take_heads(&self, change: Change) {
+        match change {
+            Change::All(objects) => objects
+                .into_iter()
+                .for_each(|object| self.take_head(object)),
+            Change::Put(object) => self.take_head(object),
+            Change::Gone(id) => self.forget(&id),
+        }
+    }
+
+    fn take_head(&self, object: Object) {
+        let Some(known) = self.read_head(object) else {
+            return;
+        };
+        self.note_head(known.clone());
+        let mine = known.head.runner == self.shared.me;
+        match self.board(&known.id) {
+            Some(board) if !mine => self.let_go(&board),
+            Some(board) if known.head.ended => self.stop(&board),
+            None if mine && !known.head.ended && !self.is_starting(&known.id) => {
+                let desk = self.clone();
+                drop(tokio::spawn(async move {
+                    drop(desk.load(&known.id, known.head).await);
+                }));
+            }
+            Some(_) | None => {}
+        }
+    }
+
+    fn read_head(&self, object: Object) -> Option<Known> {
+        match serde_json::from_str::<Head>(object.value.get()) {
+            Ok(head) => Some(Known {
+                id: object.name,
+                revision: object.revision,
+                head,
+            }),
+            Err(error) => {
+                self.shared.journal.event(
+                    "head_unreadable",
+                    &[("submission", &object.name), ("cause", &error)],
+                );
+                None
+            }
+        }
+    }
+
+    /// Accepts a submission, once.
+    pub async fn accept(&self, host: &str, path: &str, submission: Submission) -> Response<Body> {
+        let id = submission.id.clone();
+        if self.is_known(&id) {
+            return empty(StatusCode::ACCEPTED);
+        }
+        if !self.begin_start(&id) {
+            // The same submission, sent again while the first is being accepted.
+            return refusal(Outcome::NotRun(ASK_AGAIN), "being-accepted");
+        }
+        let accepted = self.write_submission(host, path, &submission).await;
+        let response = match accepted {
+            Ok(Some(head)) => {
+                self.shared.journal.event(
+                    "submission_accepted",
+                    &[
+                        ("submission", &id),
+                        ("items", &submission.items.len()),
+                        ("min_version", &submission.min_version),
+                    ],
+                );
+                self.start(Board::new(id.clone(), head, submission.items));
+                empty(StatusCode::ACCEPTED)
+            }
+            Ok(None) => empty(StatusCode::ACCEPTED),
+            Err(error) => {
+                self.shared.journal.event(
+                    "submission_not_accepted",
+                    &[("submission", &id), ("cause", &error)],
+                );
+                match error {
+                    // It may yet appear in the store, and then it runs.
+                    StoreError::Unknown => refusal(Outcome::Unknown, "store-silent"),
+                    _ => refusal(Outcome::NotRun(ASK_AGAIN), "store-unavailable"),
+                }
+            }
+        };
+        self.end_start(&id);
+        response
+    }
+
+    /// Writes parts, then the head. `None` if another node had accepted it.
+    async fn write_submission(
+        &self,
+        host: &str,
+        path: &str,
+        submission: &Submission,
+    ) -> Result<Option<Head>, StoreError> {
+        let until = self.shared.clock.now() + ACCEPT_PATIENCE;
+        let store = &self.shared.store;
+        let parts = cut(submission.items.clone(), item_bytes);
+        let count = parts.len() as u32;
+        for (number, items) in parts.into_iter().enumerate() {
+            let write = store.write_id();
+            let name = numbered(&submission.id, number);
+            let part = Part { write, items };
+            // A part that is there was written for the same submission, whose
+            // items are the same however often it is sent.
+            store
+                .create(Kind::SubmissionParts, &name, &part, &part.write, until)
+                .await
+                .map_err(|error| match error {
+                    // Without a head nothing runs, whatever becomes of the part.
+                    StoreError::Unknown => StoreError::Unreachable,
+                    other => other,
+                })?;
+        }
+        let head = Head {
+            write: store.write_id(),
+            host: host.to_owned(),
+            path: path.to_owned(),
+            model: submission.model.clone(),
+            min_version: submission.min_version,
+            target_groups: submission.target_groups,
+            items: submission.items.len() as u32,
+            parts: count,
+            accepted_ms: self.shared.clock.since_epoch().as_millis() as u64,
+            runner: self.shared.me.clone(),
+            ended: false,
+        };
+        let created = store
+            .create(Kind::Submissions, &submission.id, &head, &head.write, until)
+            .await?;
+        Ok((created == Created::Now).then_some(head))
+    }
+
+    /// Answers a question about a submission.
+    pub async fn ask(
+        &self,
+        asker: Asker,
+        id: &str,
+        question: &Question,
+        asked: &request::Parts,
+    ) -> Response<Body> {
+        let mut known = match self.known(id).await {
+            Ok(Some(known)) => known,
+            Ok(None) => {
+                return refusal(
+                    Outcome::BadRequest(StatusCode::NOT_FOUND),
+                    "no-such-submission",
+                );
+            }
+            Err(_) => return refusal(Outcome::NotRun(ASK_AGAIN), "store-unavailable"),
+        };
+        for _ in 0..HEAD_TRIES {
+            if known.head.runner == self.shared.me {
+                return match self.own(id, known.head).await {
+                    Ok(board) => self.answer(&board, question).await,
+                    Err(_) => refusal(Outcome::NotRun(ASK_AGAIN), "store-unavailable"),
+                };
+            }
+            if asker == Asker::Peer {
+                return empty(StatusCode::CONFLICT);
+            }
+            let runner = known.head.runner.address;
+            let gone = match self.pass_on(runner, question, asked).await {
+                Ok(answer) if answer.status() != StatusCode::CONFLICT => {
+                    let (head, body) = answer.into_parts();
+                    return with_json(head.status, body);
+                }
+                Ok(_) => false,
+                Err(error) => self.is_gone(runner, error),
+            };
+            let next = if gone {
+                self.take_over(&known).await
+            } else {
+                self.reread(id).await
+            };
+            match next {
+                Ok(Some(now)) if gone || now.head.runner != known.head.runner => known = now,
+                _ => break,
+            }
+        }
+        refusal(Outcome::NotRun(ASK_AGAIN), "runner-unreached")
+    }
+
+    async fn pass_on(
+        &self,
+        runner: SocketAddr,
+        question: &Question,
+        asked: &request::Parts,
+    ) -> Result<Response<Bytes>, LinkError> {
+        let wait = match question {
+            Question::Results { wait, .. } => *wait,
+            Question::Item(_) | Question::End => Duration::ZERO,
+        };
+        let mut request = Request::new(Full::new(Bytes::new()));
+        *request.method_mut() = asked.method.clone();
+        *request.uri_mut() = asked.uri.clone();
+        *request.headers_mut() = asked.headers.clone();
+        for name in [http::header::CONNECTION, http::header::CONTENT_LENGTH] {
+            request.headers_mut().remove(name);
+        }
+        let answer = self
+            .shared
+            .links
+            .call(runner, request, wait + PEER_PATIENCE)
+            .await;
+        if answer.is_ok() {
+            self.lock().unreached.retain(|held| held.address != runner);
+        }
+        answer
+    }
+
+    /// Whether a runner that did not answer is to be taken for gone.
+    fn is_gone(&self, runner: SocketAddr, error: LinkError) -> bool {
+        let now = self.shared.clock.now();
+        let mut state = self.lock();
+        let since = match state.unreached.iter().find(|held| held.address == runner) {
+            Some(held) => held.since,
+            None => {
+                state.unreached.push(Unreached {
+                    address: runner,
+                    since: now,
+                });
+                now
+            }
+        };
+        // Nothing listens there: the process is gone, with all it had in memory.
+        error == LinkError::Refused || now.duration_since(since) >= GONE_AFTER
+    }
+
+    /// Makes this node the runner in place of the one that is known.
+    async fn take_over(&self, known: &Known) -> Result<Option<Known>, StoreError> {
+        let Some(now) = self.reread(&known.id).await? else {
+            return Ok(None);
+        };
+        if now.head.runner != known.head.runner {
+            return Ok(Some(now));
+        }
+        let head = Head {
+            write: self.shared.store.write_id(),
+            runner: self.shared.me.clone(),
+            ..now.head.clone()
+        };
+        match self.replace_head(&now, head).await {
+            Ok(taken) => {
+                self.shared.journal.event(
+                    "submission_taken_over",
+                    &[("submission", &known.id), ("from", &known.head.runner.node)],
+                );
+                Ok(Some(taken))
+            }
+            Err(StoreError::Conflict) => self.reread(&known.id).await,
+            Err(error) => Err(error),
+        }
+    }
+
+    async fn replace_head(&self, known: &Known, head: Head) -> Result<Known, StoreError> {
+        let write = head.write.clone();
+        let (kind, id, revision) = (Kind::Submissions, &known.id, known.revision);
+        let store = &self.shared.store;
+        let object = store.replace(kind, id, revision, &head, &write).await?;
+        let replaced = Known {
+            id: known.id.clone(),
+            revision: object.revision,
+            head,
+        };
+        self.note_head(replaced.clone());
+        Ok(replaced)
+    }
+
+    async fn answer(&self, board: &Arc<Board>, question: &Question) -> Response<Body> {
+        match question {
+            Question::Results { after, wait } => {
+                let results = board.results(*after, *wait).await;
+                if board.is_given_up() {
+                    return empty(StatusCode::CONFLICT);
+                }
+                let page = ResultPage {
+                    total: board.items.len(),
+                    next: after + results.len(),
+                    results: &results,
+                };
+                with_json(StatusCode::OK, self.shared.dialect.result_page(&page))
+            }
+            Question::Item(item) => match board.unlisted(item) {
+                Some(item) => match self.shared.dialect.item_body(&item) {
+                    Ok(body) => bytes_response(StatusCode::OK, body),
+                    Err(_) => refusal(Outcome::Unknown, "body-unreadable"),
+                },
+                None => refusal(Outcome::BadRequest(StatusCode::NOT_FOUND), "no-such-item"),
+            },
+            Question::End => self.end(board).await,
+        }
+    }
+
+    /// Ends a submission: here at once, and in the store before it is confirmed.
+    async fn end(&self, board: &Arc<Board>) -> Response<Body> {
+        self.stop(board);
+        for _ in 0..HEAD_TRIES {
+            let known = match self.reread(&board.id).await {
+                Ok(Some(known)) => known,
+                _ => break,
+            };
+            if known.head.ended {
+                return empty(StatusCode::OK);
+            }
+            let head = Head {
+                write: self.shared.store.write_id(),
+                ended: true,
+                ..known.head.clone()
+            };
+            match self.replace_head(&known, head).await {
+                Ok(_) => {
+                    self.shared
+                        .journal
+                        .event("submission_ended", &[("submission", &board.id)]);
+                    return empty(StatusCode::OK);
+                }
+                Err(StoreError::Conflict) => {}
+                Err(_) => break,
+            }
+        }
+        refusal(Outcome::NotRun(ASK_AGAIN), "store-unavailable")
+    }
+
+    /// The submission as this node runs it; read from the store if need be.
+    async fn own(&self, id: &str, head: Head) -> Result<Arc<Board>, StoreError> {
+        if let Some(board) = self.board(id) {
+            return Ok(board);
+        }
+        self.load(id, head).await
+    }
+
+    async fn load(&self, id: &str, head: Head) -> Result<Arc<Board>, StoreError> {
+        let _one = self.shared.loading.lock().await;
+        if let Some(board) = self.board(id) {
+            return Ok(board);
+        }
+        let started = self.shared.clock.now();
+        let loaded = Board::load(&self.shared.store, id, head).await;
+        let took_ms = self.shared.clock.now().duration_since(started).as_millis();
+        match &loaded {
+            Ok(board) => {
+                self.shared.journal.event(
+                    "submission_loaded",
+                    &[("submission", &id), ("took_ms", &took_ms)],
+                );
+                self.start(Arc::clone(board));
+            }
+            Err(error) => self.shared.journal.event(
+                "submission_not_loaded",
+                &[("submission", &id), ("cause", error)],
+            ),
+        }
+        loaded
+    }
+
+    fn start(&self, board: Arc<Board>) {
+        let mut state = self.lock();
+        let found = state.boards.binary_search_by(|held| held.id.cmp(&board.id));
+        let Err(at) = found else {
+            return;
+        };
+        state.boards.insert(at, Arc::clone(&board));
+        drop(state);
+        if board.is_running() {
+            self.shared.drafting.add(&board);
+            let (store, clock) = (self.shared.store.clone(), Arc::clone(&self.shared.clock));
+            let journal = self.shared.journal.clone();
+            drop(tokio::spawn(board.keep_log(store, clock, journal)));
+        }
+    }
+
+    fn stop(&self, board: &Arc<Board>) {
+        board.end();
+        self.shared.drafting.remove(&board.id);
+    }
+
+    /// Another node runs it now.
+    fn let_go(&self, board: &Arc<Board>) {
+        board.give_up();
+        self.shared.drafting.remove(&board.id);
+        self.lock().boards.retain(|held| held.id != board.id);
+        self.shared
+            .journal
+            .event("submission_let_go", &[("submission", &board.id)]);
+    }
+
+    fn forget(&self, id: &str) {
+        if let Some(board) = self.board(id) {
+            self.let_go(&board);
+        }
+        self.lock().heads.retain(|held| held.id != id);
+    }
+
+    async fn known(&self, id: &str) -> Result<Option<Known>, StoreError> {
+        let held = {
+            let state = self.lock();
+            let at = state
+                .heads
+                .binary_search_by(|held| held.id.as_str().cmp(id));
+            at.ok().map(|at| state.heads[at].clone())
+        };
+        match held {
+            Some(known) => Ok(Some(known)),
+            None => self.reread(id).await,
+        }
+    }
+
+    async fn reread(&self, id: &str) -> Result<Option<Known>, StoreError> {
+        let object = self.shared.store.read(Kind::Submissions, id).await?;
+        let known = object.and_then(|object| self.read_head(object));
+        if let Some(known) = &known {
+            self.note_head(known.clone());
+        }
+        Ok(known)
+    }
+
+    /// Keeps the newest head of each submission.
+    fn note_head(&self, known: Known) {
+        let mut state = self.lock();
+        match state.heads.binary_search_by(|held| held.id.cmp(&known.id)) {
+            Ok(at) if state.heads[at].revision < known.revision => state.heads[at] = known,
+            Ok(_) => {}
+            Err(at) => state.heads.insert(at, known),
+        }
+    }
+
+    fn board(&self, id: &str) -> Option<Arc<Board>> {
+        let state = self.lock();
+        let at = state
+            .boards
+            .binary_search_by(|held| held.id.as_str().cmp(id));
+        at.ok().map(|at| Arc::clone(&state.boards[at]))
+    }
+
+    fn is_known(&self, id: &str) -> bool {
+        let state = self.lock();
+        let known = state
+            .heads
+            .binary_search_by(|held| held.id.as_str().cmp(id));
+        known.is_ok() || state.boards.iter().any(|board| board.id == id)
+    }
+
+    fn is_starting(&self, id: &str) -> bool {
+        self.lock().starting.iter().any(|held| held == id)
+    }
+
+    fn begin_start(&self, id: &str) -> bool {
+        let mut state = self.lock();
+        if state.starting.iter().any(|held| held == id) {
+            return false;
+        }
+        state.starting.push(id.to_owned());
+        true
+    }
+
+    fn end_start(&self, id: &str) {
+        self.lock().starting.retain(|held| held != id);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        let state = self.shared.state.lock();
+        state.unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/node/src/submission/mod.rs
@@ -0,0 +1,10 @@
+//! Submissions: accepted once, kept whole in the platform's store, every item listed
+//! once at a fixed position, readable at every node.
+//!
+//! - [`records`]: what stands in the store.
+//! - [`board`]: one submission that this node runs, and its log of results.
+//! - [`desk`]: who runs what; accepting, reading, ending, taking over.
+
+pub mod board;
+pub mod desk;
+pub mod records;
--- /dev/null
+++ b/crates/policy/src/waves.rs
@@ -0,0 +1,72 @@
+//! Which engines load new weights next.
+//!
+//! **Load:** several trainers name a new version every few seconds; a load takes about
+//! a second, longer while many run, and an engine that loads drafts nothing.
+//! **Without it:** every engine loads every version; with two loads at a time a pool of
+//! twelve needs longer than the next version takes to come, and loses a fifth of its
+//! time to loading. **How:** a step takes the named version and the one before it. So
+//! half of a model's engines are brought to each version, the oldest first, and the
+//! other half to the next one. **Thresholds:** beside each constant.
+
+use crate::placement::ModelKey;
+use crate::work::UpstreamKey;
+
+/// Versions behind the named one at which an engine is of no more use: the next
+/// step takes the named version and the one before it.
+const USELESS_BEHIND: u64 = 2;
+
+/// Engines that load at once, as a part of all: with two of twelve a load takes
+/// 0.9 s, and more of them slow each other down at the weight store.
+const LOADING_PART: f64 = 1.0 / 6.0;
+
+/// One engine and one model, as far as weights go.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct EngineWeights {
+    /// The engine.
+    pub engine: UpstreamKey,
+    /// The model that it serves.
+    pub model: ModelKey,
+    /// The version that it has.
+    pub version: u64,
+    /// The newest version that its trainer named.
+    pub named: u64,
+    /// An order was given to it and has not been carried out.
+    pub loading: bool,
+    /// It takes no order now.
+    pub unavailable: bool,
+}
+
+/// The engines to order to load their model's newest version now.
+#[must_use]
+pub fn next_loads(engines: &[EngineWeights]) -> Vec<UpstreamKey> {
+    let mut planned = engines.to_vec();
+    let at_once = ((engines.len() as f64 * LOADING_PART).round() as usize).max(1);
+    let mut loads = Vec::new();
+    while planned.iter().filter(|engine| engine.loading).count() < at_once {
+        let next = (0..planned.len())
+            .filter(|at| is_wanted(&planned[*at], &planned))
+            .max_by_key(|at| planned[*at].named - planned[*at].version);
+        let Some(at) = next else {
+            break;
+        };
+        planned[at].loading = true;
+        loads.push(planned[at].engine);
+    }
+    loads
+}
+
+/// The engine is of no use to the next step, or fewer than half of its model's
+/// engines have the newest version or are about to.
+fn is_wanted(engine: &EngineWeights, engines: &[EngineWeights]) -> bool {
+    if engine.loading || engine.unavailable || engine.version >= engine.named {
+        return false;
+    }
+    if engine.named - engine.version >= USELESS_BEHIND {
+        return true;
+    }
+    let same_model = || engines.iter().filter(|other| other.model == engine.model);
+    let newest = same_model()
+        .filter(|other| other.version >= other.named || other.loading)
+        .count();
+    newest < same_model().count().div_ceil(2)
+}
