--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -9,6 +9,7 @@
 use firweir::connection::net::TcpNet;
 use firweir::connection::server;
 use firweir::connection::server::Body;
+use firweir::connection::server::json;
 use firweir::connection::server::read_body;
 use firweir::process::clock::Clock;
 use firweir::process::clock::SystemClock;
@@ -377,11 +378,7 @@
     async fn peer(self: Arc<Self>, request: Request<Incoming>) -> Response<Body> {
         let (head, _body) = request.into_parts();
         if head.uri.path() == HOLDER_PATH {
-            return empty(if self.weights.is_able() {
-                StatusCode::OK
-            } else {
-                StatusCode::SERVICE_UNAVAILABLE
-            });
+            return json(StatusCode::OK, &self.weights.answer_holder().await);
         }
         let (id, question) = match self.dialect.client_call(&head) {
             ClientCall::ReadResults {
--- a/crates/node/src/weights.rs
+++ b/crates/node/src/weights.rs
@@ -7,18 +7,22 @@
 //! read, on a clock that counts a suspended VM's time. A node that takes the duty over
 //! waits that long and the engines' lease on top. So the last order of the old holder
 //! is always at least a lease older than the first of the new one, without any renewal.
+//!
+//! A holder that is cut off from the store hears of no new version, and cannot order.
+//! Nodes that see orders due and no engine loading ask it. One that cannot read its
+//! duty back resigns: it never orders under that epoch again and says how long ago it
+//! last did, and the node that asked waits only for the rest of the lease.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
 use bytes::Bytes;
+use firweir::connection::client::within;
 use firweir::process::clock::Clock;
 use firweir::process::log::Journal;
 use firweir_policy::placement::ModelKey;
@@ -64,13 +68,17 @@
 /// Time between looks at whether orders are due.
 const LOOK_EVERY: Duration = Duration::from_millis(200);
 
-/// Orders that stay due for this long, and up to as much again at random, make a node
-/// ask for their holder: two waves of loads have begun by then if there is one.
-const PATIENCE: Duration = Duration::from_millis(1_200);
+/// Orders that are due for this long while no engine changes its weights, and up to
+/// as much again at random, make a node ask the holder: a load takes 0.9 s.
+const PATIENCE: Duration = Duration::from_millis(1_300);
 
 /// A node asks another one whether it holds the duty for at most this long.
 const PING_TIMEOUT: Duration = Duration::from_millis(600);
 
+/// A holder that is asked reads its duty back within this time, or resigns: a slow
+/// store answers in 300 ms, and the node that asks waits for [`PING_TIMEOUT`].
+const VERIFY_TIMEOUT: Duration = Duration::from_millis(400);
+
 /// An engine answers an order in milliseconds.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(600);
 
@@ -110,7 +118,7 @@
 }
 
 /// The duty while this node holds it.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct Held {
     epoch: u64,
     /// No order before this time.
@@ -119,6 +127,43 @@
     verified: Duration,
 }
 
+/// What a node that is asked for the duty says.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum HolderAnswer {
+    /// It holds the duty and the store answers it.
+    Able,
+    /// It orders no more under the epoch that it held.
+    Resigned {
+        /// Time since its last order; `None` if it gave none.
+        last_order_ms: Option<u64>,
+    },
+}
+
+/// What is known of the holder before.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Before {
+    /// No one held the duty, or an earlier process of this VM, which is gone.
+    Nobody,
+    /// It resigned; its last order is this old.
+    Resigned(Option<Duration>),
+    /// Its process is gone: nothing listens at its address.
+    Gone,
+    /// It was not reached. It may run, and order until its last read is too old.
+    Unreached,
+}
+
+/// How long a node waits before its first order after it has taken the duty.
+#[must_use]
+pub fn wait_after(before: Before, lease: Duration) -> Duration {
+    match before {
+        Before::Nobody | Before::Resigned(None) => Duration::ZERO,
+        Before::Resigned(Some(age)) => (lease + TAKE_OVER_MARGIN).saturating_sub(age),
+        Before::Gone => lease + TAKE_OVER_MARGIN,
+        Before::Unreached => VERIFIED_FOR + lease + TAKE_OVER_MARGIN,
+    }
+}
+
 /// One engine as far as orders go.
 #[derive(Debug, Clone)]
 struct Ordered {
@@ -165,10 +210,21 @@
 #[derive(Debug)]
 struct Shared {
     parts: WeightsParts,
+    state: Mutex<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    /// The duty, if this node holds it.
+    held: Option<Held>,
+    /// When the last order was sent, on the clock that counts suspended time.
+    last_order: Option<Duration>,
     /// Sorted by instance.
-    ordered: Mutex<Vec<Ordered>>,
-    /// The duty is held here and the store answers.
-    able: AtomicBool,
+    ordered: Vec<Ordered>,
+    /// Versions at the engines when orders were last seen to be due.
+    seen: u64,
+    /// Since when orders are due and no engine has changed its weights.
+    due_since: Option<Instant>,
 }
 
 /// One order that is due.
@@ -185,53 +241,86 @@
     pub fn new(parts: WeightsParts) -> Self {
         let shared = Shared {
             parts,
-            ordered: Mutex::default(),
-            able: AtomicBool::new(false),
+            state: Mutex::default(),
         };
         Self {
             shared: Arc::new(shared),
         }
     }
 
-    /// Whether this node holds the duty and can give orders.
-    #[must_use]
-    pub fn is_able(&self) -> bool {
-        self.shared.able.load(Ordering::Relaxed)
+    /// Answers a node that asks for the duty.
+    pub async fn answer_holder(&self) -> HolderAnswer {
+        let held = self.lock().held;
+        if let Some(held) = held
+            && within(VERIFY_TIMEOUT, self.verify(held)).await == Some(true)
+        {
+            return HolderAnswer::Able;
+        }
+        let now = self.shared.parts.boot_clock.since_boot();
+        let mut state = self.lock();
+        state.held = None;
+        let last_order = state.last_order;
+        drop(state);
+        let since = |last: Duration| now.saturating_sub(last).as_millis() as u64;
+        let last_order_ms = last_order.map(since);
+        if let Some(held) = held {
+            self.event("orders_resigned", &[("epoch", &held.epoch)]);
+        }
+        HolderAnswer::Resigned { last_order_ms }
     }
 
     /// Gives orders for as long as the process lives and holds the duty.
     pub async fn run(self) {
-        let mut held = None;
-        let mut due_since: Option<Instant> = None;
         let spread = rand::rng().random_range(0.0..1.0);
         tokio::time::sleep(PATIENCE.mul_f64(spread)).await;
         // Whoever comes first takes a duty that no one ever held.
         if let Ok(None) = self.read_duty().await {
-            held = self.take(None).await;
+            self.take(None, Before::Nobody).await;
         }
         loop {
             tokio::time::sleep(LOOK_EVERY).await;
-            let due = self.due();
-            if due.is_empty() {
-                due_since = None;
-                continue;
-            }
-            let now = self.shared.parts.clock.now();
-            match held {
-                Some(duty) if now < duty.from => {}
-                Some(duty) => held = self.verify(duty).await,
-                None => {
-                    let since = *due_since.get_or_insert(now);
-                    if now.duration_since(since) >= PATIENCE.mul_f64(1.0 + spread) {
-                        due_since = None;
-                        held = self.ask_for_duty().await;
+            self.look(PATIENCE.mul_f64(1.0 + spread)).await;
+        }
+    }
+
+    /// Gives the orders that are due, or asks for their holder.
+    async fn look(&self, patience: Duration) {
+        let due = self.due();
+        let now = self.shared.parts.clock.now();
+        let stuck = self.is_stuck(now, !due.is_empty(), patience);
+        let held = self.lock().held;
+        match held {
+            Some(held) if !due.is_empty() && now >= held.from => {
+                if self.verify(held).await {
+                    for due in due {
+                        self.order(held.epoch, due);
                     }
                 }
             }
-            if let Some(duty) = held.filter(|duty| now >= duty.from) {
-                due.into_iter().for_each(|due| self.order(duty, due));
-            }
+            None if stuck => self.ask_for_duty().await,
+            Some(_) | None => {}
+        }
+    }
+
+    /// Orders have been due for a while and no engine has changed its weights.
+    fn is_stuck(&self, now: Instant, due: bool, patience: Duration) -> bool {
+        let upstreams = self.shared.parts.fleet.upstreams();
+        let versions = upstreams.iter().flat_map(|upstream| &upstream.models);
+        let seen = versions.map(|held| held.version).sum();
+        let mut state = self.lock();
+        if !due || state.seen != seen {
+            state.due_since = None;
+        }
+        state.seen = seen;
+        if !due {
+            return false;
         }
+        let since = *state.due_since.get_or_insert(now);
+        let stuck = now.duration_since(since) >= patience;
+        if stuck {
+            state.due_since = None;
+        }
+        stuck
     }
 
     async fn read_duty(&self) -> Result<Option<(u64, Duty)>, StoreError> {
@@ -244,104 +333,108 @@
         Ok(Some((object.revision, duty)))
     }
 
-    /// Reads the duty back; `None` if it was lost.
-    async fn verify(&self, held: Held) -> Option<Held> {
+    /// Reads the duty back: whether it is still held under this epoch.
+    async fn verify(&self, held: Held) -> bool {
         let sent = self.shared.parts.boot_clock.since_boot();
-        match self.read_duty().await {
+        let read = self.read_duty().await;
+        let mut state = self.lock();
+        // It may have resigned while it waited for the store.
+        if state.held.is_none_or(|now| now.epoch != held.epoch) {
+            return false;
+        }
+        match read {
             Ok(Some((_, duty))) if duty.epoch == held.epoch => {
-                self.shared.able.store(true, Ordering::Relaxed);
-                Some(Held {
+                state.held = Some(Held {
                     verified: sent,
                     ..held
-                })
+                });
+                true
             }
             Ok(_) => {
-                self.shared.able.store(false, Ordering::Relaxed);
-                let epoch = held.epoch;
-                self.event("orders_lost", &[("epoch", &epoch)]);
-                None
+                state.held = None;
+                drop(state);
+                self.event("orders_lost", &[("epoch", &held.epoch)]);
+                false
             }
             Err(error) => {
-                self.shared.able.store(false, Ordering::Relaxed);
+                drop(state);
                 self.event("orders_unverified", &[("cause", &error)]);
-                Some(held)
+                false
             }
         }
     }
 
     /// Orders are due and no one gives them: takes the duty unless its holder can.
-    async fn ask_for_duty(&self) -> Option<Held> {
+    async fn ask_for_duty(&self) {
         let (revision, duty) = match self.read_duty().await {
             Ok(Some(found)) => found,
-            Ok(None) => return self.take(None).await,
-            Err(error) => {
-                self.event("orders_unread", &[("cause", &error)]);
-                return None;
+            Ok(None) => return self.take(None, Before::Nobody).await,
+            Err(error) => return self.event("orders_unread", &[("cause", &error)]),
+        };
+        let before = if duty.holder == self.shared.parts.me {
+            Before::Nobody
+        } else {
+            match self.ask(duty.holder.address).await {
+                Ok(HolderAnswer::Able) => return,
+                Ok(HolderAnswer::Resigned { last_order_ms }) => {
+                    Before::Resigned(last_order_ms.map(Duration::from_millis))
+                }
+                Err(LinkError::Refused) => Before::Gone,
+                Err(_) => Before::Unreached,
             }
         };
-        let own = duty.holder == self.shared.parts.me;
-        if !own && self.can_order(duty.holder.address).await {
-            return None;
-        }
-        self.take(Some((revision, duty))).await
+        self.take(Some((revision, duty)), before).await;
     }
 
-    async fn can_order(&self, holder: SocketAddr) -> bool {
+    async fn ask(&self, holder: SocketAddr) -> Result<HolderAnswer, LinkError> {
         let mut request = Request::new(Full::new(Bytes::new()));
         *request.uri_mut() = http::Uri::from_static(HOLDER_PATH);
         let links = &self.shared.parts.links;
-        let answer = links.call(holder, request, PING_TIMEOUT).await;
-        answer.is_ok_and(|answer| answer.status().is_success())
+        let answer = links.call(holder, request, PING_TIMEOUT).await?;
+        serde_json::from_slice(answer.body()).map_err(|_malformed| LinkError::Broken)
     }
 
-    async fn take(&self, from: Option<(u64, Duty)>) -> Option<Held> {
+    async fn take(&self, known: Option<(u64, Duty)>, before: Before) {
         let parts = &self.shared.parts;
         let duty = Duty {
             write: parts.store.write_id(),
             holder: parts.me.clone(),
-            epoch: from.as_ref().map_or(1, |(_, duty)| duty.epoch + 1),
-        };
-        let sent = parts.boot_clock.since_boot();
-        let now = parts.clock.now();
-        let wait = match &from {
-            // Nobody ordered before, or an earlier process of this VM, which is gone.
-            None => Duration::ZERO,
-            Some((_, before)) if before.holder == parts.me => Duration::ZERO,
-            Some(_) => VERIFIED_FOR + parts.lease + TAKE_OVER_MARGIN,
+            epoch: known.as_ref().map_or(1, |(_, duty)| duty.epoch + 1),
         };
-        let taken = match &from {
+        let write = &duty.write;
+        let kind = Kind::Duties;
+        let taken = match &known {
             None => {
-                let until = now + Duration::from_secs(1);
-                let created = parts
-                    .store
-                    .create(Kind::Duties, DUTY, &duty, &duty.write, until)
-                    .await;
+                let until = parts.clock.now() + Duration::from_secs(1);
+                let created = parts.store.create(kind, DUTY, &duty, write, until).await;
                 matches!(created, Ok(Created::Now))
             }
             Some((revision, _)) => {
-                let write = &duty.write;
-                let replacing = parts
-                    .store
-                    .replace(Kind::Duties, DUTY, *revision, &duty, write);
+                let replacing = parts.store.replace(kind, DUTY, *revision, &duty, write);
                 replacing.await.is_ok()
             }
         };
         if !taken {
-            return None;
+            return;
         }
-        // From the moment at which the store may have made the change at the latest.
-        let from = parts.clock.now() + wait;
+        let wait = wait_after(before, parts.lease);
         self.event(
             "orders_taken",
-            &[("epoch", &duty.epoch), ("wait_ms", &wait.as_millis())],
+            &[
+                ("epoch", &duty.epoch),
+                ("before", &format_args!("{before:?}")),
+                ("wait_ms", &wait.as_millis()),
+            ],
         );
-        self.lock().clear();
-        self.shared.able.store(true, Ordering::Relaxed);
-        Some(Held {
+        let mut state = self.lock();
+        state.ordered.clear();
+        state.held = Some(Held {
             epoch: duty.epoch,
-            from,
-            verified: sent,
-        })
+            // From now, when the change is known to have been made.
+            from: parts.clock.now() + wait,
+            // Nothing was read back yet.
+            verified: Duration::ZERO,
+        });
     }
 
     /// The orders that are due now.
@@ -400,7 +493,8 @@
 
     /// Whether the engine loads, and whether it takes no order now.
     fn state_of(&self, instance: &str, version: u64, now: Instant) -> (bool, bool) {
-        let mut ordered = self.lock();
+        let mut state = self.lock();
+        let ordered = &mut state.ordered;
         let Ok(at) = ordered.binary_search_by(|held| held.instance.as_str().cmp(instance)) else {
             return (false, false);
         };
@@ -416,17 +510,17 @@
         (held.ordering || held.loading.is_some(), waits)
     }
 
-    fn order(&self, duty: Held, due: Due) {
+    fn order(&self, epoch: u64, due: Due) {
         let instance = due.upstream.instance.clone();
         self.with(&instance, |held| held.ordering = true);
         let weights = self.clone();
         drop(tokio::spawn(async move {
-            let answer = weights.give(duty, &due).await;
+            let answer = weights.give(epoch, &due).await;
             weights.note_answer(&due, answer);
         }));
     }
 
-    async fn give(&self, duty: Held, due: &Due) -> Result<OrderAnswer, LinkError> {
+    async fn give(&self, epoch: u64, due: &Due) -> Result<OrderAnswer, LinkError> {
         let parts = &self.shared.parts;
         let known = self.with(&due.upstream.instance, |held| held.accepted);
         let accepted_before = match known {
@@ -444,16 +538,14 @@
                 report.orders_accepted
             }
         };
-        // Right before the order: a VM may have been suspended since the read.
-        let age = parts.boot_clock.since_boot().saturating_sub(duty.verified);
-        if age > VERIFIED_FOR {
+        if !self.may_order(epoch) {
             return Err(LinkError::NotSent);
         }
         let order = WeightOrder {
             load: &due.load,
             keep_running: due.keep_running,
             holder: &parts.me.node,
-            epoch: duty.epoch,
+            epoch,
             upstream: &due.upstream,
             accepted_before,
         };
@@ -465,6 +557,19 @@
         Ok(parts.dialect.order_answer(answer.status()))
     }
 
+    /// Right before an order: the VM may have been suspended since the read, or
+    /// another node been told that this one orders no more.
+    fn may_order(&self, epoch: u64) -> bool {
+        let now = self.shared.parts.boot_clock.since_boot();
+        let mut state = self.lock();
+        let held = state.held.filter(|held| held.epoch == epoch);
+        let fresh = held.is_some_and(|held| now.saturating_sub(held.verified) <= VERIFIED_FOR);
+        if fresh {
+            state.last_order = Some(now);
+        }
+        fresh
+    }
+
     fn note_answer(&self, due: &Due, answer: Result<OrderAnswer, LinkError>) {
         let now = self.shared.parts.clock.now();
         self.event(
@@ -494,7 +599,8 @@
     }
 
     fn with<T>(&self, instance: &str, change: impl FnOnce(&mut Ordered) -> T) -> T {
-        let mut ordered = self.lock();
+        let mut state = self.lock();
+        let ordered = &mut state.ordered;
         let found = ordered.binary_search_by(|held| held.instance.as_str().cmp(instance));
         let at = found.unwrap_or_else(|at| {
             let new = Ordered {
@@ -510,9 +616,9 @@
         change(&mut ordered[at])
     }
 
-    fn lock(&self) -> MutexGuard<'_, Vec<Ordered>> {
-        let ordered = self.shared.ordered.lock();
-        ordered.unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> MutexGuard<'_, State> {
+        let state = self.shared.state.lock();
+        state.unwrap_or_else(PoisonError::into_inner)
     }
 
     fn event(&self, name: &str, fields: &[(&str, &dyn std::fmt::Display)]) {
