Entries of upstreams are kept after a gap only where a service lost most

Ruled out: a watch that hears nothing (it told of the removal at once). Change: an entry that is gone is used only while its service has lost most of its entries, as happens when the store is down.

--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -18,9 +18,10 @@
 use crate::model::Upstream;
 
 /// Entries of upstreams lapse while the store is down, and are back within two
-/// seconds of its return. For this long after a gap, an entry that is missing
-/// is kept, so that an outage of the store does not empty the list.
-const ENTRIES_RETURN: Duration = Duration::from_millis(2_500);
+/// seconds of its return. For this long after a gap, entries that are missing are
+/// kept for a service that has lost most of them, so that an outage of the store
+/// does not empty the list. A service that has lost a few has lost them for good.
+const ENTRIES_RETURN: Duration = Duration::from_secs(2);
 
 /// An upstream in the list.
 #[derive(Debug, Clone)]
@@ -54,6 +55,18 @@
     regained: Option<Instant>,
 }
 
+impl UpstreamList {
+    /// Fewer than half of a service's entries are left.
+    fn has_lost_most(&self, service: &str) -> bool {
+        let of_service = || {
+            let listed = self.listed.iter();
+            listed.filter(|held| held.upstream.service == service)
+        };
+        let left = of_service().filter(|held| held.drop_at.is_none()).count();
+        left * 2 < of_service().count()
+    }
+}
+
 impl Fleet {
     /// Nothing is known yet.
     #[must_use]
@@ -246,6 +259,7 @@
         let mut upstreams: Vec<Arc<Upstream>> = list
             .listed
             .iter()
+            .filter(|held| held.drop_at.is_none() || list.has_lost_most(&held.upstream.service))
             .map(|held| Arc::clone(&held.upstream))
             .collect();
         upstreams.sort_by(|a, b| a.instance.cmp(&b.instance));
