--- a/crates/node/src/dialect.rs
+++ b/crates/node/src/dialect.rs
@@ -203,6 +203,15 @@
     pub reported: bool,
 }
 
+/// How old an answer of the store may be.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Freshness {
+    /// It shows all that the store has confirmed.
+    Newest,
+    /// It may be seconds old, and costs a tenth.
+    Seconds,
+}
+
 /// A call of the platform's store.
 #[derive(Debug, Clone)]
 pub enum StoreCall {
@@ -219,6 +228,8 @@
         kind: Kind,
         /// Names up to this one are left out.
         after: String,
+        /// How old the answer may be.
+        freshness: Freshness,
     },
     /// Waits for changes of a kind.
     Watch {
@@ -228,6 +239,8 @@
         since: u64,
         /// How long the store may wait for a change.
         wait: Duration,
+        /// How old the answer may be.
+        freshness: Freshness,
     },
     /// Creates an object that must not exist.
     Create {
--- a/crates/node/src/drafting.rs
+++ b/crates/node/src/drafting.rs
@@ -6,7 +6,6 @@
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::time::Duration;
-use std::time::Instant;
 
 use bytes::Bytes;
 use bytes::BytesMut;
@@ -18,13 +17,14 @@
 use firweir_policy::placement::EngineState;
 use firweir_policy::placement::ModelKey;
 use firweir_policy::placement::Placement;
+use firweir_policy::step_order::Sample;
+use firweir_policy::step_order::ranks;
 use firweir_policy::work::UpstreamKey;
 use http::StatusCode;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use memchr::memmem;
 use tokio::sync::Notify;
-use tokio::task::AbortHandle;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::dialect::Dialect;
@@ -39,6 +39,9 @@
 use crate::model::ItemState;
 use crate::model::Upstream;
 use crate::submission::board::Board;
+use crate::submission::texts::Kept;
+use crate::submission::texts::KeptTexts;
+use crate::submission::texts::Progress;
 
 /// A first event later than this means that the engine is dark or its queue long.
 /// Engines make a first event within some 100 ms, and 0.9 s later while they load.
@@ -54,36 +57,6 @@
 /// Time between looks at what nothing else wakes up for.
 const LOOK_EVERY: Duration = Duration::from_millis(250);
 
-/// What an item has so far.
-#[derive(Debug, Clone, Default)]
-struct Progress {
-    /// Data of the events so far.
-    events: Vec<String>,
-    /// Number of the last event; 0 for none.
-    last_event: u64,
-    /// Versions that made an event, ascending.
-    versions: Vec<u64>,
-    /// Failures that an engine told of.
-    failures: u32,
-}
-
-impl Progress {
-    fn add(&mut self, event: StreamEvent, version: u64) {
-        self.last_event = event.number;
-        self.events.push(event.data);
-        if let Err(at) = self.versions.binary_search(&version) {
-            self.versions.insert(at, version);
-        }
-    }
-
-    fn restart(&mut self) {
-        *self = Self {
-            failures: self.failures,
-            ..Self::default()
-        };
-    }
-}
-
 /// How one attempt on an engine ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Attempt {
@@ -99,6 +72,8 @@
     Broken(&'static str),
     /// The events so far cannot be part of the sample.
     Unusable(&'static str),
+    /// It is to go on at another engine.
+    Moved,
 }
 
 #[derive(Debug)]
@@ -106,9 +81,12 @@
     key: DraftKey,
     board: Arc<Board>,
     place: usize,
+    /// Lowest first among those that wait.
+    rank: u64,
     progress: Progress,
-    /// Set while it runs.
-    task: Option<AbortHandle>,
+    running: bool,
+    /// Tells the run to leave its engine.
+    leave: Arc<Notify>,
 }
 
 #[derive(Debug, Default)]
@@ -124,6 +102,7 @@
     models: Vec<(String, ModelKey)>,
     next_draft: u64,
     config_version: u64,
+    kept: KeptTexts,
 }
 
 /// Drafts items; cheap to clone.
@@ -169,28 +148,51 @@
 
     /// Drafts all items of a submission that have no result yet.
     pub fn add(&self, board: &Arc<Board>) {
+        let ranks = ranks_of(board);
         let mut state = self.lock();
-        for place in 0..board.items.len() {
+        for (place, rank) in ranks.into_iter().enumerate() {
             if board.is_open(place) {
-                let key = DraftKey(state.next_draft);
-                state.next_draft += 1;
-                state.jobs.push(Job {
-                    key,
-                    board: Arc::clone(board),
-                    place,
-                    progress: Progress::default(),
-                    task: None,
-                });
-                self.offer(&mut state, key);
+                self.add_item(&mut state, board, place, rank);
             }
         }
         drop(state);
         self.shared.wake.notify_one();
     }
 
+    fn add_item(&self, state: &mut State, board: &Arc<Board>, place: usize, rank: u64) {
+        let item = &board.items[place];
+        let kept = state.kept.take(&item.id, board.head.min_version);
+        if let Some(Kept {
+            whole: true,
+            progress,
+            ..
+        }) = kept
+        {
+            board.note(self.shared.clock.now(), completed(item, &progress));
+            return;
+        }
+        let key = DraftKey(state.next_draft);
+        state.next_draft += 1;
+        state.jobs.push(Job {
+            key,
+            board: Arc::clone(board),
+            place,
+            rank,
+            progress: kept.map(|kept| kept.progress).unwrap_or_default(),
+            running: false,
+            leave: Arc::default(),
+        });
+        self.offer(state, key);
+    }
+
+    /// Whether anything is being drafted or waits for it.
+    #[must_use]
+    pub fn is_busy(&self) -> bool {
+        !self.lock().jobs.is_empty()
+    }
+
     /// Stops drafting a submission; engines stop as their connections close.
     pub fn remove(&self, submission: &str) {
-        let now = self.shared.clock.now();
         let mut guard = self.lock();
         let state = &mut *guard;
         let (gone, kept) = std::mem::take(&mut state.jobs)
@@ -201,9 +203,12 @@
         let is_gone = |key: DraftKey| gone.binary_search_by_key(&key, |job| job.key).is_ok();
         state.placement.cancel(is_gone);
         for job in &gone {
-            if let Some(task) = &job.task {
-                task.abort();
-                state.placement.finish(now, job.key, DraftEnding::Cancelled);
+            if job.running {
+                // Its run keeps the text as it ends.
+                job.leave.notify_one();
+            } else {
+                let item = &job.board.items[job.place];
+                state.kept.keep(&item.id, job.progress.clone(), false);
             }
         }
         drop(guard);
@@ -232,6 +237,11 @@
         while let Some((draft, engine)) = state.placement.next(now) {
             self.start(&mut state, draft, engine);
         }
+        for draft in state.placement.moves(now) {
+            if let Some(at) = state.job_at(draft) {
+                state.jobs[at].leave.notify_one();
+            }
+        }
         let look = state.placement.next_look(now);
         let look = look.unwrap_or(now + LOOK_EVERY).min(now + LOOK_EVERY);
         tokio::time::Instant::from_std(look)
@@ -286,7 +296,7 @@
         let waiting: Vec<DraftKey> = state
             .jobs
             .iter()
-            .filter(|job| job.task.is_none())
+            .filter(|job| !job.running)
             .map(|job| job.key)
             .collect();
         for key in waiting {
@@ -318,7 +328,7 @@
             model,
             min_version: board.head.min_version,
             tokens: item.prompt_tokens + item.expected_tokens,
-            rank: board.head.accepted_ms,
+            rank: state.jobs[at].rank,
         });
     }
 
@@ -357,7 +367,7 @@
         let expired: Vec<DraftKey> = state
             .jobs
             .iter()
-            .filter(|job| job.task.is_none() && expired(job))
+            .filter(|job| !job.running && expired(job))
             .map(|job| job.key)
             .collect();
         for key in expired {
@@ -376,11 +386,13 @@
         let job = &mut state.jobs[at];
         let (board, place) = (Arc::clone(&job.board), job.place);
         let progress = job.progress.clone();
+        let leave = Arc::clone(&job.leave);
         let drafting = self.clone();
-        let task = tokio::spawn(async move {
-            drafting.draft(key, board, place, upstream, progress).await;
-        });
-        job.task = Some(task.abort_handle());
+        job.running = true;
+        drop(tokio::spawn(async move {
+            let drafted = drafting.draft(key, board, place, upstream, leave, progress);
+            drafted.await;
+        }));
     }
 
     async fn draft(
@@ -389,19 +401,23 @@
         board: Arc<Board>,
         place: usize,
         upstream: Arc<Upstream>,
+        leave: Arc<Notify>,
         mut progress: Progress,
     ) {
         let started = self.shared.clock.now();
         let before = progress.events.len();
         let mut run = Run {
             shared: &self.shared,
+            key,
             board: &board,
             item: &board.items[place],
             upstream: &upstream,
-            first_event: None,
+            started: false,
+        };
+        let attempt = tokio::select! {
+            attempt = run.attempt(&mut progress) => attempt,
+            () = leave.notified() => Attempt::Moved,
         };
-        let attempt = run.attempt(&mut progress).await;
-        let first_event = run.first_event;
         let ended = self.shared.clock.now();
         let made = (progress.events.len().saturating_sub(before)) as u32;
         if attempt != Attempt::Whole {
@@ -418,25 +434,22 @@
             );
         }
         let ending = match attempt {
-            Attempt::Whole => DraftEnding::Done {
-                events: made,
-                elapsed: first_event.map_or(Duration::ZERO, |first| ended.duration_since(first)),
-            },
+            Attempt::Whole => DraftEnding::Done,
             Attempt::NotRun => DraftEnding::Refused,
-            Attempt::Impossible | Attempt::Failed | Attempt::Unusable(_) => DraftEnding::Cancelled,
+            Attempt::Impossible | Attempt::Failed | Attempt::Unusable(_) | Attempt::Moved => {
+                DraftEnding::Cancelled
+            }
             Attempt::Broken(_) => DraftEnding::Failed,
         };
-        self.ended(key, attempt, ending, progress);
-    }
-
-    fn ended(&self, key: DraftKey, attempt: Attempt, ending: DraftEnding, progress: Progress) {
-        let now = self.shared.clock.now();
         let mut state = self.lock();
-        state.placement.finish(now, key, ending);
+        state.placement.finish(ended, key, ending);
         if let Some(at) = state.job_at(key) {
-            state.jobs[at].task = None;
+            state.jobs[at].running = false;
             state.jobs[at].progress = progress;
             self.settle(&mut state, key, at, attempt);
+        } else {
+            let whole = attempt == Attempt::Whole;
+            state.kept.keep(&board.items[place].id, progress, whole);
         }
         drop(state);
         self.shared.wake.notify_one();
@@ -447,13 +460,10 @@
         match attempt {
             Attempt::Whole => {
                 let job = state.jobs.remove(at);
-                let result = ItemResult {
-                    item: job.board.items[job.place].id.clone(),
-                    state: ItemState::Completed,
-                    text: job.progress.events.join("\n"),
-                    versions: job.progress.versions,
-                };
+                let item = &job.board.items[job.place];
+                let result = completed(item, &job.progress);
                 job.board.note(self.shared.clock.now(), result);
+                state.kept.keep(&item.id, job.progress, true);
             }
             Attempt::Impossible => self.abandon(state, key, "impossible"),
             Attempt::Failed => {
@@ -473,17 +483,55 @@
                 state.jobs[at].progress.restart();
                 self.offer(state, key);
             }
-            Attempt::NotRun | Attempt::Broken(_) => self.offer(state, key),
+            Attempt::NotRun | Attempt::Broken(_) | Attempt::Moved => self.offer(state, key),
         }
     }
 
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.shared.lock()
+    }
+}
+
+impl Shared {
+    fn note_event(&self, key: DraftKey) {
+        let now = self.clock.now();
+        self.lock().placement.note_event(now, key);
+    }
+
     /// A panic in a decision leaves the others usable.
     fn lock(&self) -> MutexGuard<'_, State> {
-        let state = self.shared.state.lock();
-        state.unwrap_or_else(PoisonError::into_inner)
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn completed(item: &Item, progress: &Progress) -> ItemResult {
+    ItemResult {
+        item: item.id.clone(),
+        state: ItemState::Completed,
+        text: progress.events.join("\n"),
+        versions: progress.versions.clone(),
     }
 }
 
+fn ranks_of(board: &Board) -> Vec<u64> {
+    let mut groups: Vec<&str> = Vec::new();
+    let mut samples = Vec::new();
+    for item in &board.items {
+        // Items of one group stand together, so the last ones are looked at first.
+        let group = groups.iter().rposition(|group| *group == item.group);
+        let group = group.unwrap_or_else(|| {
+            groups.push(&item.group);
+            groups.len() - 1
+        });
+        samples.push(Sample {
+            group,
+            expected_tokens: item.expected_tokens,
+        });
+    }
+    let target = board.head.target_groups as usize;
+    ranks(&samples, target, board.head.accepted_ms)
+}
+
 impl State {
     fn job_at(&self, key: DraftKey) -> Option<usize> {
         self.jobs.binary_search_by_key(&key, |job| job.key).ok()
@@ -524,10 +572,12 @@
 /// One attempt of one item on one engine.
 struct Run<'a> {
     shared: &'a Shared,
+    key: DraftKey,
     board: &'a Board,
     item: &'a Item,
     upstream: &'a Upstream,
-    first_event: Option<Instant>,
+    /// A first event has come.
+    started: bool,
 }
 
 impl Run<'_> {
@@ -596,9 +646,10 @@
     ) -> Attempt {
         let mut buffer = BytesMut::new();
         loop {
-            let patience = match self.first_event {
-                None => FIRST_EVENT,
-                Some(_) => NEXT_EVENT,
+            let patience = if self.started {
+                NEXT_EVENT
+            } else {
+                FIRST_EVENT
             };
             let frame = match tokio::time::timeout(patience, body.frame()).await {
                 Ok(Some(Ok(frame))) => frame,
@@ -619,8 +670,8 @@
                 if let Err(unusable) = self.check(&event, version, progress) {
                     return unusable;
                 }
-                self.first_event
-                    .get_or_insert_with(|| self.shared.clock.now());
+                self.started = true;
+                self.shared.note_event(self.key);
                 progress.add(event, version);
             }
             if buffer.len() > EVENT_LIMIT_BYTES {
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -6,6 +6,7 @@
 use firweir::process::log::Journal;
 use rand::Rng;
 
+use crate::dialect::Freshness;
 use crate::dialect::Kind;
 use crate::dialect::Object;
 use crate::dialect::StoreAnswer;
@@ -21,6 +22,27 @@
 /// outages take seconds, each call costs, and all nodes would come at once.
 const RETRY_PAUSE: Duration = Duration::from_millis(600);
 
+/// How a kind is followed now; asked anew before each call.
+#[derive(Debug, Clone, Copy)]
+pub struct Following {
+    /// How old its answers may be.
+    pub freshness: Freshness,
+    /// Pause between two watches. Changes in between come in one answer, and each
+    /// answer costs a call on every node.
+    pub pause: Duration,
+}
+
+impl Following {
+    /// Every change at once.
+    #[must_use]
+    pub const fn at_once() -> Self {
+        Self {
+            freshness: Freshness::Newest,
+            pause: Duration::ZERO,
+        }
+    }
+}
+
 /// What a follower is told.
 #[derive(Debug)]
 pub enum Change {
@@ -32,11 +54,23 @@
     Gone(String),
 }
 
-/// Follows `kind` and tells `take` of every change. Never ends.
-pub async fn follow(store: Store, journal: Journal, kind: Kind, mut take: impl FnMut(Change)) {
+/// Follows a kind and tells `take` of every change. Never ends.
+pub async fn follow(
+    store: Store,
+    journal: Journal,
+    kind: Kind,
+    how: impl Fn() -> Following,
+    mut take: impl FnMut(Change),
+) {
     let mut lost = false;
     loop {
-        let failed = match list_and_watch(&store, kind, &mut take, &mut lost, &journal).await {
+        let mut regained = |objects| {
+            if std::mem::take(&mut lost) {
+                journal.event("store_regained", &[("kind", &format_args!("{kind:?}"))]);
+            }
+            take(objects);
+        };
+        let failed = match list_and_watch(&store, kind, &how, &mut regained).await {
             StoreError::HistoryGone => {
                 journal.event("history_gone", &[("kind", &format_args!("{kind:?}"))]);
                 continue;
@@ -56,22 +90,22 @@
 async fn list_and_watch(
     store: &Store,
     kind: Kind,
+    how: &impl Fn() -> Following,
     take: &mut impl FnMut(Change),
-    lost: &mut bool,
-    journal: &Journal,
 ) -> StoreError {
-    let (objects, mut since) = match list(store, kind).await {
+    let (objects, mut since) = match list(store, kind, how().freshness).await {
         Ok(listed) => listed,
         Err(error) => return error,
     };
-    if *lost {
-        *lost = false;
-        journal.event("store_regained", &[("kind", &format_args!("{kind:?}"))]);
-    }
     take(Change::All(objects));
     loop {
-        let wait = WATCH_WAIT;
-        match store.call(&StoreCall::Watch { kind, since, wait }).await {
+        let watch = StoreCall::Watch {
+            kind,
+            since,
+            wait: WATCH_WAIT,
+            freshness: how().freshness,
+        };
+        match store.call(&watch).await {
             Ok(StoreAnswer::Changes { changes, revision }) => {
                 since = revision.max(since);
                 for change in changes {
@@ -85,20 +119,33 @@
             Ok(_) => return StoreError::Unknown,
             Err(error) => return error,
         }
+        tokio::time::sleep(how().pause).await;
     }
 }
 
 /// All objects of a kind, and the revision to watch from. With several pages
 /// that is the first page's: what changed between pages is then seen twice, and
 /// nothing is missed.
-async fn list(store: &Store, kind: Kind) -> Result<(Vec<Object>, u64), StoreError> {
+///
+/// # Errors
+///
+/// The store did not answer.
+pub async fn list(
+    store: &Store,
+    kind: Kind,
+    freshness: Freshness,
+) -> Result<(Vec<Object>, u64), StoreError> {
     let mut all: Vec<Object> = Vec::new();
     let mut since = None;
     loop {
-        let after = all
-            .last()
-            .map_or_else(String::new, |last| last.name.clone());
-        match store.call(&StoreCall::List { kind, after }).await? {
+        let call = StoreCall::List {
+            kind,
+            after: all
+                .last()
+                .map_or_else(String::new, |last| last.name.clone()),
+            freshness,
+        };
+        match store.call(&call).await? {
             StoreAnswer::Page {
                 objects,
                 more,
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -26,12 +26,14 @@
 
 use crate::dialect::ClientCall;
 use crate::dialect::Dialect;
+use crate::dialect::Freshness;
 use crate::dialect::Kind;
 use crate::dialect::RoutedCall;
 use crate::drafting::Drafting;
 use crate::fleet::Fleet;
 use crate::fleet::UpstreamList;
 use crate::follow::Change;
+use crate::follow::Following;
 use crate::follow::follow;
 use crate::link::Links;
 use crate::live::Live;
@@ -44,7 +46,9 @@
 use crate::submission::desk::Asker;
 use crate::submission::desk::Desk;
 use crate::submission::desk::DeskParts;
+use crate::submission::desk::Posted;
 use crate::submission::desk::Question;
+use crate::submission::homes::Homes;
 use crate::submission::records::Runner;
 use crate::weights::HOLDER_PATH;
 use crate::weights::SystemBootClock;
@@ -58,6 +62,12 @@
 /// The process ends this long before it would be killed.
 const END_BEFORE_KILL: Duration = Duration::from_millis(1_000);
 
+/// Pause between two watches of the list of upstreams on a node that drafts nothing.
+/// Each load of weights changes an entry, and each answer to a watch costs a call: at
+/// 66 nodes these were 11,000 of 12,654 calls in a day. Upstreams that leave must get
+/// no request 2 s later.
+const IDLE_PAUSE: Duration = Duration::from_millis(800);
+
 /// Time between looks at time-bound decisions of live calls.
 const TICK_EVERY: Duration = Duration::from_millis(100);
 
@@ -85,6 +95,8 @@
     fleet: Arc<Fleet>,
     live: Arc<Live>,
     desk: Desk,
+    drafting: Drafting,
+    homes: Homes,
     weights: Weights,
     tasks: Tasks,
 }
@@ -128,8 +140,13 @@
         })
     }
 
-    fn follow(&self, kind: Kind, take: impl FnMut(Change) + Send + 'static) {
-        let following = follow(self.store.clone(), self.journal.clone(), kind, take);
+    fn follow(
+        &self,
+        kind: Kind,
+        how: impl Fn() -> Following + Send + Sync + 'static,
+        take: impl FnMut(Change) + Send + 'static,
+    ) {
+        let following = follow(self.store.clone(), self.journal.clone(), kind, how, take);
         self.tasks.spawn(following);
     }
 
@@ -205,7 +222,7 @@
     let (name, store) = (base.settings.node.clone(), base.store.clone());
     let journal = base.journal.clone();
     let (asked, mut asking) = tokio::sync::mpsc::unbounded_channel();
-    base.follow(Kind::Evacuations, move |change| {
+    base.follow(Kind::Evacuations, Following::at_once, move |change| {
         let objects = match change {
             Change::All(objects) => objects,
             Change::Put(object) => vec![object],
@@ -272,12 +289,14 @@
         journal.clone(),
     );
     base.tasks.spawn(drafting.clone().run());
+    let homes = Homes::new(base.store.clone(), journal.clone());
     let desk = Desk::new(DeskParts {
         me: me.clone(),
         store: base.store.clone(),
         links: base.links.clone(),
         dialect: Arc::clone(dialect),
-        drafting,
+        drafting: drafting.clone(),
+        homes: homes.clone(),
         clock: Arc::clone(clock),
         journal: journal.clone(),
     });
@@ -298,6 +317,8 @@
         fleet,
         live,
         desk,
+        drafting,
+        homes,
         weights,
         tasks: base.tasks.clone(),
     })
@@ -305,14 +326,23 @@
 
 fn start_followers(base: &Base, node: &Arc<Node>) {
     let (fleet, live) = (Arc::clone(&node.fleet), Arc::clone(&node.live));
-    base.follow(Kind::Configuration, move |change| {
+    base.follow(Kind::Configuration, Following::at_once, move |change| {
         fleet.take_config(change);
         live.take_fleet();
     });
     let list = Arc::new(std::sync::Mutex::new(UpstreamList::default()));
     let (fleet, live) = (Arc::clone(&node.fleet), Arc::clone(&node.live));
     let followed = Arc::clone(&list);
-    base.follow(Kind::Upstreams, move |change| {
+    let drafting = node.drafting.clone();
+    let how = move || Following {
+        pause: if drafting.is_busy() {
+            Duration::ZERO
+        } else {
+            IDLE_PAUSE
+        },
+        ..Following::at_once()
+    };
+    base.follow(Kind::Upstreams, how, move |change| {
         let mut list = followed
             .lock()
             .unwrap_or_else(std::sync::PoisonError::into_inner);
@@ -320,11 +350,26 @@
         live.take_fleet();
     });
     let fleet = Arc::clone(&node.fleet);
-    base.follow(Kind::WeightVersions, move |change| {
+    let weights = node.weights.clone();
+    let how = move || Following {
+        freshness: if weights.is_holder() {
+            Freshness::Newest
+        } else {
+            Freshness::Seconds
+        },
+        pause: Duration::ZERO,
+    };
+    base.follow(Kind::WeightVersions, how, move |change| {
         fleet.take_version(change)
     });
+    let homes = node.homes.clone();
+    let how = || Following {
+        freshness: Freshness::Seconds,
+        pause: Duration::ZERO,
+    };
+    base.follow(Kind::Duties, how, move |change| homes.take(change));
     let desk = node.desk.clone();
-    base.follow(Kind::Submissions, move |change| desk.take_heads(change));
+    base.tasks.spawn(async move { desk.resume().await });
     let (fleet, live) = (Arc::clone(&node.fleet), Arc::clone(&node.live));
     base.tasks.spawn(async move {
         loop {
@@ -376,7 +421,7 @@
 
     /// Answers another node.
     async fn peer(self: Arc<Self>, request: Request<Incoming>) -> Response<Body> {
-        let (head, _body) = request.into_parts();
+        let (head, body) = request.into_parts();
         if head.uri.path() == HOLDER_PATH {
             return json(StatusCode::OK, &self.weights.answer_holder().await);
         }
@@ -388,7 +433,14 @@
             } => (submission, Question::Results { after, wait }),
             ClientCall::ReadItem { submission, item } => (submission, Question::Item(item)),
             ClientCall::End { submission } => (submission, Question::End),
-            ClientCall::Ready | ClientCall::Routed(_) => return empty(StatusCode::NOT_FOUND),
+            ClientCall::Routed(routed) if !self.tasks.is_draining() => {
+                let limit = self.fleet.config().max_body_bytes;
+                return self
+                    .submitted(Asker::Peer, &routed, &head, body, limit)
+                    .await;
+            }
+            ClientCall::Routed(_) => return empty(StatusCode::SERVICE_UNAVAILABLE),
+            ClientCall::Ready => return empty(StatusCode::NOT_FOUND),
         };
         self.desk.ask(Asker::Peer, &id, &question, &head).await
     }
@@ -419,19 +471,35 @@
         if route.kind != RouteKind::Rollout || head.method != Method::POST {
             return self.live.answer(routed, route, head, body).await;
         }
-        let Some(body) = read_body(body, config.max_body_bytes).await else {
+        let limit = config.max_body_bytes;
+        self.submitted(Asker::Client, routed, head, body, limit)
+            .await
+    }
+
+    async fn submitted(
+        &self,
+        asker: Asker,
+        routed: &RoutedCall,
+        head: &http::request::Parts,
+        body: Incoming,
+        limit_bytes: usize,
+    ) -> Response<Body> {
+        let Some(body) = read_body(body, limit_bytes).await else {
             let status = StatusCode::PAYLOAD_TOO_LARGE;
             return refusal(Outcome::BadRequest(status), "body-too-large");
         };
-        match self.dialect.submission(&routed.request_id, &body) {
-            Ok(submission) => {
-                let path = head.uri.path();
-                self.desk.accept(&routed.host, path, submission).await
-            }
-            Err(_) => refusal(
-                Outcome::BadRequest(StatusCode::BAD_REQUEST),
-                "malformed-submission",
-            ),
+        let Ok(submission) = self.dialect.submission(&routed.request_id, &body) else {
+            let status = StatusCode::BAD_REQUEST;
+            return refusal(Outcome::BadRequest(status), "malformed-submission");
+        };
+        let posted = Posted {
+            host: &routed.host,
+            head,
+            body: &body,
+        };
+        match asker {
+            Asker::Client => self.desk.submit(&posted, submission).await,
+            Asker::Peer => self.desk.accept(&posted, submission).await,
         }
     }
 }
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -165,6 +165,28 @@
         }
     }
 
+    /// Creates an object, tried once, and gives its revision.
+    ///
+    /// # Errors
+    ///
+    /// As [`StoreError`] tells; after [`StoreError::Unknown`] it may yet appear.
+    pub async fn create_once<T: Serialize + Sync>(
+        &self,
+        kind: Kind,
+        name: &str,
+        value: &T,
+    ) -> Result<u64, StoreError> {
+        let call = StoreCall::Create {
+            kind,
+            name: name.to_owned(),
+            value: to_raw(value)?,
+        };
+        match self.call(&call).await? {
+            StoreAnswer::Object(object) => Ok(object.revision),
+            _ => Err(StoreError::Unknown),
+        }
+    }
+
     /// Replaces an object that must be at `revision`, and gives it as it is then.
     ///
     /// A conflict is read back: an earlier try whose answer was lost may have
--- a/crates/node/src/submission/desk.rs
+++ b/crates/node/src/submission/desk.rs
@@ -1,7 +1,8 @@
 //! Who runs which submission, and what clients ask about them.
 //!
-//! The node that accepts a submission runs it. Any other node passes questions on to
-//! it. A node that finds the runner gone takes the submission over by a conditional
+//! A model's submissions are run at its home, if that can be reached, else where they
+//! arrive ([`crate::submission::homes`]). Any other node passes questions on to
+//! the runner. A node that finds the runner gone takes the submission over by a conditional
 //! change of its head, reads its items and results from the store and goes on.
 
 use std::net::SocketAddr;
@@ -24,12 +25,13 @@
 use http_body_util::Full;
 
 use crate::dialect::Dialect;
+use crate::dialect::Freshness;
 use crate::dialect::Kind;
 use crate::dialect::Object;
 use crate::dialect::ResultPage;
 use crate::dialect::StoreError;
 use crate::drafting::Drafting;
-use crate::follow::Change;
+use crate::follow::list;
 use crate::link::LinkError;
 use crate::link::Links;
 use crate::model::Submission;
@@ -40,6 +42,7 @@
 use crate::store::Created;
 use crate::store::Store;
 use crate::submission::board::Board;
+use crate::submission::homes::Homes;
 use crate::submission::records::Head;
 use crate::submission::records::Part;
 use crate::submission::records::Runner;
@@ -51,6 +54,10 @@
 /// refused in time is accepted elsewhere.
 const ACCEPT_PATIENCE: Duration = Duration::from_millis(2_500);
 
+/// Time for the home of a model to accept a submission: a write of a few milliseconds,
+/// or one that a slow store answers in 300 ms. Then it is accepted here.
+const HOME_PATIENCE: Duration = Duration::from_millis(900);
+
 /// Time for a runner's answer beyond what it was asked to wait.
 const PEER_PATIENCE: Duration = Duration::from_millis(800);
 
@@ -61,6 +68,13 @@
 /// When a client may ask again where it is not known who runs a submission.
 const ASK_AGAIN: Duration = Duration::from_millis(250);
 
+/// Time between looks at the head of a submission that this node runs. An end that
+/// this node did not hear of must stop its items within 3 s.
+const LOOK_AT_HEAD: Duration = Duration::from_millis(1_300);
+
+/// Pause before the list of submissions is asked for again at a start.
+const RESUME_PAUSE: Duration = Duration::from_millis(700);
+
 /// Tries to change a head that others change too.
 const HEAD_TRIES: usize = 4;
 
@@ -89,6 +103,30 @@
     End,
 }
 
+/// A submission as a client posted it.
+#[derive(Debug)]
+pub struct Posted<'a> {
+    /// Host that the client asked.
+    pub host: &'a str,
+    /// Head of the request.
+    pub head: &'a request::Parts,
+    /// Its body.
+    pub body: &'a Bytes,
+}
+
+/// Takes out what describes how the body came, which the next connection sets anew.
+fn strip_framing(headers: &mut http::HeaderMap) {
+    let framing = [
+        http::header::CONNECTION,
+        http::header::CONTENT_LENGTH,
+        http::header::TRANSFER_ENCODING,
+        http::header::EXPECT,
+    ];
+    for name in framing {
+        headers.remove(name);
+    }
+}
+
 #[derive(Debug, Clone)]
 struct Known {
     id: String,
@@ -126,6 +164,7 @@
     links: Links,
     dialect: Arc<dyn Dialect>,
     drafting: Drafting,
+    homes: Homes,
     clock: Arc<dyn Clock>,
     journal: Journal,
     state: Mutex<State>,
@@ -146,6 +185,8 @@
     pub dialect: Arc<dyn Dialect>,
     /// Drafts items.
     pub drafting: Drafting,
+    /// Who runs the submissions of which model.
+    pub homes: Homes,
     /// The clock.
     pub clock: Arc<dyn Clock>,
     /// Events.
@@ -162,6 +203,7 @@
             links: parts.links,
             dialect: parts.dialect,
             drafting: parts.drafting,
+            homes: parts.homes,
             clock: parts.clock,
             journal: parts.journal,
             state: Mutex::default(),
@@ -172,21 +214,24 @@
         }
     }
 
-    /// Takes in heads as the store shows them.
-    pub fn take_heads(&self, change: Change) {
-        match change {
-            Change::All(objects) => objects
-                .into_iter()
-                .for_each(|object| self.take_head(object)),
-            Change::Put(object) => self.take_head(object),
-            Change::Gone(id) => self.forget(&id),
+    /// Goes on with the submissions that an earlier process of this VM ran.
+    pub async fn resume(&self) {
+        let store = &self.shared.store;
+        let listed = loop {
+            match list(store, Kind::Submissions, Freshness::Newest).await {
+                Ok((objects, _)) => break objects,
+                Err(_) => tokio::time::sleep(RESUME_PAUSE).await,
+            }
+        };
+        for object in listed {
+            if let Some(known) = self.read_head(object) {
+                self.apply(known);
+            }
         }
     }
 
-    fn take_head(&self, object: Object) {
-        let Some(known) = self.read_head(object) else {
-            return;
-        };
+    /// Brings this node in line with a head as the store shows it.
+    fn apply(&self, known: Known) {
         self.note_head(known.clone());
         let mine = known.head.runner == self.shared.me;
         match self.board(&known.id) {
@@ -195,6 +240,7 @@
             None if mine && !known.head.ended && !self.is_starting(&known.id) => {
                 let desk = self.clone();
                 drop(tokio::spawn(async move {
+                    // Logged there; the next question reads it again.
                     drop(desk.load(&known.id, known.head).await);
                 }));
             }
@@ -202,6 +248,18 @@
         }
     }
 
+    /// Looks at the head of a submission for as long as this node runs it: another
+    /// node that did not reach this one may have taken it over, or ended it.
+    async fn watch_head(self, board: Arc<Board>) {
+        while board.is_running() && !board.is_complete() {
+            tokio::time::sleep(LOOK_AT_HEAD).await;
+            // Without the store no one else can take it over either.
+            if let Ok(Some(known)) = self.read(&board.id).await {
+                self.apply(known);
+            }
+        }
+    }
+
     fn read_head(&self, object: Object) -> Option<Known> {
         match serde_json::from_str::<Head>(object.value.get()) {
             Ok(head) => Some(Known {
@@ -219,8 +277,64 @@
         }
     }
 
+    /// Accepts a submission, or has the home of its model accept it.
+    pub async fn submit(&self, posted: &Posted<'_>, submission: Submission) -> Response<Body> {
+        if self.is_known(&submission.id) {
+            return empty(StatusCode::ACCEPTED);
+        }
+        let model = submission.model.clone();
+        match self.shared.homes.of(&model) {
+            Some(home) if home == self.shared.me => self.accept(posted, submission).await,
+            Some(home) => {
+                if self.pass_to_home(&home, posted).await {
+                    return empty(StatusCode::ACCEPTED);
+                }
+                self.accept_as_home(posted, submission, &model).await
+            }
+            None => self.accept_as_home(posted, submission, &model).await,
+        }
+    }
+
+    async fn accept_as_home(
+        &self,
+        posted: &Posted<'_>,
+        submission: Submission,
+        model: &str,
+    ) -> Response<Body> {
+        let answer = self.accept(posted, submission).await;
+        if answer.status() == StatusCode::ACCEPTED {
+            let (homes, me) = (self.shared.homes.clone(), self.shared.me.clone());
+            let model = model.to_owned();
+            drop(tokio::spawn(async move { homes.settle(&model, me).await }));
+        }
+        answer
+    }
+
+    /// Whether the home of its model has accepted a submission.
+    async fn pass_to_home(&self, home: &Runner, posted: &Posted<'_>) -> bool {
+        let mut request = Request::new(Full::new(posted.body.clone()));
+        *request.method_mut() = posted.head.method.clone();
+        *request.uri_mut() = posted.head.uri.clone();
+        *request.headers_mut() = posted.head.headers.clone();
+        strip_framing(request.headers_mut());
+        let passing = self.shared.links.call(home.address, request, HOME_PATIENCE);
+        let answer = passing.await;
+        let accepted = matches!(&answer, Ok(answer) if answer.status() == StatusCode::ACCEPTED);
+        if !accepted {
+            let outcome = answer.map(|answer| answer.status());
+            self.shared.journal.event(
+                "home_failed",
+                &[
+                    ("home", &home.node),
+                    ("outcome", &format_args!("{outcome:?}")),
+                ],
+            );
+        }
+        accepted
+    }
+
     /// Accepts a submission, once.
-    pub async fn accept(&self, host: &str, path: &str, submission: Submission) -> Response<Body> {
+    pub async fn accept(&self, posted: &Posted<'_>, submission: Submission) -> Response<Body> {
         let id = submission.id.clone();
         if self.is_known(&id) {
             return empty(StatusCode::ACCEPTED);
@@ -229,7 +343,7 @@
             // The same submission, sent again while the first is being accepted.
             return refusal(Outcome::NotRun(ASK_AGAIN), "being-accepted");
         }
-        let accepted = self.write_submission(host, path, &submission).await;
+        let accepted = self.write_submission(posted, &submission).await;
         let response = match accepted {
             Ok(Some(head)) => {
                 self.shared.journal.event(
@@ -263,8 +377,7 @@
     /// Writes parts, then the head. `None` if another node had accepted it.
     async fn write_submission(
         &self,
-        host: &str,
-        path: &str,
+        posted: &Posted<'_>,
         submission: &Submission,
     ) -> Result<Option<Head>, StoreError> {
         let until = self.shared.clock.now() + ACCEPT_PATIENCE;
@@ -288,8 +401,8 @@
         }
         let head = Head {
             write: store.write_id(),
-            host: host.to_owned(),
-            path: path.to_owned(),
+            host: posted.host.to_owned(),
+            path: posted.head.uri.path().to_owned(),
             model: submission.model.clone(),
             min_version: submission.min_version,
             target_groups: submission.target_groups,
@@ -369,9 +482,7 @@
         *request.method_mut() = asked.method.clone();
         *request.uri_mut() = asked.uri.clone();
         *request.headers_mut() = asked.headers.clone();
-        for name in [http::header::CONNECTION, http::header::CONTENT_LENGTH] {
-            request.headers_mut().remove(name);
-        }
+        strip_framing(request.headers_mut());
         let answer = self
             .shared
             .links
@@ -540,6 +651,7 @@
             self.shared.drafting.add(&board);
             let (store, clock) = (self.shared.store.clone(), Arc::clone(&self.shared.clock));
             let journal = self.shared.journal.clone();
+            drop(tokio::spawn(self.clone().watch_head(Arc::clone(&board))));
             drop(tokio::spawn(board.keep_log(store, clock, journal)));
         }
     }
@@ -559,13 +671,6 @@
             .event("submission_let_go", &[("submission", &board.id)]);
     }
 
-    fn forget(&self, id: &str) {
-        if let Some(board) = self.board(id) {
-            self.let_go(&board);
-        }
-        self.lock().heads.retain(|held| held.id != id);
-    }
-
     async fn known(&self, id: &str) -> Result<Option<Known>, StoreError> {
         let held = {
             let state = self.lock();
@@ -581,14 +686,18 @@
     }
 
     async fn reread(&self, id: &str) -> Result<Option<Known>, StoreError> {
-        let object = self.shared.store.read(Kind::Submissions, id).await?;
-        let known = object.and_then(|object| self.read_head(object));
+        let known = self.read(id).await?;
         if let Some(known) = &known {
             self.note_head(known.clone());
         }
         Ok(known)
     }
 
+    async fn read(&self, id: &str) -> Result<Option<Known>, StoreError> {
+        let object = self.shared.store.read(Kind::Submissions, id).await?;
+        Ok(object.and_then(|object| self.read_head(object)))
+    }
+
     /// Keeps the newest head of each submission.
     fn note_head(&self, known: Known) {
         let mut state = self.lock();
--- /dev/null
+++ b/crates/node/src/submission/homes.rs
@@ -0,0 +1,144 @@
+//! The home of a model: the node that accepts and runs its submissions, step after step.
+//!
+//! **Load:** a trainer's steps arrive at nodes by chance. **Without homes:** each step
+//! opens its own connections to all engines (2,589 in a day of a fleet of 66 nodes, a
+//! fifth of what that day was worth), no node knows which engine holds a group's prompt,
+//! and several nodes fill the same engines without knowing of each other.
+//!
+//! A home is an agreement of convenience: any node may run any submission, and does
+//! when the home cannot be reached. So homes may be read seconds late.
+
+use std::sync::Arc;
+
+use arc_swap::ArcSwap;
+use firweir::process::log::Journal;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::dialect::Kind;
+use crate::dialect::Object;
+use crate::follow::Change;
+use crate::store::Store;
+use crate::submission::records::Runner;
+
+/// Begin of the names of homes among the duties.
+const PREFIX: &str = "home-";
+
+/// A home as it stands in the store.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+struct Record {
+    /// Names the write that made this value.
+    write: String,
+    /// The node.
+    home: Runner,
+}
+
+#[derive(Debug, Clone)]
+struct Home {
+    model: String,
+    revision: u64,
+    runner: Runner,
+}
+
+/// Homes of all models; cheap to clone.
+#[derive(Debug, Clone)]
+pub struct Homes {
+    store: Store,
+    journal: Journal,
+    /// Sorted by model.
+    homes: Arc<ArcSwap<Vec<Home>>>,
+}
+
+impl Homes {
+    /// No home is known yet.
+    #[must_use]
+    pub fn new(store: Store, journal: Journal) -> Self {
+        Self {
+            store,
+            journal,
+            homes: Arc::default(),
+        }
+    }
+
+    /// The home of a model, if one is known.
+    #[must_use]
+    pub fn of(&self, model: &str) -> Option<Runner> {
+        let homes = self.homes.load();
+        let at = homes.binary_search_by(|home| home.model.as_str().cmp(model));
+        at.ok().map(|at| homes[at].runner.clone())
+    }
+
+    /// Takes in duties as the store shows them.
+    pub fn take(&self, change: Change) {
+        match change {
+            Change::All(objects) => objects.iter().for_each(|object| self.put(object)),
+            Change::Put(object) => self.put(&object),
+            Change::Gone(_) => {}
+        }
+    }
+
+    /// Makes `runner` the home of a model, unless another node came first.
+    pub async fn settle(&self, model: &str, runner: Runner) {
+        let name = format!("{PREFIX}{model}");
+        let record = Record {
+            write: self.store.write_id(),
+            home: runner.clone(),
+        };
+        let homes = self.homes.load();
+        let known = homes.iter().find(|home| home.model == model).cloned();
+        drop(homes);
+        let (kind, write) = (Kind::Duties, &record.write);
+        let settled = match known {
+            Some(known) => {
+                let replacing = self
+                    .store
+                    .replace(kind, &name, known.revision, &record, write);
+                replacing.await.map(|object| object.revision)
+            }
+            None => self.store.create_once(kind, &name, &record).await,
+        };
+        match settled {
+            Ok(revision) => {
+                self.journal
+                    .event("home_settled", &[("model", &model), ("home", &runner.node)]);
+                self.note(Home {
+                    model: model.to_owned(),
+                    revision,
+                    runner,
+                });
+            }
+            Err(error) => self
+                .journal
+                .event("home_not_settled", &[("model", &model), ("cause", &error)]),
+        }
+    }
+
+    fn put(&self, object: &Object) {
+        let Some(model) = object.name.strip_prefix(PREFIX) else {
+            return;
+        };
+        match serde_json::from_str::<Record>(object.value.get()) {
+            Ok(record) => self.note(Home {
+                model: model.to_owned(),
+                revision: object.revision,
+                runner: record.home,
+            }),
+            Err(error) => self
+                .journal
+                .event("home_unreadable", &[("model", &model), ("cause", &error)]),
+        }
+    }
+
+    /// Keeps the newest home of each model.
+    fn note(&self, home: Home) {
+        self.homes.rcu(|homes| {
+            let mut homes = Vec::clone(homes);
+            match homes.binary_search_by(|held| held.model.cmp(&home.model)) {
+                Ok(at) if homes[at].revision < home.revision => homes[at] = home.clone(),
+                Ok(_) => {}
+                Err(at) => homes.insert(at, home.clone()),
+            }
+            homes
+        });
+    }
+}
--- a/crates/node/src/weights.rs
+++ b/crates/node/src/weights.rs
@@ -248,6 +248,12 @@
         }
     }
 
+    /// Whether this node holds the duty, as far as it knows.
+    #[must_use]
+    pub fn is_holder(&self) -> bool {
+        self.lock().held.is_some()
+    }
+
     /// Answers a node that asks for the duty.
     pub async fn answer_holder(&self) -> HolderAnswer {
         let held = self.lock().held;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod route;
 pub mod share;
 pub mod slots;
+pub mod step_order;
 pub mod straggler;
 pub mod suspect;
 pub mod waves;
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -8,7 +8,9 @@
 //! take blocks those behind it. **How:** steps go in order of arrival, samples in
 //! their trainer's order. A sample goes to the engine with the least load for its
 //! speed, with a bonus for the one that has its group's prompt. An engine that
-//! refused, failed or stalled is left alone for a while. **Thresholds:** beside
+//! refused, failed or fell silent is left alone for a while. A sample that runs on a
+//! slow or silent engine while another one has room goes on there: its text so far is
+//! kept, and an engine reads it again within milliseconds. **Thresholds:** beside
 //! each constant.
 
 use std::time::Duration;
@@ -59,13 +61,8 @@
 /// How a draft on an engine ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum DraftEnding {
-    /// It went to its end, with so many events in this time.
-    Done {
-        /// Events that the engine made.
-        events: u32,
-        /// From the first to the last of them.
-        elapsed: Duration,
-    },
+    /// It went to its end.
+    Done,
     /// The engine did not run it: it is full or changes its weights.
     Refused,
     /// The engine failed, broke off or could not be reached.
@@ -89,12 +86,31 @@
 /// Another zone costs this much of an engine's load.
 const OTHER_ZONE: f64 = 0.02;
 
-/// Part that one sample moves an engine's mean time per event.
-const SPEED_STEP: f64 = 0.2;
+/// Part that one event moves an engine's mean time per event: with eight samples at
+/// once a change of speed shows after some two events of each.
+const SPEED_STEP: f64 = 0.1;
 
-/// Most samples that wait at an engine beyond its slots. They start when a slot is
-/// freed, without a round trip; more of them would wait where they cannot leave.
-const QUEUED_AT_ENGINE: u32 = 0;
+/// A pause of more than this many usual ones tells of a load or a crash, not of speed.
+const SILENCE: f64 = 6.0;
+
+/// An engine is silent for a sample after this time at least: events come each
+/// 40 to 60 ms, a slow engine's each 200 ms.
+const SILENT_AT_LEAST: Duration = Duration::from_millis(300);
+
+/// A sample without a first event is left there for this long: prompts are read in
+/// milliseconds, and samples queue only where a node does not know of the others'.
+const FIRST_EVENT_WITHIN: Duration = Duration::from_millis(700);
+
+/// A sample leaves an engine that is slower than usual by this factor for one that is
+/// not: below it the move costs about what it gains.
+const SLOW_FACTOR: f64 = 1.6;
+
+/// An engine up to this factor is as good as any.
+const USUAL_FACTOR: f64 = 1.2;
+
+/// A sample stays this long before it is moved for speed, so that two estimates that
+/// change places do not send it back and forth.
+const STAY_AT_LEAST: Duration = Duration::from_millis(400);
 
 /// Groups whose engine is remembered: those of a few open steps.
 const GROUPS_KEPT: usize = 512;
@@ -113,6 +129,10 @@
 struct Running {
     draft: Draft,
     engine: UpstreamKey,
+    since: Instant,
+    last_event: Option<Instant>,
+    /// It was told to leave.
+    leaving: bool,
 }
 
 /// Samples that wait and samples that run, of all steps on this VM.
@@ -177,10 +197,9 @@
         engine.in_flight = engine.in_flight.saturating_sub(1);
         engine.tokens = engine.tokens.saturating_sub(u64::from(ended.draft.tokens));
         match ending {
-            DraftEnding::Done { events, elapsed } => engine.learn(events, elapsed),
+            DraftEnding::Done | DraftEnding::Cancelled => {}
             DraftEnding::Refused => engine.pause(now + REFUSED_PAUSE),
             DraftEnding::Failed => engine.pause(now + FAILED_PAUSE),
-            DraftEnding::Cancelled => {}
         }
     }
 
@@ -193,10 +212,73 @@
         });
         let (at, engine) = placed?;
         let draft = self.waiting.remove(at);
-        self.start(draft, engine);
+        self.start(now, draft, engine);
         Some((draft.key, self.engines[engine].state.key))
     }
 
+    /// A sample that runs has made an event.
+    pub fn note_event(&mut self, now: Instant, key: DraftKey) {
+        let usual = self.usual_event_s();
+        let Ok(at) = self
+            .running
+            .binary_search_by_key(&key, |held| held.draft.key)
+        else {
+            return;
+        };
+        let running = &mut self.running[at];
+        let before = running.last_event.replace(now);
+        let engine = running.engine;
+        if let (Some(before), Some(at)) = (before, self.engine_at(engine)) {
+            self.engines[at].learn(now.duration_since(before), usual);
+        }
+    }
+
+    /// Samples that run on a slow or silent engine while another one has room for
+    /// them. Each is named once; its run ends as [`DraftEnding::Cancelled`].
+    pub fn moves(&mut self, now: Instant) -> Vec<DraftKey> {
+        // Room goes to samples that wait first.
+        if !self.waiting.is_empty() {
+            return Vec::new();
+        }
+        let usual = self.usual_event_s();
+        let mut room: Vec<u32> = self
+            .engines
+            .iter()
+            .map(|engine| {
+                if engine.is_usual(usual) {
+                    engine.room(now)
+                } else {
+                    0
+                }
+            })
+            .collect();
+        let mut moved = Vec::new();
+        for at in 0..self.running.len() {
+            let running = self.running[at];
+            let Some(from) = self.engine_at(running.engine) else {
+                continue;
+            };
+            let silent = running.is_silent(now, usual);
+            let slow = self.engines[from].is_slow(usual) && running.has_stayed(now);
+            if running.leaving || !(silent || slow) {
+                continue;
+            }
+            let to = (0..self.engines.len()).find(|to| {
+                *to != from && room[*to] > 0 && self.engines[*to].has_version_for(&running.draft)
+            });
+            let Some(to) = to else {
+                continue;
+            };
+            room[to] -= 1;
+            self.running[at].leaving = true;
+            if silent {
+                self.engines[from].pause(now + FAILED_PAUSE);
+            }
+            moved.push(running.draft.key);
+        }
+        moved
+    }
+
     /// Samples that wait.
     #[must_use]
     pub fn waiting(&self) -> usize {
@@ -216,7 +298,7 @@
             .ok()
     }
 
-    fn start(&mut self, draft: Draft, at: usize) {
+    fn start(&mut self, now: Instant, draft: Draft, at: usize) {
         let engine = &mut self.engines[at];
         engine.in_flight += 1;
         engine.tokens += u64::from(draft.tokens);
@@ -224,7 +306,13 @@
         let position = self
             .running
             .partition_point(|held| held.draft.key < draft.key);
-        let running = Running { draft, engine: key };
+        let running = Running {
+            draft,
+            engine: key,
+            since: now,
+            last_event: None,
+            leaving: false,
+        };
         self.running.insert(position, running);
         self.groups.retain(|(group, _)| *group != draft.group);
         self.groups.push((draft.group, key));
@@ -254,6 +342,21 @@
     }
 }
 
+impl Running {
+    /// Nothing has come from it for longer than an engine that is well takes.
+    fn is_silent(&self, now: Instant, usual_event_s: Option<f64>) -> bool {
+        let Some(last_event) = self.last_event else {
+            return now.duration_since(self.since) > FIRST_EVENT_WITHIN;
+        };
+        let usual = Duration::from_secs_f64(usual_event_s.unwrap_or_default());
+        now.duration_since(last_event) > usual.mul_f64(SILENCE).max(SILENT_AT_LEAST)
+    }
+
+    fn has_stayed(&self, now: Instant) -> bool {
+        now.duration_since(self.since) >= STAY_AT_LEAST
+    }
+}
+
 impl Engine {
     const fn new(state: EngineState) -> Self {
         Self {
@@ -266,28 +369,47 @@
     }
 
     fn takes(&self, now: Instant, draft: &Draft) -> bool {
-        let paused = self.paused_until.is_some_and(|until| until > now);
-        let room = self.in_flight < self.state.slots + QUEUED_AT_ENGINE;
         let tokens = self.tokens + u64::from(draft.tokens);
         // A sample that is larger than the memory is let in alone: the engine says
         // whether it takes it.
         let fits = tokens <= self.state.memory_tokens || self.in_flight == 0;
-        let version = self
-            .state
-            .versions
-            .binary_search_by_key(&draft.model, |(model, _)| *model)
-            .map(|at| self.state.versions[at].1);
-        let fresh = version.is_ok_and(|version| version >= draft.min_version);
-        !paused && room && fits && fresh
+        fits && self.room(now) > 0 && self.has_version_for(draft)
+    }
+
+    /// Samples that may start here now.
+    fn room(&self, now: Instant) -> u32 {
+        if self.paused_until.is_some_and(|until| until > now) {
+            return 0;
+        }
+        self.state.slots.saturating_sub(self.in_flight)
+    }
+
+    fn has_version_for(&self, draft: &Draft) -> bool {
+        let versions = &self.state.versions;
+        let at = versions.binary_search_by_key(&draft.model, |(model, _)| *model);
+        at.is_ok_and(|at| versions[at].1 >= draft.min_version)
+    }
+
+    /// Times slower than usual.
+    fn slowness(&self, usual_event_s: Option<f64>) -> f64 {
+        match (self.event_s, usual_event_s) {
+            (Some(own), Some(usual)) if usual > 0.0 => own / usual,
+            _ => 1.0,
+        }
+    }
+
+    fn is_slow(&self, usual_event_s: Option<f64>) -> bool {
+        self.slowness(usual_event_s) >= SLOW_FACTOR
+    }
+
+    fn is_usual(&self, usual_event_s: Option<f64>) -> bool {
+        self.slowness(usual_event_s) <= USUAL_FACTOR
     }
 
     /// The lower the better.
     fn score(&self, prompt_at: Option<UpstreamKey>, usual_event_s: Option<f64>) -> f64 {
         let load = f64::from(self.in_flight + 1) / f64::from(self.state.slots.max(1));
-        let slowness = match (self.event_s, usual_event_s) {
-            (Some(own), Some(usual)) if usual > 0.0 => own / usual,
-            _ => 1.0,
-        };
+        let slowness = self.slowness(usual_event_s);
         let bonus = if prompt_at == Some(self.state.key) {
             PROMPT_BONUS
         } else {
@@ -301,13 +423,13 @@
         load * slowness.max(0.5) + zone - bonus
     }
 
-    fn learn(&mut self, events: u32, elapsed: Duration) {
-        if events < 2 {
+    fn learn(&mut self, pause: Duration, usual_event_s: Option<f64>) {
+        let pause_s = pause.as_secs_f64();
+        if usual_event_s.is_some_and(|usual| pause_s > usual * SILENCE) {
             return;
         }
-        let event_s = elapsed.as_secs_f64() / f64::from(events - 1);
-        let held = self.event_s.unwrap_or(event_s);
-        self.event_s = Some(held + (event_s - held) * SPEED_STEP);
+        let held = self.event_s.unwrap_or(pause_s);
+        self.event_s = Some(held + (pause_s - held) * SPEED_STEP);
     }
 
     fn pause(&mut self, until: Instant) {
