A run that lost only its end is whole; engines are assigned to models and chosen by speed

Ruled out: engines that fail (each answer was 200). Change besides: the fastest engine with room, moves by relative speed, engines assigned to models by the newer weights they have.

--- a/crates/node/src/drafting.rs
+++ b/crates/node/src/drafting.rs
@@ -30,6 +30,7 @@
 use crate::dialect::Dialect;
 use crate::dialect::DraftRequest;
 use crate::dialect::StreamEvent;
+use crate::engines::rollout_engines;
 use crate::fleet::Fleet;
 use crate::link::Exchange;
 use crate::link::LinkError;
@@ -248,19 +249,12 @@
     }
 
     fn take_engines(&self, state: &mut State) {
-        let upstreams = self.shared.fleet.upstreams();
         let config = self.shared.fleet.config();
         let mut engines = Vec::new();
         let mut states = Vec::new();
-        for upstream in upstreams
-            .iter()
-            .filter(|upstream| !upstream.models.is_empty())
-        {
+        for engine in rollout_engines(&self.shared.fleet) {
+            let upstream = &engine.upstream;
             let key = state.key_of(&upstream.instance);
-            engines.push((key, Arc::clone(upstream)));
-            if upstream.leaving {
-                continue;
-            }
             let mut versions: Vec<(ModelKey, u64)> = upstream
                 .models
                 .iter()
@@ -272,14 +266,16 @@
                 })
                 .collect();
             versions.sort_unstable();
+            let model = engine.model.as_ref();
             let service = config.service(&upstream.service);
             states.push(EngineState {
                 key,
                 slots: upstream.slots,
                 memory_tokens: service.map_or(0, |service| service.memory_tokens),
-                local_zone: false,
+                model: model.map(|model| state.model_key(&upstream.service, model)),
                 versions,
             });
+            engines.push((key, engine.upstream));
         }
         engines.sort_by_key(|(key, _)| *key);
         state.engines = engines;
@@ -628,10 +624,7 @@
             StatusCode::INTERNAL_SERVER_ERROR => return Attempt::Failed,
             _ => return Attempt::Broken("status"),
         }
-        let Some(version) = said.version else {
-            return Attempt::Broken("no-version");
-        };
-        let attempt = self.read_events(body, version, progress).await;
+        let attempt = self.read_events(body, said.version, progress).await;
         if attempt == Attempt::Whole {
             lease.keep();
         }
@@ -641,7 +634,7 @@
     async fn read_events(
         &mut self,
         mut body: Incoming,
-        mut version: u64,
+        mut version: Option<u64>,
         progress: &mut Progress,
     ) -> Attempt {
         let mut buffer = BytesMut::new();
@@ -666,7 +659,12 @@
                     Ok(event) => event,
                     Err(_malformed) => return Attempt::Broken("malformed-event"),
                 };
-                version = event.version.unwrap_or(version);
+                version = event.version.or(version);
+                // An answer without events carries none: it was asked to go on behind
+                // the last one, when the run before had lost only its end.
+                let Some(version) = version else {
+                    return Attempt::Broken("no-version");
+                };
                 if let Err(unusable) = self.check(&event, version, progress) {
                     return unusable;
                 }
--- /dev/null
+++ b/crates/node/src/engines.rs
@@ -0,0 +1,76 @@
+//! The engines of rollouts as every node sees them, and the model that each serves.
+
+use std::sync::Arc;
+
+use firweir_policy::placement::ModelKey;
+use firweir_policy::waves::Lag;
+use firweir_policy::waves::assign;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::fleet::Fleet;
+use crate::model::ModelVersion;
+use crate::model::RouteKind;
+use crate::model::Upstream;
+
+/// An engine that takes new samples.
+#[derive(Debug, Clone)]
+pub struct Engine {
+    /// The engine.
+    pub upstream: Arc<Upstream>,
+    /// The model that it is to serve.
+    pub model: Option<String>,
+}
+
+/// Engines of the services that rollouts go to, without those that leave, sorted by
+/// instance.
+#[must_use]
+pub fn rollout_engines(fleet: &Fleet) -> Vec<Engine> {
+    let (config, upstreams) = (fleet.config(), fleet.upstreams());
+    let rollouts = config
+        .routes
+        .iter()
+        .filter(|route| route.kind == RouteKind::Rollout);
+    let services: Vec<&str> = rollouts
+        .flat_map(|route| route.targets.iter().map(|target| target.service.as_str()))
+        .collect();
+    let engines: Vec<Arc<Upstream>> = upstreams
+        .iter()
+        .filter(|upstream| !upstream.leaving && services.contains(&upstream.service.as_str()))
+        .map(Arc::clone)
+        .collect();
+    let models = models_of(&engines);
+    let assigned = assign(engines.len(), &lags(&engines, &models, &fleet.named()));
+    let with_model = |(upstream, model): (Arc<Upstream>, Option<ModelKey>)| Engine {
+        upstream,
+        model: model.map(|model| models[model.0 as usize].clone()),
+    };
+    engines.into_iter().zip(assigned).map(with_model).collect()
+}
+
+/// Names of all models, sorted.
+fn models_of(engines: &[Arc<Upstream>]) -> Vec<String> {
+    let held = engines.iter().flat_map(|engine| &engine.models);
+    let mut models: Vec<String> = held.map(|held| held.model.clone()).collect();
+    models.sort();
+    models.dedup();
+    models
+}
+
+fn lags(engines: &[Arc<Upstream>], models: &[String], named: &[ModelVersion]) -> Vec<Lag> {
+    let mut lags = Vec::new();
+    for (at, engine) in engines.iter().enumerate() {
+        let hash = xxh3_64(engine.instance.as_bytes());
+        for held in &engine.models {
+            let newest = named.iter().find(|named| named.model == held.model);
+            let newest = newest.map_or(held.version, |named| named.version);
+            let model = models.binary_search(&held.model).unwrap_or_default();
+            lags.push(Lag {
+                engine: at,
+                hash,
+                model: ModelKey(model as u32),
+                behind: newest.saturating_sub(held.version),
+            });
+        }
+    }
+    lags
+}
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -19,7 +19,9 @@
 const WATCH_WAIT: Duration = Duration::from_secs(8);
 
 /// Pause after a failed call, up to half of it more at random: the store's
-/// outages take seconds, each call costs, and all nodes would come at once.
+/// outages take seconds, each call costs, and all nodes would come at once. A store
+/// that drops its history answers at once, for seconds: without the pause 66 nodes
+/// made 49,000 calls meanwhile.
 const RETRY_PAUSE: Duration = Duration::from_millis(600);
 
 /// How a kind is followed now; asked anew before each call.
@@ -70,14 +72,10 @@
             }
             take(objects);
         };
-        let failed = match list_and_watch(&store, kind, &how, &mut regained).await {
-            StoreError::HistoryGone => {
-                journal.event("history_gone", &[("kind", &format_args!("{kind:?}"))]);
-                continue;
-            }
-            error => error,
-        };
-        if !lost {
+        let failed = list_and_watch(&store, kind, &how, &mut regained).await;
+        if matches!(failed, StoreError::HistoryGone) {
+            journal.event("history_gone", &[("kind", &format_args!("{kind:?}"))]);
+        } else if !lost {
             lost = true;
             let kind = format_args!("{kind:?}");
             journal.event("store_lost", &[("kind", &kind), ("cause", &failed)]);
@@ -93,7 +91,9 @@
     how: &impl Fn() -> Following,
     take: &mut impl FnMut(Change),
 ) -> StoreError {
-    let (objects, mut since) = match list(store, kind, how().freshness).await {
+    // The newest list: while the store drops its history, the revision of a stale one
+    // is already gone, and no watch could start from it.
+    let (objects, mut since) = match list(store, kind, Freshness::Newest).await {
         Ok(listed) => listed,
         Err(error) => return error,
     };
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod dialect;
 pub mod drafting;
+pub mod engines;
 pub mod fleet;
 pub mod follow;
 pub mod link;
--- a/crates/node/src/weights.rs
+++ b/crates/node/src/weights.rs
@@ -42,11 +42,12 @@
 use crate::dialect::OrderAnswer;
 use crate::dialect::StoreError;
 use crate::dialect::WeightOrder;
+use crate::engines::Engine;
+use crate::engines::rollout_engines;
 use crate::fleet::Fleet;
 use crate::link::LinkError;
 use crate::link::Links;
 use crate::model::ModelVersion;
-use crate::model::RouteKind;
 use crate::model::Upstream;
 use crate::store::Created;
 use crate::store::Store;
@@ -447,52 +448,39 @@
     fn due(&self) -> Vec<Due> {
         let fleet = &self.shared.parts.fleet;
         let now = self.shared.parts.clock.now();
-        let (config, upstreams, named) = (fleet.config(), fleet.upstreams(), fleet.named());
-        let rollouts = config
-            .routes
-            .iter()
-            .filter(|route| route.kind == RouteKind::Rollout);
-        let services: Vec<&str> = rollouts
-            .flat_map(|route| route.targets.iter().map(|target| target.service.as_str()))
-            .collect();
-        let engines: Vec<&Arc<Upstream>> = upstreams
-            .iter()
-            .filter(|upstream| !upstream.leaving && services.contains(&upstream.service.as_str()))
-            .collect();
+        let named = fleet.named();
+        let engines = rollout_engines(fleet);
         let mut weighed = Vec::new();
-        for (at, upstream) in engines.iter().enumerate() {
-            let served = &upstream.models;
-            let Some(model) = served.get(at % served.len().max(1)) else {
+        let mut loads = Vec::new();
+        for (at, engine) in engines.iter().enumerate() {
+            let Some(load) = newest_of(engine, &named) else {
                 continue;
             };
-            let named = named.iter().find(|named| named.model == model.model);
-            let state = self.state_of(&upstream.instance, model.version, now);
+            let version = engine.upstream.version_of(&load.model).unwrap_or_default();
+            let (loading, unavailable) = self.state_of(&engine.upstream.instance, version, now);
+            let model = named.binary_search_by(|held| held.model.cmp(&load.model));
             weighed.push(EngineWeights {
                 engine: UpstreamKey(at as u32),
-                model: ModelKey((at % served.len()) as u32),
-                version: model.version,
-                named: named.map_or(0, |named| named.version),
-                loading: state.0,
-                unavailable: state.1,
+                model: ModelKey(model.unwrap_or_default() as u32),
+                version,
+                named: load.version,
+                loading,
+                unavailable,
             });
+            loads.push((at, load));
         }
+        let routes = &fleet.config().routes;
+        let keep_running = !routes.iter().any(|route| route.single_version);
         next_loads(&weighed)
             .into_iter()
-            .map(|key| {
+            .filter_map(|key| {
                 let at = key.0 as usize;
-                let upstream = Arc::clone(engines[at]);
-                let model = &upstream.models[at % upstream.models.len()].model;
-                let named = named.iter().find(|named| named.model == *model);
-                let version = named.map_or(0, |named| named.version);
-                let single = config.routes.iter().any(|route| route.single_version);
-                Due {
-                    load: ModelVersion {
-                        model: model.clone(),
-                        version,
-                    },
-                    keep_running: !single,
-                    upstream,
-                }
+                let found = loads.binary_search_by_key(&at, |(at, _)| *at).ok()?;
+                Some(Due {
+                    upstream: Arc::clone(&engines[at].upstream),
+                    load: loads[found].1.clone(),
+                    keep_running,
+                })
             })
             .collect()
     }
@@ -631,3 +619,9 @@
         self.shared.parts.journal.event(name, fields);
     }
 }
+
+/// The version that the engine's model is to have, if one was named.
+fn newest_of(engine: &Engine, named: &[ModelVersion]) -> Option<ModelVersion> {
+    let model = engine.model.as_ref()?;
+    named.iter().find(|named| named.model == *model).cloned()
+}
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -6,8 +6,8 @@
 //! reads it anew; a slow engine holds the last samples of every group; an engine
 //! whose memory is full throws out running samples; a sample that an engine cannot
 //! take blocks those behind it. **How:** steps go in order of arrival, samples in
-//! their trainer's order. A sample goes to the engine with the least load for its
-//! speed, with a bonus for the one that has its group's prompt. An engine that
+//! the order of their ranks. A sample goes to the fastest engine with room, and the
+//! longest samples start first, so that they get the fastest engines. An engine that
 //! refused, failed or fell silent is left alone for a while. A sample that runs on a
 //! slow or silent engine while another one has room goes on there: its text so far is
 //! kept, and an engine reads it again within milliseconds. **Thresholds:** beside
@@ -52,8 +52,8 @@
     pub slots: u32,
     /// Tokens that its memory holds.
     pub memory_tokens: u64,
-    /// In the availability zone of this VM.
-    pub local_zone: bool,
+    /// Model that it is to serve; others only as far as it has room.
+    pub model: Option<ModelKey>,
     /// Versions of the models that it has, sorted by model.
     pub versions: Vec<(ModelKey, u64)>,
 }
@@ -79,12 +79,17 @@
 /// one sample that tries in vain loses a round trip.
 const FAILED_PAUSE: Duration = Duration::from_millis(1_000);
 
-/// The group's prompt on an engine is worth this much of its load: reading a prompt
-/// again takes milliseconds where a sample takes most of a second.
-const PROMPT_BONUS: f64 = 0.15;
+/// A full engine makes events slower by this part: by its size, and by the prompts
+/// that its other samples hold in memory.
+const FULL_SLOWER: f64 = 0.25;
 
-/// Another zone costs this much of an engine's load.
-const OTHER_ZONE: f64 = 0.02;
+/// The group's prompt on an engine is worth this part of its speed: reading a prompt
+/// again takes 5 ms where a sample takes most of a second.
+const PROMPT_BONUS: f64 = 0.03;
+
+/// An engine that is to serve another model costs this part of its speed: that
+/// model's samples come to it from another node, which does not know of ours.
+const OTHER_MODEL: f64 = 0.4;
 
 /// Part that one event moves an engine's mean time per event: with eight samples at
 /// once a change of speed shows after some two events of each.
@@ -101,16 +106,14 @@
 /// milliseconds, and samples queue only where a node does not know of the others'.
 const FIRST_EVENT_WITHIN: Duration = Duration::from_millis(700);
 
-/// A sample leaves an engine that is slower than usual by this factor for one that is
-/// not: below it the move costs about what it gains.
-const SLOW_FACTOR: f64 = 1.6;
-
-/// An engine up to this factor is as good as any.
-const USUAL_FACTOR: f64 = 1.2;
+/// A sample goes on at an engine that is faster by this factor. The move costs some
+/// 20 ms; a sample that has run for [`STAY_AT_LEAST`] is one of the long ones, which
+/// run for seconds.
+const FASTER_FACTOR: f64 = 1.15;
 
 /// A sample stays this long before it is moved for speed, so that two estimates that
 /// change places do not send it back and forth.
-const STAY_AT_LEAST: Duration = Duration::from_millis(400);
+const STAY_AT_LEAST: Duration = Duration::from_millis(500);
 
 /// Groups whose engine is remembered: those of a few open steps.
 const GROUPS_KEPT: usize = 512;
@@ -241,30 +244,27 @@
             return Vec::new();
         }
         let usual = self.usual_event_s();
-        let mut room: Vec<u32> = self
-            .engines
-            .iter()
-            .map(|engine| {
-                if engine.is_usual(usual) {
-                    engine.room(now)
-                } else {
-                    0
-                }
-            })
-            .collect();
+        let mut room: Vec<u32> = self.engines.iter().map(|engine| engine.room(now)).collect();
+        let mut by_speed: Vec<usize> = (0..self.engines.len()).collect();
+        by_speed.sort_by(|a, b| {
+            let slowness = |at: &usize| self.engines[*at].slowness(usual);
+            slowness(a).total_cmp(&slowness(b))
+        });
         let mut moved = Vec::new();
         for at in 0..self.running.len() {
             let running = self.running[at];
-            let Some(from) = self.engine_at(running.engine) else {
+            let Some(from) = self.engine_at(running.engine).filter(|_| !running.leaving) else {
                 continue;
             };
             let silent = running.is_silent(now, usual);
-            let slow = self.engines[from].is_slow(usual) && running.has_stayed(now);
-            if running.leaving || !(silent || slow) {
+            if !silent && !running.has_stayed(now) {
                 continue;
             }
-            let to = (0..self.engines.len()).find(|to| {
-                *to != from && room[*to] > 0 && self.engines[*to].has_version_for(&running.draft)
+            let fast_enough = self.engines[from].slowness(usual) / FASTER_FACTOR;
+            let to = by_speed.iter().copied().find(|to| {
+                let engine = &self.engines[*to];
+                let faster = silent || engine.slowness(usual) <= fast_enough;
+                *to != from && faster && room[*to] > 0 && engine.has_version_for(&running.draft)
             });
             let Some(to) = to else {
                 continue;
@@ -328,7 +328,7 @@
         fitting
             .filter(|(_, engine)| engine.takes(now, draft))
             .min_by(|(_, a), (_, b)| {
-                let score = |engine: &Engine| engine.score(prompt_at, usual);
+                let score = |engine: &Engine| engine.score(draft.model, prompt_at, usual);
                 score(a).total_cmp(&score(b))
             })
             .map(|(at, _)| at)
@@ -398,29 +398,22 @@
         }
     }
 
-    fn is_slow(&self, usual_event_s: Option<f64>) -> bool {
-        self.slowness(usual_event_s) >= SLOW_FACTOR
-    }
-
-    fn is_usual(&self, usual_event_s: Option<f64>) -> bool {
-        self.slowness(usual_event_s) <= USUAL_FACTOR
-    }
-
     /// The lower the better.
-    fn score(&self, prompt_at: Option<UpstreamKey>, usual_event_s: Option<f64>) -> f64 {
-        let load = f64::from(self.in_flight + 1) / f64::from(self.state.slots.max(1));
-        let slowness = self.slowness(usual_event_s);
-        let bonus = if prompt_at == Some(self.state.key) {
-            PROMPT_BONUS
-        } else {
-            0.0
-        };
-        let zone = if self.state.local_zone {
-            0.0
-        } else {
-            OTHER_ZONE
-        };
-        load * slowness.max(0.5) + zone - bonus
+    fn score(
+        &self,
+        model: ModelKey,
+        prompt_at: Option<UpstreamKey>,
+        usual_event_s: Option<f64>,
+    ) -> f64 {
+        let load = f64::from(self.in_flight) / f64::from(self.state.slots.max(1));
+        let mut score = self.slowness(usual_event_s) * (1.0 + FULL_SLOWER * load);
+        if prompt_at == Some(self.state.key) {
+            score -= PROMPT_BONUS;
+        }
+        if self.state.model.is_some_and(|own| own != model) {
+            score += OTHER_MODEL;
+        }
+        score
     }
 
     fn learn(&mut self, pause: Duration, usual_event_s: Option<f64>) {
--- a/crates/policy/src/waves.rs
+++ b/crates/policy/src/waves.rs
@@ -9,6 +9,7 @@
 //! other half to the next one. **Thresholds:** beside each constant.
 
 use crate::placement::ModelKey;
+use crate::route::mix;
 use crate::work::UpstreamKey;
 
 /// Versions behind the named one at which an engine is of no more use: the next
@@ -19,6 +20,46 @@
 /// 0.9 s, and more of them slow each other down at the weight store.
 const LOADING_PART: f64 = 1.0 / 6.0;
 
+/// How far one engine is behind the named version of one model.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Lag {
+    /// Place of the engine among all.
+    pub engine: usize,
+    /// Hash of its instance; the same on every VM.
+    pub hash: u64,
+    /// The model.
+    pub model: ModelKey,
+    /// Versions behind.
+    pub behind: u64,
+}
+
+/// The model that each of `engines` engines is to serve: equal parts for all models,
+/// and engines keep the model whose newer weights they have.
+///
+/// Every node computes the same from the same list. Dividing engines by their place
+/// in the list would be simpler, but each engine that comes or goes would move all
+/// behind it to another model, and each move is a load.
+#[must_use]
+pub fn assign(engines: usize, lags: &[Lag]) -> Vec<Option<ModelKey>> {
+    let mut models: Vec<ModelKey> = lags.iter().map(|lag| lag.model).collect();
+    models.sort_unstable();
+    models.dedup();
+    let most = engines.div_ceil(models.len().max(1));
+    let mut pairs = lags.to_vec();
+    pairs.sort_by_key(|lag| (lag.behind, mix(lag.hash ^ mix(u64::from(lag.model.0)))));
+    let mut assigned = vec![None; engines];
+    for lag in pairs {
+        let held = assigned
+            .iter()
+            .filter(|held| **held == Some(lag.model))
+            .count();
+        if assigned[lag.engine].is_none() && held < most {
+            assigned[lag.engine] = Some(lag.model);
+        }
+    }
+    assigned
+}
+
 /// One engine and one model, as far as weights go.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct EngineWeights {
