Seeds pass on what the store shows

Weighed: a member list and watchers by zone (more state, more messages), longer pauses (2,000 calls at best). Change: nodes ask the three seeds of their settings, whose revisions are the store's; a seed says how old its knowledge is. Only where an upstream that leaves may get requests for 2.8 s.

--- a/crates/node/src/drafting.rs
+++ b/crates/node/src/drafting.rs
@@ -6,6 +6,7 @@
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Bytes;
 use bytes::BytesMut;
@@ -86,6 +87,11 @@
     rank: u64,
     progress: Progress,
     running: bool,
+    /// When it was first offered, and first started.
+    offered: Instant,
+    first_start: Option<Instant>,
+    /// Runs so far.
+    tries: u32,
     /// Tells the run to leave its engine.
     leave: Arc<Notify>,
 }
@@ -181,6 +187,9 @@
             rank,
             progress: kept.map(|kept| kept.progress).unwrap_or_default(),
             running: false,
+            offered: self.shared.clock.now(),
+            first_start: None,
+            tries: 0,
             leave: Arc::default(),
         });
         self.offer(state, key);
@@ -385,6 +394,8 @@
         let leave = Arc::clone(&job.leave);
         let drafting = self.clone();
         job.running = true;
+        job.tries += 1;
+        job.first_start.get_or_insert(now);
         drop(tokio::spawn(async move {
             let drafted = drafting.draft(key, board, place, upstream, leave, progress);
             drafted.await;
@@ -458,7 +469,22 @@
                 let job = state.jobs.remove(at);
                 let item = &job.board.items[job.place];
                 let result = completed(item, &job.progress);
-                job.board.note(self.shared.clock.now(), result);
+                let now = self.shared.clock.now();
+                let waited_ms = job
+                    .first_start
+                    .map(|at| at.duration_since(job.offered).as_millis());
+                self.shared.journal.event(
+                    "item_completed",
+                    &[
+                        ("submission", &job.board.id),
+                        ("item", &item.id),
+                        ("events", &job.progress.events.len()),
+                        ("tries", &job.tries),
+                        ("waited_ms", &waited_ms.unwrap_or_default()),
+                        ("took_ms", &now.duration_since(job.offered).as_millis()),
+                    ],
+                );
+                job.board.note(now, result);
                 state.kept.keep(&item.id, job.progress, true);
             }
             Attempt::Impossible => self.abandon(state, key, "impossible"),
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -1,9 +1,16 @@
-//! Follows one kind of objects in the platform's store: a list, then watches
-//! from there, for as long as the process lives.
+//! Follows one kind of objects for as long as the process lives: from the seeds of
+//! the settings where the deployment allows it, else from the platform's store.
 
+use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
+use bytes::Bytes;
+use firweir::process::clock::Clock;
 use firweir::process::log::Journal;
+use http::Request;
+use http_body_util::Full;
 use rand::Rng;
 
 use crate::dialect::Freshness;
@@ -12,6 +19,14 @@
 use crate::dialect::StoreAnswer;
 use crate::dialect::StoreCall;
 use crate::dialect::StoreError;
+use crate::link::Links;
+use crate::relay::POLL_TIMEOUT;
+use crate::relay::Passing;
+use crate::relay::RELAY_PATH;
+use crate::relay::Relay;
+use crate::relay::SEED_WATCH;
+use crate::relay::age_most_ms;
+use crate::relay::name_of;
 use crate::store::Store;
 
 /// How long one watch may wait. A watch that hears nothing any more ends by the
@@ -24,6 +39,9 @@
 /// made 49,000 calls meanwhile.
 const RETRY_PAUSE: Duration = Duration::from_millis(600);
 
+/// Seeds that did not help are left alone this long; meanwhile the store is asked.
+const SEEDS_PAUSE: Duration = Duration::from_secs(3);
+
 /// How a kind is followed now; asked anew before each call.
 #[derive(Debug, Clone, Copy)]
 pub struct Following {
@@ -56,70 +74,188 @@
     Gone(String),
 }
 
+/// Where kinds are followed from; cheap to clone.
+#[derive(Debug, Clone)]
+pub struct Sources {
+    /// The platform's store.
+    pub store: Store,
+    /// Connections to seeds.
+    pub links: Links,
+    /// Seeds to ask, without this node; none where the store is always asked.
+    pub seeds: Arc<[SocketAddr]>,
+    /// This node is a seed that others ask.
+    pub is_seed: bool,
+    /// What this node passes on.
+    pub relay: Arc<Relay>,
+    /// The clock.
+    pub clock: Arc<dyn Clock>,
+    /// Events.
+    pub journal: Journal,
+}
+
+/// One kind as its follower knows it.
+struct Follower {
+    sources: Sources,
+    kind: Kind,
+    /// Revision of the store up to which changes are known.
+    since: Option<u64>,
+    /// The store did not answer the last call.
+    lost: bool,
+    /// Seeds are left alone until then.
+    seeds_after: Option<Instant>,
+    /// Seed to ask next.
+    next_seed: usize,
+}
+
+/// Changes up to a revision.
+struct Update {
+    revision: u64,
+    changes: Vec<Change>,
+}
+
 /// Follows a kind and tells `take` of every change. Never ends.
 pub async fn follow(
-    store: Store,
-    journal: Journal,
+    sources: Sources,
     kind: Kind,
     how: impl Fn() -> Following,
     mut take: impl FnMut(Change),
 ) {
-    let mut lost = false;
+    let next_seed = rand::rng().random_range(0..sources.seeds.len().max(1));
+    let mut follower = Follower {
+        sources,
+        kind,
+        since: None,
+        lost: false,
+        seeds_after: None,
+        next_seed,
+    };
     loop {
-        let mut regained = |objects| {
-            if std::mem::take(&mut lost) {
-                journal.event("store_regained", &[("kind", &format_args!("{kind:?}"))]);
+        let update = match follower.ask_seeds().await {
+            Some(update) => update,
+            None => match follower.ask_store(how()).await {
+                Ok(update) => update,
+                Err(error) => {
+                    follower.note_failure(&error).await;
+                    continue;
+                }
+            },
+        };
+        follower.since = Some(update.revision.max(follower.since.unwrap_or(0)));
+        update.changes.into_iter().for_each(&mut take);
+    }
+}
+
+impl Follower {
+    /// What a seed passes on, if one is up to date.
+    async fn ask_seeds(&mut self) -> Option<Update> {
+        let name = name_of(self.kind)?;
+        let now = self.sources.clock.now();
+        if self.seeds_after.is_some_and(|after| after > now) {
+            return None;
+        }
+        for _ in 0..self.sources.seeds.len() {
+            let seeds = &self.sources.seeds;
+            let seed = seeds[self.next_seed % seeds.len()];
+            if let Some(passing) = self.ask_seed(seed, name).await {
+                let known = self.since.unwrap_or(0);
+                if passing.age_ms <= age_most_ms() && passing.revision >= known {
+                    return Some(Update {
+                        revision: passing.revision,
+                        changes: passing.into_changes(),
+                    });
+                }
             }
-            take(objects);
+            self.next_seed += 1;
+        }
+        self.seeds_after = Some(now + SEEDS_PAUSE);
+        None
+    }
+
+    async fn ask_seed(&self, seed: SocketAddr, name: &str) -> Option<Passing> {
+        let since = self.since.unwrap_or(0);
+        let mut request = Request::new(Full::new(Bytes::new()));
+        *request.uri_mut() = format!("{RELAY_PATH}{name}?{since}").parse().ok()?;
+        let links = &self.sources.links;
+        let answer = links.call(seed, request, POLL_TIMEOUT).await.ok()?;
+        serde_json::from_slice(answer.body()).ok()
+    }
+
+    /// What the store shows: a list at first and after a gap, then changes.
+    async fn ask_store(&mut self, how: Following) -> Result<Update, StoreError> {
+        let update = match self.since {
+            // The newest list: while the store drops its history, the revision of a
+            // stale one is already gone, and no watch could start from it.
+            None => {
+                let (objects, revision) =
+                    list(&self.sources.store, self.kind, Freshness::Newest).await?;
+                Update {
+                    revision,
+                    changes: vec![Change::All(objects)],
+                }
+            }
+            Some(since) => self.watch(since, how).await?,
         };
-        let failed = list_and_watch(&store, kind, &how, &mut regained).await;
-        if matches!(failed, StoreError::HistoryGone) {
-            journal.event("history_gone", &[("kind", &format_args!("{kind:?}"))]);
-        } else if !lost {
-            lost = true;
-            let kind = format_args!("{kind:?}");
-            journal.event("store_lost", &[("kind", &kind), ("cause", &failed)]);
+        if std::mem::take(&mut self.lost) {
+            let kind = format_args!("{:?}", self.kind);
+            self.sources
+                .journal
+                .event("store_regained", &[("kind", &kind)]);
         }
-        let spread = rand::rng().random_range(0..=RETRY_PAUSE.as_millis() as u64 / 2);
-        tokio::time::sleep(RETRY_PAUSE + Duration::from_millis(spread)).await;
+        let now = self.sources.clock.now();
+        if self.sources.is_seed {
+            let (relay, changes) = (&self.sources.relay, &update.changes);
+            relay.keep(now, self.kind, update.revision, changes);
+        }
+        Ok(update)
     }
-}
 
-async fn list_and_watch(
-    store: &Store,
-    kind: Kind,
-    how: &impl Fn() -> Following,
-    take: &mut impl FnMut(Change),
-) -> StoreError {
-    // The newest list: while the store drops its history, the revision of a stale one
-    // is already gone, and no watch could start from it.
-    let (objects, mut since) = match list(store, kind, Freshness::Newest).await {
-        Ok(listed) => listed,
-        Err(error) => return error,
-    };
-    take(Change::All(objects));
-    loop {
+    async fn watch(&self, since: u64, how: Following) -> Result<Update, StoreError> {
+        let is_seed = self.sources.is_seed && name_of(self.kind).is_some();
+        let many = !self.sources.seeds.is_empty() || is_seed;
+        if !is_seed {
+            tokio::time::sleep(how.pause).await;
+        }
         let watch = StoreCall::Watch {
-            kind,
+            kind: self.kind,
             since,
-            wait: WATCH_WAIT,
-            freshness: how().freshness,
+            // Nodes that may ask seeds look for one again soon.
+            wait: if many { SEED_WATCH } else { WATCH_WAIT },
+            freshness: if is_seed {
+                Freshness::Newest
+            } else {
+                how.freshness
+            },
         };
-        match store.call(&watch).await {
-            Ok(StoreAnswer::Changes { changes, revision }) => {
-                since = revision.max(since);
-                for change in changes {
-                    take(if change.deleted {
+        match self.sources.store.call(&watch).await? {
+            StoreAnswer::Changes { changes, revision } => {
+                let changes = changes.into_iter().map(|change| {
+                    if change.deleted {
                         Change::Gone(change.object.name)
                     } else {
                         Change::Put(change.object)
-                    });
-                }
+                    }
+                });
+                Ok(Update {
+                    revision,
+                    changes: changes.collect(),
+                })
             }
-            Ok(_) => return StoreError::Unknown,
-            Err(error) => return error,
+            _ => Err(StoreError::Unknown),
         }
-        tokio::time::sleep(how().pause).await;
+    }
+
+    async fn note_failure(&mut self, error: &StoreError) {
+        let kind = format!("{:?}", self.kind);
+        let journal = &self.sources.journal;
+        if matches!(error, StoreError::HistoryGone) {
+            self.since = None;
+            journal.event("history_gone", &[("kind", &kind)]);
+        } else if !self.lost {
+            self.lost = true;
+            journal.event("store_lost", &[("kind", &kind), ("cause", error)]);
+        }
+        let spread = rand::rng().random_range(0..=RETRY_PAUSE.as_millis() as u64 / 2);
+        tokio::time::sleep(RETRY_PAUSE + Duration::from_millis(spread)).await;
     }
 }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod live;
 pub mod model;
 pub mod node;
+pub mod relay;
 pub mod respond;
 pub mod settings;
 pub mod store;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -34,10 +34,14 @@
 use crate::fleet::UpstreamList;
 use crate::follow::Change;
 use crate::follow::Following;
+use crate::follow::Sources;
 use crate::follow::follow;
 use crate::link::Links;
 use crate::live::Live;
 use crate::model::RouteKind;
+use crate::relay::RELAY_PATH;
+use crate::relay::Relay;
+use crate::relay::kind_of;
 use crate::respond::Outcome;
 use crate::respond::empty;
 use crate::respond::refusal;
@@ -68,6 +72,10 @@
 /// no request 2 s later.
 const IDLE_PAUSE: Duration = Duration::from_millis(800);
 
+/// Nodes follow seeds where upstreams that leave may get requests for this long: a
+/// node notices a dead seed 2.6 s late, as `relay` works out.
+const RELAY_FROM: Duration = Duration::from_millis(2_800);
+
 /// Time between looks at time-bound decisions of live calls.
 const TICK_EVERY: Duration = Duration::from_millis(100);
 
@@ -98,6 +106,8 @@
     drafting: Drafting,
     homes: Homes,
     weights: Weights,
+    relay: Arc<Relay>,
+    clock: Arc<dyn Clock>,
     tasks: Tasks,
 }
 
@@ -110,6 +120,7 @@
     journal: Journal,
     links: Links,
     store: Store,
+    sources: Sources,
     net: SharedNet,
     tasks: Tasks,
 }
@@ -128,7 +139,9 @@
             Arc::clone(&clock),
             &writer,
         );
+        let sources = sources(&settings, &store, &links, &clock, &journal);
         Ok(Self {
+            sources,
             settings,
             dialect,
             clock,
@@ -146,8 +159,8 @@
         how: impl Fn() -> Following + Send + Sync + 'static,
         take: impl FnMut(Change) + Send + 'static,
     ) {
-        let following = follow(self.store.clone(), self.journal.clone(), kind, how, take);
-        self.tasks.spawn(following);
+        self.tasks
+            .spawn(follow(self.sources.clone(), kind, how, take));
     }
 
     /// Waits for SIGTERM; settings files that change are read again at a restart.
@@ -166,6 +179,31 @@
     }
 }
 
+/// Where this node follows the store: from seeds only where upstreams that leave may
+/// get requests for as long as a dead seed goes unnoticed.
+fn sources(
+    settings: &NodeSettings,
+    store: &Store,
+    links: &Links,
+    clock: &Arc<dyn Clock>,
+    journal: &Journal,
+) -> Sources {
+    let relayed = settings.leaving_ms >= RELAY_FROM.as_millis() as u64;
+    let own = settings.peer_listen;
+    let is_seed = own.is_some_and(|own| settings.seeds.contains(&own));
+    let seeds = settings.seeds.iter().copied();
+    let seeds = seeds.filter(|_| relayed && !is_seed && own.is_some());
+    Sources {
+        store: store.clone(),
+        links: links.clone(),
+        seeds: seeds.collect(),
+        is_seed: relayed && is_seed,
+        relay: Arc::default(),
+        clock: Arc::clone(clock),
+        journal: journal.clone(),
+    }
+}
+
 /// Runs a node that takes clients until SIGTERM has drained it.
 ///
 /// # Errors
@@ -320,6 +358,8 @@
         drafting,
         homes,
         weights,
+        relay: Arc::clone(&base.sources.relay),
+        clock: Arc::clone(clock),
         tasks: base.tasks.clone(),
     })
 }
@@ -425,6 +465,9 @@
         if head.uri.path() == HOLDER_PATH {
             return json(StatusCode::OK, &self.weights.answer_holder().await);
         }
+        if let Some(name) = head.uri.path().strip_prefix(RELAY_PATH) {
+            return self.pass_on(name, head.uri.query()).await;
+        }
         let (id, question) = match self.dialect.client_call(&head) {
             ClientCall::ReadResults {
                 submission,
@@ -445,6 +488,16 @@
         self.desk.ask(Asker::Peer, &id, &question, &head).await
     }
 
+    /// Passes on what the store shows to a node that takes this one for a seed.
+    async fn pass_on(&self, name: &str, since: Option<&str>) -> Response<Body> {
+        let since = since.and_then(|since| since.parse().ok());
+        let (Some(kind), Some(since)) = (kind_of(name), since) else {
+            return empty(StatusCode::NOT_FOUND);
+        };
+        let now = || self.clock.now();
+        json(StatusCode::OK, &self.relay.answer(kind, since, now).await)
+    }
+
     /// Not ready before a configuration is known, or once a drain has begun.
     fn ready(&self) -> Response<Body> {
         let ready = self.fleet.config().version > 0 && !self.tasks.is_draining();
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -43,6 +43,11 @@
     /// Where other nodes are taken.
     #[serde(default)]
     pub peer_listen: Option<SocketAddr>,
+    /// Nodes that pass on what the store shows, by where they take other nodes.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+    /// An upstream that leaves may get requests for this long.
+    pub leaving_ms: u64,
     /// Time from SIGTERM to SIGKILL.
     pub grace_s: f64,
     /// Engines may hear from another holder of the orders only after this long.
