--- a/crates/node/src/dialect.rs
+++ b/crates/node/src/dialect.rs
@@ -221,6 +221,8 @@
         kind: Kind,
         /// Its name.
         name: String,
+        /// How old the answer may be.
+        freshness: Freshness,
     },
     /// Lists objects of a kind, in order of their names.
     List {
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -42,6 +42,13 @@
 /// Seeds that did not help are left alone this long; meanwhile the store is asked.
 const SEEDS_PAUSE: Duration = Duration::from_secs(3);
 
+/// After a start a node waits this long for its seeds, which start at the same time
+/// and need a list of their own first; then it asks the store.
+const SEEDS_START: Duration = Duration::from_millis(2_500);
+
+/// Time between two tries of the seeds after a start.
+const SEEDS_START_PAUSE: Duration = Duration::from_millis(250);
+
 /// How a kind is followed now; asked anew before each call.
 #[derive(Debug, Clone, Copy)]
 pub struct Following {
@@ -129,6 +136,7 @@
         seeds_after: None,
         next_seed,
     };
+    follower.await_seeds().await;
     loop {
         let update = match follower.ask_seeds().await {
             Some(update) => update,
@@ -146,6 +154,24 @@
 }
 
 impl Follower {
+    /// Waits for the first answer of a seed, for a while.
+    async fn await_seeds(&mut self) {
+        let until = self.sources.clock.now() + SEEDS_START;
+        let Some(name) = name_of(self.kind).filter(|_| !self.sources.seeds.is_empty()) else {
+            return;
+        };
+        while self.sources.clock.now() < until {
+            let seeds = &self.sources.seeds;
+            let seed = seeds[self.next_seed % seeds.len()];
+            let passing = self.ask_seed(seed, name).await;
+            if passing.is_some_and(|passing| passing.age_ms <= age_most_ms()) {
+                return;
+            }
+            self.next_seed += 1;
+            tokio::time::sleep(SEEDS_START_PAUSE).await;
+        }
+    }
+
     /// What a seed passes on, if one is up to date.
     async fn ask_seeds(&mut self) -> Option<Update> {
         let name = name_of(self.kind)?;
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -14,6 +14,7 @@
 use serde_json::value::RawValue;
 
 use crate::dialect::Dialect;
+use crate::dialect::Freshness;
 use crate::dialect::Kind;
 use crate::dialect::Object;
 use crate::dialect::StoreAnswer;
@@ -107,8 +108,30 @@
     ///
     /// The store did not answer.
     pub async fn read(&self, kind: Kind, name: &str) -> Result<Option<Object>, StoreError> {
-        let name = name.to_owned();
-        match self.call(&StoreCall::Read { kind, name }).await {
+        self.read_as(kind, name, Freshness::Newest).await
+    }
+
+    /// Reads an object as it is or was seconds ago; `None` if there is or was none.
+    ///
+    /// # Errors
+    ///
+    /// The store did not answer.
+    pub async fn read_stale(&self, kind: Kind, name: &str) -> Result<Option<Object>, StoreError> {
+        self.read_as(kind, name, Freshness::Seconds).await
+    }
+
+    async fn read_as(
+        &self,
+        kind: Kind,
+        name: &str,
+        freshness: Freshness,
+    ) -> Result<Option<Object>, StoreError> {
+        let call = StoreCall::Read {
+            kind,
+            name: name.to_owned(),
+            freshness,
+        };
+        match self.call(&call).await {
             Ok(StoreAnswer::Object(object)) => Ok(Some(object)),
             Ok(_) | Err(StoreError::Missing) => Ok(None),
             Err(error) => Err(error),
--- a/crates/node/src/submission/board.rs
+++ b/crates/node/src/submission/board.rs
@@ -20,7 +20,10 @@
 use firweir::process::log::Journal;
 use tokio::sync::Notify;
 
+use crate::dialect::Freshness;
 use crate::dialect::Kind;
+use crate::dialect::StoreAnswer;
+use crate::dialect::StoreCall;
 use crate::dialect::StoreError;
 use crate::model::Item;
 use crate::model::ItemResult;
@@ -140,14 +143,33 @@
     /// The store did not answer.
     pub async fn catch_up(&self, store: &Store) -> Result<(), StoreError> {
         loop {
-            let number = self.lock().chunks;
-            let name = numbered(&self.id, number);
-            let Some(object) = store.read(Kind::ResultChunks, &name).await? else {
-                return Ok(());
+            let known = self.lock().chunks;
+            // Names sort by submission, then number: what follows the last known chunk
+            // begins with the next one, if there is one.
+            let after = known
+                .checked_sub(1)
+                .map_or_else(|| format!("{}-", self.id), |last| numbered(&self.id, last));
+            let call = StoreCall::List {
+                kind: Kind::ResultChunks,
+                after,
+                freshness: Freshness::Newest,
             };
-            let chunk: Chunk = serde_json::from_str(object.value.get())
-                .map_err(|error| StoreError::Malformed(error.into()))?;
-            self.append(number, chunk.results);
+            let StoreAnswer::Page { objects, more, .. } = store.call(&call).await? else {
+                return Err(StoreError::Unknown);
+            };
+            let mut number = known;
+            for object in objects {
+                if object.name != numbered(&self.id, number) {
+                    return Ok(());
+                }
+                let chunk: Chunk = serde_json::from_str(object.value.get())
+                    .map_err(|error| StoreError::Malformed(error.into()))?;
+                self.append(number, chunk.results);
+                number += 1;
+            }
+            if !more || number == known {
+                return Ok(());
+            }
         }
     }
 
--- a/crates/node/src/submission/desk.rs
+++ b/crates/node/src/submission/desk.rs
@@ -679,10 +679,20 @@
                 .binary_search_by(|held| held.id.as_str().cmp(id));
             at.ok().map(|at| state.heads[at].clone())
         };
-        match held {
-            Some(known) => Ok(Some(known)),
-            None => self.reread(id).await,
+        if held.is_some() {
+            return Ok(held);
         }
+        // An old head does for asking its runner, who knows better; that there is no
+        // such submission has to be the newest.
+        let old = self.shared.store.read_stale(Kind::Submissions, id).await;
+        if let Ok(Some(object)) = old
+            && let Some(known) = self.read_head(object)
+            && known.head.runner != self.shared.me
+        {
+            self.note_head(known.clone());
+            return Ok(Some(known));
+        }
+        self.reread(id).await
     }
 
     async fn reread(&self, id: &str) -> Result<Option<Known>, StoreError> {
--- a/crates/node/src/weights.rs
+++ b/crates/node/src/weights.rs
@@ -298,7 +298,7 @@
         let held = self.lock().held;
         match held {
             Some(held) if !due.is_empty() && now >= held.from => {
-                if self.verify(held).await {
+                if self.is_verified(held) || self.verify(held).await {
                     for due in due {
                         self.order(held.epoch, due);
                     }
@@ -340,6 +340,12 @@
         Ok(Some((object.revision, duty)))
     }
 
+    /// The last read is fresh enough for orders that are given now.
+    fn is_verified(&self, held: Held) -> bool {
+        let now = self.shared.parts.boot_clock.since_boot();
+        now.saturating_sub(held.verified) <= VERIFIED_FOR / 2
+    }
+
     /// Reads the duty back: whether it is still held under this epoch.
     async fn verify(&self, held: Held) -> bool {
         let sent = self.shared.parts.boot_clock.since_boot();
