--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -109,11 +109,11 @@
 /// A sample goes on at an engine that is faster by this factor. The move costs some
 /// 20 ms; a sample that has run for [`STAY_AT_LEAST`] is one of the long ones, which
 /// run for seconds.
-const FASTER_FACTOR: f64 = 1.15;
+const FASTER_FACTOR: f64 = 1.4;
 
 /// A sample stays this long before it is moved for speed, so that two estimates that
 /// change places do not send it back and forth.
-const STAY_AT_LEAST: Duration = Duration::from_millis(500);
+const STAY_AT_LEAST: Duration = Duration::from_millis(800);
 
 /// Groups whose engine is remembered: those of a few open steps.
 const GROUPS_KEPT: usize = 512;
