--- a/crates/firweir/src/process/mod.rs
+++ b/crates/firweir/src/process/mod.rs
@@ -17,6 +17,7 @@
 pub mod log;
 pub mod lot_store;
 pub mod membership;
+pub mod metrics;
 pub mod observations;
 pub mod rounds;
 pub mod run;
--- a/crates/node/src/drafting.rs
+++ b/crates/node/src/drafting.rs
@@ -51,7 +51,7 @@
 
 /// A pause between events longer than this means that the engine is dark: events
 /// come each 50 ms, a slow engine's each 200 ms, and loading takes 0.9 s and more.
-const NEXT_EVENT: Duration = Duration::from_millis(2_000);
+const NEXT_EVENT: Duration = Duration::from_secs(2);
 
 /// An event longer than this is no event.
 const EVENT_LIMIT_BYTES: usize = 1 << 20;
@@ -473,6 +473,8 @@
                 let waited_ms = job
                     .first_start
                     .map(|at| at.duration_since(job.offered).as_millis());
+                let took = now.duration_since(job.offered);
+                self.shared.journal.time("item.completed", took);
                 self.shared.journal.event(
                     "item_completed",
                     &[
@@ -481,7 +483,7 @@
                         ("events", &job.progress.events.len()),
                         ("tries", &job.tries),
                         ("waited_ms", &waited_ms.unwrap_or_default()),
-                        ("took_ms", &now.duration_since(job.offered).as_millis()),
+                        ("took_ms", &took.as_millis()),
                     ],
                 );
                 job.board.note(now, result);
--- a/crates/node/src/live.rs
+++ b/crates/node/src/live.rs
@@ -195,7 +195,15 @@
             deadline: started + patience,
         };
         let answer = self.run(&call).await;
-        let took_ms = self.clock.now().duration_since(started).as_millis();
+        let took = self.clock.now().duration_since(started);
+        let took_ms = took.as_millis();
+        self.journal.time("live.call", took);
+        self.journal.count(match answer.status().as_u16() {
+            200..=299 => "live.answered",
+            503 => "live.not_run",
+            504 => "live.out_of_time",
+            _ => "live.failed",
+        });
         self.journal.event(
             "call",
             &[
@@ -291,13 +299,11 @@
         };
         let request = self.upstream_request(call, upstream, remaining);
         let sending = self.exchange(call, upstream, request, permit);
-        match within(patience, sending).await {
-            Some(outcome) => outcome,
-            None => {
-                self.note_try(call, upstream, "late");
-                Try::Unknown
-            }
-        }
+        let Some(outcome) = within(patience, sending).await else {
+            self.note_try(call, upstream, "late");
+            return Try::Unknown;
+        };
+        outcome
     }
 
     fn upstream_request(
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -9,11 +9,13 @@
 use firweir::connection::net::TcpNet;
 use firweir::connection::server;
 use firweir::connection::server::Body;
+use firweir::connection::server::bytes_response;
 use firweir::connection::server::json;
 use firweir::connection::server::read_body;
 use firweir::process::clock::Clock;
 use firweir::process::clock::SystemClock;
 use firweir::process::log::Journal;
+use firweir::process::metrics::Exposition;
 use firweir::process::tasks::Tasks;
 use http::Method;
 use http::Request;
@@ -64,7 +66,7 @@
 const CLIENT_LINGER: Duration = Duration::from_millis(2_500);
 
 /// The process ends this long before it would be killed.
-const END_BEFORE_KILL: Duration = Duration::from_millis(1_000);
+const END_BEFORE_KILL: Duration = Duration::from_secs(1);
 
 /// Pause between two watches of the list of upstreams on a node that drafts nothing.
 /// Each load of weights changes an entry, and each answer to a watch costs a call: at
@@ -118,6 +120,7 @@
     dialect: Arc<dyn Dialect>,
     clock: Arc<dyn Clock>,
     journal: Journal,
+    exposition: Exposition,
     links: Links,
     store: Store,
     sources: Sources,
@@ -126,9 +129,10 @@
 }
 
 impl Base {
-    fn new(settings: NodeSettings, dialect: Arc<dyn Dialect>) -> io::Result<Self> {
+    fn new(settings: NodeSettings, dialect: Arc<dyn Dialect>) -> Self {
         let clock: Arc<dyn Clock> = Arc::new(SystemClock);
-        let journal = Journal::new(Arc::clone(&clock), &settings.node, None)?;
+        let exposition = Exposition::default();
+        let journal = Journal::exposing(Arc::clone(&clock), &settings.node, exposition.clone());
         let links = Links::new(Arc::clone(&clock));
         let start_ms = clock.since_epoch().as_millis();
         let writer = format!("{}-{start_ms}-{:08x}", settings.node, rand::random::<u32>());
@@ -137,10 +141,12 @@
             links.clone(),
             settings.store,
             Arc::clone(&clock),
+            journal.clone(),
             &writer,
         );
         let sources = sources(&settings, &store, &links, &clock, &journal);
-        Ok(Self {
+        Self {
+            exposition,
             sources,
             settings,
             dialect,
@@ -150,7 +156,7 @@
             store,
             net: Arc::new(TcpNet),
             tasks: Tasks::new(),
-        })
+        }
     }
 
     fn follow(
@@ -210,7 +216,7 @@
 ///
 /// The settings lack an address, or it cannot be listened at.
 pub async fn run_front(settings: NodeSettings, dialect: Arc<dyn Dialect>) -> Result<(), NodeError> {
-    let base = Base::new(settings, dialect)?;
+    let base = Base::new(settings, dialect);
     let settings = &base.settings;
     let client_listen = settings
         .client_listen
@@ -227,6 +233,7 @@
     let clients = serve(&base, &node, client_listen, CLIENT_LINGER, Node::client).await?;
     let ready = serve(&base, &node, ready_listen, outlive, Node::client).await?;
     let peers = serve(&base, &node, peer_listen, outlive, Node::peer).await?;
+    serve_metrics(&base).await?;
     base.tasks.spawn(ready);
     base.tasks.spawn(peers);
     base.journal
@@ -256,7 +263,8 @@
 ///
 /// Signals cannot be taken.
 pub async fn run_disk(settings: NodeSettings, dialect: Arc<dyn Dialect>) -> Result<(), NodeError> {
-    let base = Base::new(settings, dialect)?;
+    let base = Base::new(settings, dialect);
+    serve_metrics(&base).await?;
     let (name, store) = (base.settings.node.clone(), base.store.clone());
     let journal = base.journal.clone();
     let (asked, mut asking) = tokio::sync::mpsc::unbounded_channel();
@@ -284,6 +292,22 @@
     Ok(())
 }
 
+/// Serves counters and latencies as text, if the settings say where.
+async fn serve_metrics(base: &Base) -> io::Result<()> {
+    let Some(at) = base.settings.metrics_listen else {
+        return Ok(());
+    };
+    let exposition = base.exposition.clone();
+    let handler = server::handler(move |_request| {
+        let text = exposition.text();
+        Box::pin(async move { bytes_response(StatusCode::OK, text.into()) })
+    });
+    let linger = base.settings.grace();
+    let (_, serving) = server::serve(&base.net, &base.tasks, at, linger, handler).await?;
+    base.tasks.spawn(serving);
+    Ok(())
+}
+
 /// Reports a VM as empty, until the store has taken it.
 async fn report_evacuated(store: &Store, journal: &Journal, name: &str) {
     loop {
@@ -400,7 +424,7 @@
         pause: Duration::ZERO,
     };
     base.follow(Kind::WeightVersions, how, move |change| {
-        fleet.take_version(change)
+        fleet.take_version(change);
     });
     let homes = node.homes.clone();
     let how = || Following {
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -45,7 +45,7 @@
 pub const AGE_MOST: Duration = Duration::from_millis(1_300);
 
 /// How long one watch of a seed may wait, so that its age stays below [`AGE_MOST`].
-pub const SEED_WATCH: Duration = Duration::from_millis(1_000);
+pub const SEED_WATCH: Duration = Duration::from_secs(1);
 
 /// How long a seed holds a question for which it has nothing new.
 const HOLD: Duration = Duration::from_millis(900);
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -52,6 +52,9 @@
     pub grace_s: f64,
     /// Engines may hear from another holder of the orders only after this long.
     pub lease_ms: u64,
+    /// Where counters and latencies are served as text.
+    #[serde(default)]
+    pub metrics_listen: Option<SocketAddr>,
     /// Least severe events to log: off, error, warn, info or debug.
     #[serde(default = "default_log_level")]
     pub log_level: String,
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -9,6 +9,7 @@
 use std::time::Instant;
 
 use firweir::process::clock::Clock;
+use firweir::process::log::Journal;
 use serde::Deserialize;
 use serde::Serialize;
 use serde_json::value::RawValue;
@@ -24,7 +25,7 @@
 use crate::link::Links;
 
 /// The store answers in milliseconds; past this it counts as not answering.
-const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
+const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Pause before a failed write is tried again, at first and at most. Each call
 /// costs, also in an outage, and an outage takes seconds.
@@ -55,6 +56,7 @@
     clock: Arc<dyn Clock>,
     writer: Arc<str>,
     writes: Arc<AtomicU64>,
+    journal: Journal,
 }
 
 impl Store {
@@ -65,6 +67,7 @@
         links: Links,
         address: SocketAddr,
         clock: Arc<dyn Clock>,
+        journal: Journal,
         writer: &str,
     ) -> Self {
         Self {
@@ -74,6 +77,7 @@
             clock,
             writer: writer.into(),
             writes: Arc::default(),
+            journal,
         }
     }
 
@@ -95,10 +99,41 @@
             _ => CALL_TIMEOUT,
         };
         let request = self.dialect.store_request(call);
-        match self.links.call(self.address, request, timeout).await {
+        let started = self.clock.now();
+        let answer = match self.links.call(self.address, request, timeout).await {
             Ok(answer) => self.dialect.store_answer(call, &answer),
             Err(LinkError::Refused | LinkError::NotSent) => Err(StoreError::Unreachable),
             Err(LinkError::Broken | LinkError::Late) => Err(StoreError::Unknown),
+        };
+        self.measure(call, started, &answer);
+        answer
+    }
+
+    fn measure(
+        &self,
+        call: &StoreCall,
+        started: Instant,
+        answer: &Result<StoreAnswer, StoreError>,
+    ) {
+        self.journal.count(match call {
+            StoreCall::Read { .. } => "store.read",
+            StoreCall::List { .. } => "store.list",
+            StoreCall::Watch { .. } => "store.watch",
+            StoreCall::Create { .. } => "store.create",
+            StoreCall::Replace { .. } | StoreCall::ReportEvacuated { .. } => "store.replace",
+            StoreCall::Delete { .. } => "store.delete",
+        });
+        match answer {
+            Ok(_) => {}
+            Err(StoreError::Unknown) => self.journal.count("store.unknown"),
+            Err(StoreError::Refused(_) | StoreError::Unreachable) => {
+                self.journal.count("store.refused");
+            }
+            Err(_) => self.journal.count("store.conflict"),
+        }
+        if !matches!(call, StoreCall::Watch { .. }) {
+            let took = self.clock.now().duration_since(started);
+            self.journal.time("store.call", took);
         }
     }
 
--- a/crates/node/src/submission/desk.rs
+++ b/crates/node/src/submission/desk.rs
@@ -63,7 +63,7 @@
 
 /// A runner that was not reached for this long is taken for gone. Shorter, and
 /// a pause of its VM moves what it runs; longer, and its trainer waits.
-const GONE_AFTER: Duration = Duration::from_millis(2_000);
+const GONE_AFTER: Duration = Duration::from_secs(2);
 
 /// When a client may ask again where it is not known who runs a submission.
 const ASK_AGAIN: Duration = Duration::from_millis(250);
@@ -424,7 +424,7 @@
         asker: Asker,
         id: &str,
         question: &Question,
-        asked: &request::Parts,
+        call: &request::Parts,
     ) -> Response<Body> {
         let mut known = match self.known(id).await {
             Ok(Some(known)) => known,
@@ -447,7 +447,7 @@
                 return empty(StatusCode::CONFLICT);
             }
             let runner = known.head.runner.address;
-            let gone = match self.pass_on(runner, question, asked).await {
+            let gone = match self.pass_on(runner, question, call).await {
                 Ok(answer) if answer.status() != StatusCode::CONFLICT => {
                     let (head, body) = answer.into_parts();
                     return with_json(head.status, body);
@@ -472,16 +472,16 @@
         &self,
         runner: SocketAddr,
         question: &Question,
-        asked: &request::Parts,
+        call: &request::Parts,
     ) -> Result<Response<Bytes>, LinkError> {
         let wait = match question {
             Question::Results { wait, .. } => *wait,
             Question::Item(_) | Question::End => Duration::ZERO,
         };
         let mut request = Request::new(Full::new(Bytes::new()));
-        *request.method_mut() = asked.method.clone();
-        *request.uri_mut() = asked.uri.clone();
-        *request.headers_mut() = asked.headers.clone();
+        *request.method_mut() = call.method.clone();
+        *request.uri_mut() = call.uri.clone();
+        *request.headers_mut() = call.headers.clone();
         strip_framing(request.headers_mut());
         let answer = self
             .shared
@@ -498,16 +498,14 @@
     fn is_gone(&self, runner: SocketAddr, error: LinkError) -> bool {
         let now = self.shared.clock.now();
         let mut state = self.lock();
-        let since = match state.unreached.iter().find(|held| held.address == runner) {
-            Some(held) => held.since,
-            None => {
-                state.unreached.push(Unreached {
-                    address: runner,
-                    since: now,
-                });
-                now
-            }
-        };
+        let known = state.unreached.iter().find(|held| held.address == runner);
+        let since = known.map_or(now, |held| held.since);
+        if known.is_none() {
+            state.unreached.push(Unreached {
+                address: runner,
+                since,
+            });
+        }
         // Nothing listens there: the process is gone, with all it had in memory.
         error == LinkError::Refused || now.duration_since(since) >= GONE_AFTER
     }
@@ -581,9 +579,8 @@
     async fn end(&self, board: &Arc<Board>) -> Response<Body> {
         self.stop(board);
         for _ in 0..HEAD_TRIES {
-            let known = match self.reread(&board.id).await {
-                Ok(Some(known)) => known,
-                _ => break,
+            let Ok(Some(known)) = self.reread(&board.id).await else {
+                break;
             };
             if known.head.ended {
                 return empty(StatusCode::OK);
--- a/crates/node/src/submission/homes.rs
+++ b/crates/node/src/submission/homes.rs
@@ -30,7 +30,7 @@
     /// Names the write that made this value.
     write: String,
     /// The node.
-    home: Runner,
+    runner: Runner,
 }
 
 #[derive(Debug, Clone)]
@@ -46,7 +46,7 @@
     store: Store,
     journal: Journal,
     /// Sorted by model.
-    homes: Arc<ArcSwap<Vec<Home>>>,
+    by_model: Arc<ArcSwap<Vec<Home>>>,
 }
 
 impl Homes {
@@ -56,14 +56,14 @@
         Self {
             store,
             journal,
-            homes: Arc::default(),
+            by_model: Arc::default(),
         }
     }
 
     /// The home of a model, if one is known.
     #[must_use]
     pub fn of(&self, model: &str) -> Option<Runner> {
-        let homes = self.homes.load();
+        let homes = self.by_model.load();
         let at = homes.binary_search_by(|home| home.model.as_str().cmp(model));
         at.ok().map(|at| homes[at].runner.clone())
     }
@@ -82,9 +82,9 @@
         let name = format!("{PREFIX}{model}");
         let record = Record {
             write: self.store.write_id(),
-            home: runner.clone(),
+            runner: runner.clone(),
         };
-        let homes = self.homes.load();
+        let homes = self.by_model.load();
         let known = homes.iter().find(|home| home.model == model).cloned();
         drop(homes);
         let (kind, write) = (Kind::Duties, &record.write);
@@ -101,7 +101,7 @@
             Ok(revision) => {
                 self.journal
                     .event("home_settled", &[("model", &model), ("home", &runner.node)]);
-                self.note(Home {
+                self.note(&Home {
                     model: model.to_owned(),
                     revision,
                     runner,
@@ -118,10 +118,10 @@
             return;
         };
         match serde_json::from_str::<Record>(object.value.get()) {
-            Ok(record) => self.note(Home {
+            Ok(record) => self.note(&Home {
                 model: model.to_owned(),
                 revision: object.revision,
-                runner: record.home,
+                runner: record.runner,
             }),
             Err(error) => self
                 .journal
@@ -130,8 +130,8 @@
     }
 
     /// Keeps the newest home of each model.
-    fn note(&self, home: Home) {
-        self.homes.rcu(|homes| {
+    fn note(&self, home: &Home) {
+        self.by_model.rcu(|homes| {
             let mut homes = Vec::clone(homes);
             match homes.binary_search_by(|held| held.model.cmp(&home.model)) {
                 Ok(at) if homes[at].revision < home.revision => homes[at] = home.clone(),
--- a/crates/node/src/weights.rs
+++ b/crates/node/src/weights.rs
@@ -525,18 +525,10 @@
         let known = self.with(&due.upstream.instance, |held| held.accepted);
         let accepted_before = match known {
             Some(accepted) => accepted,
-            None => {
-                let request = parts.dialect.report_request(&due.upstream);
-                let address = due.upstream.address;
-                let answer = parts.links.call(address, request, ORDER_TIMEOUT).await?;
-                let Ok(report) = parts.dialect.report(answer.body()) else {
-                    return Ok(OrderAnswer::Refused);
-                };
-                self.with(&due.upstream.instance, |held| {
-                    held.accepted = Some(report.orders_accepted);
-                });
-                report.orders_accepted
-            }
+            None => match self.count_orders(&due.upstream).await? {
+                Some(accepted) => accepted,
+                None => return Ok(OrderAnswer::Refused),
+            },
         };
         if !self.may_order(epoch) {
             return Err(LinkError::NotSent);
@@ -557,6 +549,31 @@
         Ok(parts.dialect.order_answer(answer.status()))
     }
 
+    /// Orders that an engine has accepted since its start, by its own report.
+    async fn count_orders(&self, upstream: &Upstream) -> Result<Option<u64>, LinkError> {
+        let parts = &self.shared.parts;
+        let request = parts.dialect.report_request(upstream);
+        let answer = parts
+            .links
+            .call(upstream.address, request, ORDER_TIMEOUT)
+            .await?;
+        let report = match parts.dialect.report(answer.body()) {
+            Ok(report) => report,
+            Err(error) => {
+                let instance = &upstream.instance;
+                self.event(
+                    "report_malformed",
+                    &[("upstream", instance), ("cause", &error)],
+                );
+                return Ok(None);
+            }
+        };
+        self.with(&upstream.instance, |held| {
+            held.accepted = Some(report.orders_accepted);
+        });
+        Ok(Some(report.orders_accepted))
+    }
+
     /// Right before an order: the VM may have been suspended since the read, or
     /// another node been told that this one orders no more.
     fn may_order(&self, epoch: u64) -> bool {
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -77,7 +77,7 @@
 
 /// An engine that failed is asked again after this: a restart takes seconds, and
 /// one sample that tries in vain loses a round trip.
-const FAILED_PAUSE: Duration = Duration::from_millis(1_000);
+const FAILED_PAUSE: Duration = Duration::from_secs(1);
 
 /// A full engine makes events slower by this part: by its size, and by the prompts
 /// that its other samples hold in memory.
