--- /dev/null
+++ b/crates/policy/tests/waves.rs
@@ -0,0 +1,152 @@
+//! Which engines load weights, and which model they serve.
+
+use firweir_policy::placement::ModelKey;
+use firweir_policy::step_order::Sample;
+use firweir_policy::step_order::ranks;
+use firweir_policy::waves::EngineWeights;
+use firweir_policy::waves::Lag;
+use firweir_policy::waves::assign;
+use firweir_policy::waves::next_loads;
+use firweir_policy::work::UpstreamKey;
+
+struct Case {
+    name: &'static str,
+    /// Versions of twelve engines; the trainer named version 5.
+    versions: [u64; 12],
+    loading: &'static [usize],
+    unavailable: &'static [usize],
+    /// Engines that are ordered.
+    loads: &'static [u32],
+}
+
+#[test]
+fn what_is_ordered_next() {
+    let cases = [
+        Case {
+            name: "half have it: the others keep the version before it",
+            versions: [5, 5, 5, 5, 5, 5, 4, 4, 4, 4, 4, 4],
+            loading: &[],
+            unavailable: &[],
+            loads: &[],
+        },
+        Case {
+            name: "engines of no more use go first, two at a time",
+            versions: [4, 4, 4, 4, 4, 4, 3, 3, 3, 3, 3, 3],
+            loading: &[],
+            unavailable: &[],
+            loads: &[11, 10],
+        },
+        Case {
+            name: "a load that runs counts",
+            versions: [4, 4, 4, 4, 4, 4, 3, 3, 3, 3, 3, 3],
+            loading: &[6],
+            unavailable: &[],
+            loads: &[11],
+        },
+        Case {
+            name: "as many run as may",
+            versions: [3; 12],
+            loading: &[0, 1],
+            unavailable: &[],
+            loads: &[],
+        },
+        Case {
+            name: "engines that take no order are left out",
+            versions: [5, 5, 5, 5, 5, 5, 5, 5, 5, 5, 3, 3],
+            loading: &[],
+            unavailable: &[11],
+            loads: &[10],
+        },
+    ];
+    for case in cases {
+        let engine = |(at, version): (usize, u64)| EngineWeights {
+            engine: UpstreamKey(at as u32),
+            model: ModelKey(0),
+            version,
+            named: 5,
+            loading: case.loading.contains(&at),
+            unavailable: case.unavailable.contains(&at),
+        };
+        let engines: Vec<_> = case.versions.into_iter().enumerate().map(engine).collect();
+        let loads: Vec<u32> = next_loads(&engines).iter().map(|key| key.0).collect();
+        assert_eq!(loads, case.loads, "{}", case.name);
+    }
+}
+
+fn lags(engines: &[usize], behind: impl Fn(usize, u32) -> u64) -> Vec<Lag> {
+    let pairs = engines.iter().enumerate();
+    pairs
+        .flat_map(|(at, engine)| {
+            let lag = |model| Lag {
+                engine: at,
+                hash: *engine as u64,
+                model: ModelKey(model),
+                behind: behind(*engine, model),
+            };
+            [lag(0), lag(1), lag(2)]
+        })
+        .collect()
+}
+
+#[test]
+fn models_share_engines_evenly_and_keep_them() {
+    let all: Vec<usize> = (0..12).collect();
+    let first = assign(12, &lags(&all, |_, _| 0));
+    for model in 0..3 {
+        let held = first
+            .iter()
+            .filter(|held| **held == Some(ModelKey(model)))
+            .count();
+        assert_eq!(held, 4, "model {model}");
+    }
+    // Each engine has new weights of its model; the others' fall behind.
+    let behind = |engine: usize, model: u32| u64::from(first[engine] != Some(ModelKey(model))) * 3;
+    assert_eq!(assign(12, &lags(&all, behind)), first, "nothing moves");
+    let left = &all[1..];
+    let second = assign(11, &lags(left, behind));
+    assert_eq!(second, first[1..], "one engine that leaves moves no other");
+}
+
+struct Order {
+    name: &'static str,
+    /// Group and expected tokens.
+    samples: &'static [(usize, u32)],
+    target_groups: usize,
+    /// Places of the samples in the order in which they start.
+    order: &'static [usize],
+}
+
+#[test]
+fn the_order_of_a_step() {
+    let cases = [
+        Order {
+            name: "long samples first",
+            samples: &[(0, 10), (0, 90), (1, 50), (1, 20)],
+            target_groups: 2,
+            order: &[1, 2, 3, 0],
+        },
+        Order {
+            name: "the group beyond those waited for goes last, with all its samples",
+            samples: &[(0, 10), (1, 10), (2, 900), (2, 5), (3, 20)],
+            target_groups: 3,
+            order: &[4, 0, 1, 2, 3],
+        },
+        Order {
+            name: "groups that come again stand first and are never left for last",
+            samples: &[(0, 900), (1, 10), (2, 20)],
+            target_groups: 2,
+            order: &[0, 1, 2],
+        },
+    ];
+    for case in cases {
+        let sample = |(group, expected_tokens): &(usize, u32)| Sample {
+            group: *group,
+            expected_tokens: *expected_tokens,
+        };
+        let samples: Vec<Sample> = case.samples.iter().map(sample).collect();
+        let ranks = ranks(&samples, case.target_groups, 1_000);
+        let mut order: Vec<usize> = (0..samples.len()).collect();
+        order.sort_by_key(|at| ranks[*at]);
+        assert_eq!(order, case.order, "{}", case.name);
+    }
+}
