--- a/crates/firweir/src/process/metrics.rs
+++ b/crates/firweir/src/process/metrics.rs
@@ -88,7 +88,7 @@
         let at = match found {
             Ok(at) => at,
             Err(at) => {
-                let Ok(histogram) = Histogram::new_with_max(LONGEST_MS, 2) else {
+                let Ok(histogram) = Histogram::new_with_max(LONGEST_MS, 3) else {
                     return;
                 };
                 let times = Times {
--- /dev/null
+++ b/crates/firweir/tests/logs.rs
@@ -0,0 +1,67 @@
+//! Logs never stop a program, and metrics are served as text.
+
+use std::io;
+use std::io::Write;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicU64;
+use std::sync::mpsc::sync_channel;
+use std::time::Duration;
+
+use cadence::Counted;
+use cadence::StatsdClient;
+use cadence::Timed;
+use firweir::process::log::QueuedLines;
+use firweir::process::log::write_lines;
+use firweir::process::metrics::Exposition;
+
+/// Output into memory.
+#[derive(Clone, Default)]
+struct Output(Arc<Mutex<Vec<u8>>>);
+
+impl Write for Output {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0.lock().expect("not poisoned").extend(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// A VM stopped answering callers: whoever read its standard output had stalled, and
+/// the write of a log line waited for it. Lines now wait in a bounded queue; those
+/// beyond it are dropped, and the log says how many.
+#[test]
+fn a_reader_that_stalls_stops_nothing() {
+    let (lines, queued) = sync_channel(4);
+    let dropped = Arc::new(AtomicU64::new(0));
+    let mut writer = QueuedLines::new(lines, Arc::clone(&dropped));
+    for number in 0..10 {
+        let line = format!("event=call number={number}\n");
+        writer
+            .write_all(line.as_bytes())
+            .expect("it never waits or fails");
+    }
+    drop(writer);
+    let mut output = Output::default();
+    write_lines(&queued, &dropped, &mut output);
+    let written = output.0.lock().expect("not poisoned").clone();
+    let text = String::from_utf8(written).expect("lines are text");
+    insta::assert_snapshot!(text);
+}
+
+#[test]
+fn metrics_as_text() {
+    let exposition = Exposition::default();
+    let client = StatsdClient::from_sink("firweir", exposition.clone());
+    client.count("live.answered", 3).expect("counted");
+    client.count("live.answered", 2).expect("counted");
+    for time_ms in [10, 20, 30, 400] {
+        client
+            .time("store.call", Duration::from_millis(time_ms))
+            .expect("measured");
+    }
+    insta::assert_snapshot!(exposition.text());
+}
