Submissions are removed once their results need no longer be read

Cause: nothing that the system writes expires by itself, so submissions would have filled the store. The runner removes results, items and then the head, so that a node that starts finds what is left.

--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -50,6 +50,8 @@
     pub leaving_ms: u64,
     /// Time from SIGTERM to SIGKILL.
     pub grace_s: f64,
+    /// Results of a submission stay readable for this long after it was accepted.
+    pub keep_results_s: f64,
     /// Engines may hear from another holder of the orders only after this long.
     pub lease_ms: u64,
     /// Where counters and latencies are served as text.
@@ -83,6 +85,12 @@
         Duration::from_secs_f64(self.grace_s.max(0.0))
     }
 
+    /// Results of a submission stay readable for this long after it was accepted.
+    #[must_use]
+    pub fn keep_results(&self) -> Duration {
+        Duration::from_secs_f64(self.keep_results_s.max(0.0))
+    }
+
     /// Engines may hear from another holder of the orders only after this long.
     #[must_use]
     pub const fn lease(&self) -> Duration {
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -245,6 +245,26 @@
         }
     }
 
+    /// Removes an object; done as well if there is none.
+    ///
+    /// # Errors
+    ///
+    /// The store did not answer, or the object changed meanwhile.
+    pub async fn remove(&self, kind: Kind, name: &str) -> Result<(), StoreError> {
+        let Some(object) = self.read(kind, name).await? else {
+            return Ok(());
+        };
+        let call = StoreCall::Delete {
+            kind,
+            name: name.to_owned(),
+            revision: object.revision,
+        };
+        match self.call(&call).await {
+            Ok(_) | Err(StoreError::Missing) => Ok(()),
+            Err(error) => Err(error),
+        }
+    }
+
     /// Replaces an object that must be at `revision`, and gives it as it is then.
     ///
     /// A conflict is read back: an earlier try whose answer was lost may have
--- a/crates/node/src/submission/board.rs
+++ b/crates/node/src/submission/board.rs
@@ -228,6 +228,12 @@
         state.listed.len() == state.standings.len()
     }
 
+    /// Chunks of its log that are known here.
+    #[must_use]
+    pub fn chunks(&self) -> usize {
+        self.lock().chunks
+    }
+
     /// Results from a position on, at most a page; waits for a first one.
     pub async fn results(&self, after: usize, wait: Duration) -> Vec<ItemResult> {
         let until = tokio::time::Instant::now() + wait;
--- a/crates/node/src/submission/desk.rs
+++ b/crates/node/src/submission/desk.rs
@@ -72,6 +72,9 @@
 /// this node did not hear of must stop its items within 3 s.
 const LOOK_AT_HEAD: Duration = Duration::from_millis(1_300);
 
+/// Time between looks at whether a submission is to be removed.
+const CLEAN_UP_EVERY: Duration = Duration::from_secs(2);
+
 /// Pause before the list of submissions is asked for again at a start.
 const RESUME_PAUSE: Duration = Duration::from_millis(700);
 
@@ -165,6 +168,7 @@
     dialect: Arc<dyn Dialect>,
     drafting: Drafting,
     homes: Homes,
+    keep_results: Duration,
     clock: Arc<dyn Clock>,
     journal: Journal,
     state: Mutex<State>,
@@ -187,6 +191,8 @@
     pub drafting: Drafting,
     /// Who runs the submissions of which model.
     pub homes: Homes,
+    /// Results stay readable for this long after a submission was accepted.
+    pub keep_results: Duration,
     /// The clock.
     pub clock: Arc<dyn Clock>,
     /// Events.
@@ -204,6 +210,7 @@
             dialect: parts.dialect,
             drafting: parts.drafting,
             homes: parts.homes,
+            keep_results: parts.keep_results,
             clock: parts.clock,
             journal: parts.journal,
             state: Mutex::default(),
@@ -223,10 +230,11 @@
                 Err(_) => tokio::time::sleep(RESUME_PAUSE).await,
             }
         };
-        for object in listed {
-            if let Some(known) = self.read_head(object) {
-                self.apply(known);
-            }
+        let heads = listed.into_iter().filter_map(|object| self.read_head(object));
+        let (ended, running): (Vec<Known>, Vec<Known>) = heads.partition(|known| known.head.ended);
+        // They are read one after the other; those that a trainer waits for go first.
+        for known in running.into_iter().chain(ended) {
+            self.apply(known);
         }
     }
 
@@ -237,7 +245,7 @@
         match self.board(&known.id) {
             Some(board) if !mine => self.let_go(&board),
             Some(board) if known.head.ended => self.stop(&board),
-            None if mine && !known.head.ended && !self.is_starting(&known.id) => {
+            None if mine && !self.is_starting(&known.id) => {
                 let desk = self.clone();
                 drop(tokio::spawn(async move {
                     // Logged there; the next question reads it again.
@@ -418,6 +426,56 @@
         Ok((created == Created::Now).then_some(head))
     }
 
+    /// Removes a submission from the store once its results need no longer be read.
+    async fn clean_up(self, board: Arc<Board>) {
+        let due_ms = board.head.accepted_ms + self.shared.keep_results.as_millis() as u64;
+        loop {
+            let now_ms = self.shared.clock.since_epoch().as_millis() as u64;
+            if board.is_given_up() {
+                return;
+            }
+            if now_ms >= due_ms && !board.is_running() {
+                break;
+            }
+            tokio::time::sleep(CLEAN_UP_EVERY).await;
+        }
+        while let Err(error) = self.remove(&board).await {
+            self.shared.journal.event(
+                "submission_not_removed",
+                &[("submission", &board.id), ("cause", &error)],
+            );
+            tokio::time::sleep(CLEAN_UP_EVERY).await;
+        }
+        let mut state = self.lock();
+        state.boards.retain(|held| held.id != board.id);
+        state.heads.retain(|held| held.id != board.id);
+        drop(state);
+        self.shared
+            .journal
+            .event("submission_removed", &[("submission", &board.id)]);
+    }
+
+    /// Removes results and items, then the head: as long as that is there, a node that
+    /// starts finds what is left to remove.
+    async fn remove(&self, board: &Board) -> Result<(), StoreError> {
+        let Some(known) = self.read(&board.id).await? else {
+            return Ok(());
+        };
+        if known.head.runner != self.shared.me {
+            return Ok(());
+        }
+        let store = &self.shared.store;
+        for number in 0..board.chunks() {
+            let name = numbered(&board.id, number);
+            store.remove(Kind::ResultChunks, &name).await?;
+        }
+        for number in 0..board.head.parts as usize {
+            let name = numbered(&board.id, number);
+            store.remove(Kind::SubmissionParts, &name).await?;
+        }
+        store.remove(Kind::Submissions, &board.id).await
+    }
+
     /// Answers a question about a submission.
     pub async fn ask(
         &self,
@@ -644,6 +702,7 @@
         };
         state.boards.insert(at, Arc::clone(&board));
         drop(state);
+        drop(tokio::spawn(self.clone().clean_up(Arc::clone(&board))));
         if board.is_running() {
             self.shared.drafting.add(&board);
             let (store, clock) = (self.shared.store.clone(), Arc::clone(&self.shared.clock));
