--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -108,6 +108,8 @@
     since: Option<u64>,
     /// The store did not answer the last call.
     lost: bool,
+    /// A watch broke off, so that changes may have been missed.
+    gap: bool,
     /// Seeds are left alone until then.
     seeds_after: Option<Instant>,
     /// Seed to ask next.
@@ -133,6 +135,7 @@
         kind,
         since: None,
         lost: false,
+        gap: false,
         seeds_after: None,
         next_seed,
     };
@@ -207,8 +210,11 @@
     }
 
     /// What the store shows: a list at first and after a gap, then changes.
+    ///
+    /// A watch that broke off is not begun again: a store that is about to drop its
+    /// history lets such a watch wait and tells it nothing, for seconds.
     async fn ask_store(&mut self, how: Following) -> Result<Update, StoreError> {
-        let update = match self.since {
+        let update = match self.since.filter(|_| !self.gap) {
             // The newest list: while the store drops its history, the revision of a
             // stale one is already gone, and no watch could start from it.
             None => {
@@ -221,6 +227,7 @@
             }
             Some(since) => self.watch(since, how).await?,
         };
+        self.gap = false;
         if std::mem::take(&mut self.lost) {
             let kind = format_args!("{:?}", self.kind);
             self.sources
@@ -273,8 +280,8 @@
     async fn note_failure(&mut self, error: &StoreError) {
         let kind = format!("{:?}", self.kind);
         let journal = &self.sources.journal;
+        self.gap = true;
         if matches!(error, StoreError::HistoryGone) {
-            self.since = None;
             journal.event("history_gone", &[("kind", &kind)]);
         } else if !self.lost {
             self.lost = true;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -21,11 +21,15 @@
 use http::Request;
 use http::Response;
 use http::StatusCode;
+use http::Uri;
+use http_body_util::Full;
 use hyper::body::Incoming;
 use quick_error::quick_error;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 
+use crate::detour::Detour;
+use crate::detour::path_for_store;
 use crate::dialect::ClientCall;
 use crate::dialect::Dialect;
 use crate::dialect::Freshness;
@@ -47,6 +51,7 @@
 use crate::respond::Outcome;
 use crate::respond::empty;
 use crate::respond::refusal;
+use crate::respond::with_json;
 use crate::settings::NodeSettings;
 use crate::store::Store;
 use crate::submission::desk::Asker;
@@ -74,6 +79,13 @@
 /// no request 2 s later.
 const IDLE_PAUSE: Duration = Duration::from_millis(800);
 
+/// Largest body of a store call that is made for another node: the store's values end
+/// at a megabyte.
+const STORE_CALL_LIMIT_BYTES: usize = 2 << 20;
+
+/// Time for such a call, a waiting watch included.
+const STORE_CALL_TIMEOUT: Duration = Duration::from_secs(9);
+
 /// Nodes follow seeds where upstreams that leave may get requests for this long: a
 /// node notices a dead seed 2.6 s late, as `relay` works out.
 const RELAY_FROM: Duration = Duration::from_millis(2_800);
@@ -109,6 +121,9 @@
     homes: Homes,
     weights: Weights,
     relay: Arc<Relay>,
+    links: Links,
+    /// Address of the platform's store.
+    store: SocketAddr,
     clock: Arc<dyn Clock>,
     tasks: Tasks,
 }
@@ -143,6 +158,7 @@
             Arc::clone(&clock),
             journal.clone(),
             &writer,
+            detour(&settings),
         );
         let sources = sources(&settings, &store, &links, &clock, &journal);
         Self {
@@ -185,6 +201,17 @@
     }
 }
 
+/// Seeds, without this node.
+fn detour(settings: &NodeSettings) -> Detour {
+    let own = settings.peer_listen;
+    let seeds = settings.seeds.iter().copied();
+    Detour::new(
+        seeds
+            .filter(|seed| own.is_some_and(|own| own != *seed))
+            .collect(),
+    )
+}
+
 /// Where this node follows the store: from seeds only where upstreams that leave may
 /// get requests for as long as a dead seed goes unnoticed.
 fn sources(
@@ -384,6 +411,8 @@
         homes,
         weights,
         relay: Arc::clone(&base.sources.relay),
+        links: base.links.clone(),
+        store: base.settings.store,
         clock: Arc::clone(clock),
         tasks: base.tasks.clone(),
     })
@@ -490,6 +519,9 @@
         if head.uri.path() == HOLDER_PATH {
             return json(StatusCode::OK, &self.weights.answer_holder().await);
         }
+        if let Some(uri) = path_for_store(&head.uri) {
+            return self.call_store(uri, &head, body).await;
+        }
         if let Some(name) = head.uri.path().strip_prefix(RELAY_PATH) {
             return self.pass_on(name, head.uri.query()).await;
         }
@@ -513,6 +545,34 @@
         self.desk.ask(Asker::Peer, &id, &question, &head).await
     }
 
+    /// Makes a call of the store for a node that it turns away.
+    async fn call_store(
+        &self,
+        uri: Uri,
+        head: &http::request::Parts,
+        body: Incoming,
+    ) -> Response<Body> {
+        let Some(body) = read_body(body, STORE_CALL_LIMIT_BYTES).await else {
+            return empty(StatusCode::PAYLOAD_TOO_LARGE);
+        };
+        let mut request = Request::new(Full::new(body));
+        *request.method_mut() = head.method.clone();
+        *request.uri_mut() = uri;
+        match self
+            .links
+            .call(self.store, request, STORE_CALL_TIMEOUT)
+            .await
+        {
+            Ok(answer) => {
+                let (head, body) = answer.into_parts();
+                with_json(head.status, body)
+            }
+            Err(error) if error.is_not_sent() => empty(StatusCode::SERVICE_UNAVAILABLE),
+            // It may have been carried out.
+            Err(_) => empty(StatusCode::GATEWAY_TIMEOUT),
+        }
+    }
+
     /// Passes on what the store shows to a node that takes this one for a seed.
     async fn pass_on(&self, name: &str, since: Option<&str>) -> Response<Body> {
         let since = since.and_then(|since| since.parse().ok());
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -14,6 +14,8 @@
 use serde::Serialize;
 use serde_json::value::RawValue;
 
+use crate::detour::Detour;
+use crate::detour::to_node;
 use crate::dialect::Dialect;
 use crate::dialect::Freshness;
 use crate::dialect::Kind;
@@ -57,6 +59,7 @@
     writer: Arc<str>,
     writes: Arc<AtomicU64>,
     journal: Journal,
+    detour: Detour,
 }
 
 impl Store {
@@ -69,6 +72,7 @@
         clock: Arc<dyn Clock>,
         journal: Journal,
         writer: &str,
+        detour: Detour,
     ) -> Self {
         Self {
             dialect,
@@ -78,6 +82,7 @@
             writer: writer.into(),
             writes: Arc::default(),
             journal,
+            detour,
         }
     }
 
@@ -98,15 +103,72 @@
             StoreCall::Watch { wait, .. } => *wait + CALL_TIMEOUT,
             _ => CALL_TIMEOUT,
         };
-        let request = self.dialect.store_request(call);
         let started = self.clock.now();
-        let answer = match self.links.call(self.address, request, timeout).await {
+        let answer = self.call_some_way(call, timeout).await;
+        self.measure(call, started, &answer);
+        answer
+    }
+
+    /// Asks the store, or a node that can if this one cannot.
+    async fn call_some_way(
+        &self,
+        call: &StoreCall,
+        timeout: Duration,
+    ) -> Result<StoreAnswer, StoreError> {
+        if let Some(node) = self.detour.current(self.clock.now()) {
+            let answer = self.call_through(node, call, timeout).await;
+            if !is_unavailable(&answer) {
+                return answer;
+            }
+        }
+        let direct = self.call_at(self.address, call, timeout, false).await;
+        // A watch that broke off is for its follower, who lists anew.
+        if !is_unavailable(&direct) || matches!(call, StoreCall::Watch { .. }) {
+            return direct;
+        }
+        let Some(node) = self.detour.another(self.clock.now()) else {
+            return direct;
+        };
+        let answer = self.call_through(node, call, timeout).await;
+        if is_unavailable(&answer) {
+            return direct;
+        }
+        self.journal.event("store_detour", &[("through", &node)]);
+        answer
+    }
+
+    async fn call_through(
+        &self,
+        node: SocketAddr,
+        call: &StoreCall,
+        timeout: Duration,
+    ) -> Result<StoreAnswer, StoreError> {
+        let answer = self.call_at(node, call, timeout, true).await;
+        let now = self.clock.now();
+        if is_unavailable(&answer) {
+            self.detour.failed(now);
+        } else {
+            self.detour.worked(now, node);
+        }
+        answer
+    }
+
+    async fn call_at(
+        &self,
+        to: SocketAddr,
+        call: &StoreCall,
+        timeout: Duration,
+        through_node: bool,
+    ) -> Result<StoreAnswer, StoreError> {
+        let mut request = self.dialect.store_request(call);
+        if through_node {
+            to_node(&mut request);
+        }
+        match self.links.call(to, request, timeout).await {
             Ok(answer) => self.dialect.store_answer(call, &answer),
             Err(LinkError::Refused | LinkError::NotSent) => Err(StoreError::Unreachable),
             Err(LinkError::Broken | LinkError::Late) => Err(StoreError::Unknown),
-        };
-        self.measure(call, started, &answer);
-        answer
+        }
     }
 
     fn measure(
@@ -308,6 +370,12 @@
 /// spell, so that three in a row are rare.
 const REPLACE_TRIES: u32 = 3;
 
+/// The store did not do the call, or did not say so: another node may have its ear.
+const fn is_unavailable(answer: &Result<StoreAnswer, StoreError>) -> bool {
+    let refused = matches!(answer, Err(StoreError::Refused(_)));
+    refused || matches!(answer, Err(StoreError::Unreachable | StoreError::Unknown))
+}
+
 fn to_raw<T: Serialize>(value: &T) -> Result<Box<RawValue>, StoreError> {
     serde_json::value::to_raw_value(value).map_err(|error| StoreError::Malformed(error.into()))
 }
--- a/crates/node/src/submission/desk.rs
+++ b/crates/node/src/submission/desk.rs
@@ -230,7 +230,9 @@
                 Err(_) => tokio::time::sleep(RESUME_PAUSE).await,
             }
         };
-        let heads = listed.into_iter().filter_map(|object| self.read_head(object));
+        let heads = listed
+            .into_iter()
+            .filter_map(|object| self.read_head(object));
         let (ended, running): (Vec<Known>, Vec<Known>) = heads.partition(|known| known.head.ended);
         // They are read one after the other; those that a trainer waits for go first.
         for known in running.into_iter().chain(ended) {
