--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -236,7 +236,7 @@
     }
 
     /// Creates an object, tried until it is certain whether this write or an
-    /// earlier one made it.
+    /// earlier one made it. A store that refuses is not asked again: that is certain.
     ///
     /// A creation without an answer may still be carried out seconds later.
     /// Only the same creation, sent again, settles it: it succeeds, or it meets
@@ -274,7 +274,8 @@
             };
             match failed {
                 StoreError::Unknown => open = true,
-                StoreError::Refused(_) | StoreError::Unreachable | StoreError::Conflict => {}
+                StoreError::Conflict => {}
+                StoreError::Refused(_) | StoreError::Unreachable if open => {}
                 other => return Err(other),
             }
             if self.clock.now() + pause >= until {
--- a/crates/node/src/submission/board.rs
+++ b/crates/node/src/submission/board.rs
@@ -43,6 +43,10 @@
 /// How long one write is tried before the log looks anew at who runs it.
 const WRITE_PATIENCE: Duration = Duration::from_secs(4);
 
+/// Pause after a write that the store refused: its outages take seconds, and each
+/// call costs, refused ones too.
+const WRITE_PAUSE: Duration = Duration::from_millis(400);
+
 /// Most bytes of texts in one page of results.
 const PAGE_LIMIT_BYTES: usize = 900_000;
 
@@ -344,14 +348,17 @@
                     }
                     return;
                 }
-                Err(error) => journal.event(
-                    "results_unwritten",
-                    &[
-                        ("submission", &self.id),
-                        ("chunk", &number),
-                        ("cause", &error),
-                    ],
-                ),
+                Err(error) => {
+                    journal.event(
+                        "results_unwritten",
+                        &[
+                            ("submission", &self.id),
+                            ("chunk", &number),
+                            ("cause", &error),
+                        ],
+                    );
+                    tokio::time::sleep(WRITE_PAUSE).await;
+                }
             }
         }
     }
--- a/crates/node/src/submission/desk.rs
+++ b/crates/node/src/submission/desk.rs
@@ -78,6 +78,10 @@
 /// Pause before the list of submissions is asked for again at a start.
 const RESUME_PAUSE: Duration = Duration::from_millis(700);
 
+/// When a trainer may submit again what could not be kept: the store's outages take
+/// seconds, and a submission that comes back after one is a second late at most.
+const SUBMIT_AGAIN: Duration = Duration::from_millis(700);
+
 /// Tries to change a head that others change too.
 const HEAD_TRIES: usize = 4;
 
@@ -376,7 +380,7 @@
                 match error {
                     // It may yet appear in the store, and then it runs.
                     StoreError::Unknown => refusal(Outcome::Unknown, "store-silent"),
-                    _ => refusal(Outcome::NotRun(ASK_AGAIN), "store-unavailable"),
+                    _ => refusal(Outcome::NotRun(SUBMIT_AGAIN), "store-unavailable"),
                 }
             }
         };
