Read-through: one type for questions, shared parts of a node, reasons in the log

Questions about submissions were spelt out three times and matched twice; live calls and drafting took the same five parts one by one; refusals went out without a line that says why.

--- a/crates/node/src/dialect.rs
+++ b/crates/node/src/dialect.rs
@@ -39,32 +39,29 @@
     }
 }
 
-/// What a client asks a node for.
+/// A question about one submission.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub enum ClientCall {
-    /// Whether this node takes requests.
-    Ready,
-    /// Results of a submission from a position on.
-    ReadResults {
-        /// The submission.
-        submission: String,
-        /// Results before this position are left out.
+pub enum Question {
+    /// Its results from a position on.
+    Results {
+        /// Results before it are left out.
         after: usize,
         /// How long to wait for a first one.
         wait: Duration,
     },
-    /// The body of an item that has no result yet.
-    ReadItem {
-        /// The submission.
-        submission: String,
-        /// The item.
-        item: String,
-    },
-    /// The end of a submission.
-    End {
-        /// The submission.
-        submission: String,
-    },
+    /// The body of an item.
+    Item(String),
+    /// Its end.
+    End,
+}
+
+/// What a client asks a node for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ClientCall {
+    /// Whether this node takes requests.
+    Ready,
+    /// A question about the submission of this id.
+    Asked(String, Question),
     /// Anything else goes by the routes.
     Routed(RoutedCall),
 }
--- a/crates/node/src/drafting.rs
+++ b/crates/node/src/drafting.rs
@@ -10,8 +10,6 @@
 
 use bytes::Bytes;
 use bytes::BytesMut;
-use firweir::process::clock::Clock;
-use firweir::process::log::Journal;
 use firweir_policy::placement::Draft;
 use firweir_policy::placement::DraftEnding;
 use firweir_policy::placement::DraftKey;
@@ -28,18 +26,16 @@
 use tokio::sync::Notify;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::dialect::Dialect;
 use crate::dialect::DraftRequest;
 use crate::dialect::StreamEvent;
 use crate::engines::rollout_engines;
-use crate::fleet::Fleet;
 use crate::link::Exchange;
 use crate::link::LinkError;
-use crate::link::Links;
 use crate::model::Item;
 use crate::model::ItemResult;
 use crate::model::ItemState;
 use crate::model::Upstream;
+use crate::shared::Shared;
 use crate::submission::board::Board;
 use crate::submission::texts::Kept;
 use crate::submission::texts::KeptTexts;
@@ -115,16 +111,12 @@
 /// Drafts items; cheap to clone.
 #[derive(Debug, Clone)]
 pub struct Drafting {
-    shared: Arc<Shared>,
+    shared: Shared,
+    inner: Arc<Inner>,
 }
 
-#[derive(Debug)]
-struct Shared {
-    fleet: Arc<Fleet>,
-    dialect: Arc<dyn Dialect>,
-    links: Links,
-    clock: Arc<dyn Clock>,
-    journal: Journal,
+#[derive(Debug, Default)]
+struct Inner {
     state: Mutex<State>,
     wake: Notify,
 }
@@ -132,24 +124,10 @@
 impl Drafting {
     /// Nothing to draft yet.
     #[must_use]
-    pub fn new(
-        fleet: Arc<Fleet>,
-        dialect: Arc<dyn Dialect>,
-        links: Links,
-        clock: Arc<dyn Clock>,
-        journal: Journal,
-    ) -> Self {
-        let shared = Shared {
-            fleet,
-            dialect,
-            links,
-            clock,
-            journal,
-            state: Mutex::default(),
-            wake: Notify::new(),
-        };
+    pub fn new(shared: Shared) -> Self {
         Self {
-            shared: Arc::new(shared),
+            shared,
+            inner: Arc::default(),
         }
     }
 
@@ -163,7 +141,7 @@
             }
         }
         drop(state);
-        self.shared.wake.notify_one();
+        self.inner.wake.notify_one();
     }
 
     fn add_item(&self, state: &mut State, board: &Arc<Board>, place: usize, rank: u64) {
@@ -222,7 +200,7 @@
             }
         }
         drop(guard);
-        self.shared.wake.notify_one();
+        self.inner.wake.notify_one();
     }
 
     /// Places drafts for as long as the process lives.
@@ -230,7 +208,7 @@
         let mut until = tokio::time::Instant::now();
         loop {
             tokio::select! {
-                () = self.shared.wake.notified() => {}
+                () = self.inner.wake.notified() => {}
                 () = self.shared.fleet.changed() => {}
                 () = tokio::time::sleep_until(until) => {}
             }
@@ -414,7 +392,7 @@
         let started = self.shared.clock.now();
         let before = progress.events.len();
         let mut run = Run {
-            shared: &self.shared,
+            drafting: &self,
             key,
             board: &board,
             item: &board.items[place],
@@ -459,7 +437,7 @@
             state.kept.keep(&board.items[place].id, progress, whole);
         }
         drop(state);
-        self.shared.wake.notify_one();
+        self.inner.wake.notify_one();
     }
 
     /// Lists the item, or lets it wait for another engine.
@@ -511,20 +489,15 @@
         }
     }
 
-    fn lock(&self) -> MutexGuard<'_, State> {
-        self.shared.lock()
-    }
-}
-
-impl Shared {
     fn note_event(&self, key: DraftKey) {
-        let now = self.clock.now();
+        let now = self.shared.clock.now();
         self.lock().placement.note_event(now, key);
     }
 
     /// A panic in a decision leaves the others usable.
     fn lock(&self) -> MutexGuard<'_, State> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+        let state = self.inner.state.lock();
+        state.unwrap_or_else(PoisonError::into_inner)
     }
 }
 
@@ -595,7 +568,7 @@
 
 /// One attempt of one item on one engine.
 struct Run<'a> {
-    shared: &'a Shared,
+    drafting: &'a Drafting,
     key: DraftKey,
     board: &'a Board,
     item: &'a Item,
@@ -612,17 +585,21 @@
             upstream: self.upstream,
             after_event: progress.last_event,
         };
-        let request = match self.shared.dialect.draft_request(&draft) {
+        let request = match self.drafting.shared.dialect.draft_request(&draft) {
             Ok(request) => request,
             Err(error) => {
-                self.shared.journal.event(
+                self.drafting.shared.journal.event(
                     "item_unusable",
                     &[("item", &self.item.id), ("cause", &error)],
                 );
                 return Attempt::Impossible;
             }
         };
-        let sending = self.shared.links.send(self.upstream.address, request);
+        let sending = self
+            .drafting
+            .shared
+            .links
+            .send(self.upstream.address, request);
         let exchange = match tokio::time::timeout(FIRST_EVENT, sending).await {
             Ok(Ok(exchange)) => exchange,
             Ok(Err(LinkError::Refused)) => return Attempt::Broken("refused"),
@@ -636,7 +613,7 @@
     async fn read(&mut self, exchange: Exchange, progress: &mut Progress) -> Attempt {
         let Exchange { answer, lease } = exchange;
         let (head, body) = answer.into_parts();
-        let said = self.shared.dialect.answer_head(&head);
+        let said = self.drafting.shared.dialect.answer_head(&head);
         if said.request_id.as_deref() != Some(self.item.id.as_str()) {
             return Attempt::Broken("foreign-answer");
         }
@@ -683,7 +660,7 @@
                 buffer.extend_from_slice(&data);
             }
             while let Some(event) = next_event(&mut buffer) {
-                let event = match self.shared.dialect.stream_event(&event) {
+                let event = match self.drafting.shared.dialect.stream_event(&event) {
                     Ok(event) => event,
                     Err(_malformed) => return Attempt::Broken("malformed-event"),
                 };
@@ -697,7 +674,7 @@
                     return unusable;
                 }
                 self.started = true;
-                self.shared.note_event(self.key);
+                self.drafting.note_event(self.key);
                 progress.add(event, version);
             }
             if buffer.len() > EVENT_LIMIT_BYTES {
@@ -715,7 +692,7 @@
             return Err(Attempt::Unusable("version-too-old"));
         }
         let head = &self.board.head;
-        let config = self.shared.fleet.config();
+        let config = self.drafting.shared.fleet.config();
         let route = config.route(&head.host, &head.path);
         let single = route.is_some_and(|route| route.single_version);
         if single && progress.versions.iter().any(|held| *held != version) {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod relay;
 pub mod respond;
 pub mod settings;
+pub mod shared;
 pub mod store;
 pub mod submission;
 pub mod weights;
--- a/crates/node/src/live.rs
+++ b/crates/node/src/live.rs
@@ -17,7 +17,6 @@
 use firweir::connection::server::read_body;
 use firweir::process::clock::Clock;
 use firweir::process::entry::balanced;
-use firweir::process::log::Journal;
 use firweir::request::gate::Ask;
 use firweir::request::gate::Gate;
 use firweir::request::gate::Permit;
@@ -37,17 +36,16 @@
 use hyper::body::Incoming;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::dialect::Dialect;
 use crate::dialect::RoutedCall;
-use crate::fleet::Fleet;
 use crate::link::Lease;
 use crate::link::LinkError;
-use crate::link::Links;
 use crate::model::Route;
 use crate::model::RouteKind;
 use crate::model::Upstream;
 use crate::respond::Outcome;
+use crate::respond::reason_of;
 use crate::respond::refusal;
+use crate::shared::Shared;
 
 /// How long a client is kept waiting that does not say how long it waits.
 const PATIENCE: Duration = Duration::from_secs(30);
@@ -78,11 +76,7 @@
 /// Answers live calls; shared by all connections.
 #[derive(Debug)]
 pub struct Live {
-    fleet: Arc<Fleet>,
-    dialect: Arc<dyn Dialect>,
-    links: Links,
-    clock: Arc<dyn Clock>,
-    journal: Journal,
+    shared: Shared,
     zone: String,
     /// Sorted by service.
     gates: Mutex<Vec<NamedGate>>,
@@ -113,20 +107,9 @@
 impl Live {
     /// Answers nothing before the fleet knows a configuration.
     #[must_use]
-    pub fn new(
-        fleet: Arc<Fleet>,
-        dialect: Arc<dyn Dialect>,
-        links: Links,
-        clock: Arc<dyn Clock>,
-        journal: Journal,
-        zone: String,
-    ) -> Arc<Self> {
+    pub fn new(shared: Shared, zone: String) -> Arc<Self> {
         Arc::new(Self {
-            fleet,
-            dialect,
-            links,
-            clock,
-            journal,
+            shared,
             zone,
             gates: Mutex::default(),
         })
@@ -134,8 +117,8 @@
 
     /// Brings the gates up to what the fleet knows.
     pub fn take_fleet(&self) {
-        let upstreams = self.fleet.upstreams();
-        for service in &self.fleet.config().services {
+        let upstreams = self.shared.fleet.upstreams();
+        for service in &self.shared.fleet.config().services {
             let gate = self.gate(&service.name);
             let of_service = || upstreams.iter().filter(|held| held.service == service.name);
             let limit = of_service().map(|held| held.slots).max().unwrap_or(1);
@@ -157,7 +140,7 @@
         match gates.binary_search_by(|named| named.service.as_str().cmp(service)) {
             Ok(at) => Arc::clone(&gates[at].gate),
             Err(at) => {
-                let gate = Gate::new(Arc::clone(&self.clock), balanced());
+                let gate = Gate::new(Arc::clone(&self.shared.clock), balanced());
                 let named = NamedGate {
                     service: service.to_owned(),
                     gate: Arc::clone(&gate),
@@ -176,9 +159,9 @@
         head: &request::Parts,
         body: Incoming,
     ) -> Response<Body> {
-        let started = self.clock.now();
+        let started = self.shared.clock.now();
         let patience = routed.patience.unwrap_or(PATIENCE).min(route.timeout());
-        let limit = self.fleet.config().max_body_bytes;
+        let limit = self.shared.fleet.config().max_body_bytes;
         let body = match within(patience, read_body(body, limit)).await {
             Some(Some(body)) => body,
             Some(None) => {
@@ -195,21 +178,22 @@
             deadline: started + patience,
         };
         let answer = self.run(&call).await;
-        let took = self.clock.now().duration_since(started);
+        let took = self.shared.clock.now().duration_since(started);
         let took_ms = took.as_millis();
-        self.journal.time("live.call", took);
-        self.journal.count(match answer.status().as_u16() {
+        self.shared.journal.time("live.call", took);
+        self.shared.journal.count(match answer.status().as_u16() {
             200..=299 => "live.answered",
             503 => "live.not_run",
             504 => "live.out_of_time",
             _ => "live.failed",
         });
-        self.journal.event(
+        self.shared.journal.event(
             "call",
             &[
                 ("request", &routed.request_id),
                 ("route", &route.name),
                 ("status", &answer.status().as_u16()),
+                ("reason", &reason_of(&answer)),
                 ("took_ms", &took_ms),
                 ("patience_ms", &patience.as_millis()),
             ],
@@ -231,7 +215,9 @@
             let permit = match gate.admit(call.ask(&avoid)).await {
                 Ok(permit) => permit,
                 Err(turned) if !may_have_run => {
-                    let retry_after = turned.retry_after.min(call.patience_left(&*self.clock) / 3);
+                    let retry_after = turned
+                        .retry_after
+                        .min(call.patience_left(&*self.shared.clock) / 3);
                     return refusal(Outcome::NotRun(retry_after), turned.reason.as_str());
                 }
                 Err(_) => break,
@@ -249,7 +235,7 @@
                 Try::NotRun | Try::NotSent => {}
                 Try::Unknown => may_have_run = true,
             }
-            let in_time = self.clock.now() < call.deadline;
+            let in_time = self.shared.clock.now() < call.deadline;
             if !in_time || (may_have_run && !idempotent) {
                 break;
             }
@@ -270,7 +256,7 @@
         if !may_have_run {
             return refusal(Outcome::NotRun(COME_BACK), "no-upstream-took-it");
         }
-        if self.clock.now() >= call.deadline {
+        if self.shared.clock.now() >= call.deadline {
             return refusal(Outcome::OutOfTime, "out-of-time");
         }
         refusal(Outcome::Unknown, "upstream-failed")
@@ -283,11 +269,11 @@
         permit: Permit,
         last: bool,
     ) -> Try {
-        let upstreams = self.fleet.upstreams();
+        let upstreams = self.shared.fleet.upstreams();
         let upstream = upstreams
             .iter()
             .find(|held| held.address == permit.address() && held.service == service);
-        let remaining = call.patience_left(&*self.clock);
+        let remaining = call.patience_left(&*self.shared.clock);
         let Some(upstream) = upstream.filter(|_| !remaining.is_zero()) else {
             permit.finish(Ending::Unreachable, 0);
             return Try::NotSent;
@@ -316,7 +302,10 @@
         *request.method_mut() = call.head.method.clone();
         *request.uri_mut() = call.head.uri.clone();
         let headers = &call.head.headers;
-        *request.headers_mut() = self.dialect.forwarded_headers(headers, upstream, remaining);
+        *request.headers_mut() = self
+            .shared
+            .dialect
+            .forwarded_headers(headers, upstream, remaining);
         request
     }
 
@@ -327,7 +316,7 @@
         request: Request<Full<Bytes>>,
         permit: Permit,
     ) -> Try {
-        let exchange = match self.links.send(upstream.address, request).await {
+        let exchange = match self.shared.links.send(upstream.address, request).await {
             Ok(exchange) => exchange,
             Err(error) => {
                 self.note_try(call, upstream, "no-answer");
@@ -344,7 +333,7 @@
             }
         };
         let (head, body) = exchange.answer.into_parts();
-        let said = self.dialect.answer_head(&head);
+        let said = self.shared.dialect.answer_head(&head);
         let own = said.request_id.as_deref().unwrap_or_default() == call.routed.request_id;
         if said.not_run {
             if body.collect().await.is_ok() {
@@ -358,7 +347,7 @@
             permit.finish(Ending::Failed, 0);
             return Try::Unknown;
         }
-        let headers = self.dialect.returned_headers(&head.headers);
+        let headers = self.shared.dialect.returned_headers(&head.headers);
         if matches!(call.route.kind, RouteKind::Streaming { .. }) && head.status.is_success() {
             let stream = Stream {
                 body,
@@ -387,13 +376,16 @@
     }
 
     fn note_try(&self, call: &Call<'_>, upstream: &Upstream, outcome: &str) {
-        self.journal.event(
+        self.shared.journal.event(
             "try_failed",
             &[
                 ("request", &call.routed.request_id),
                 ("upstream", &upstream.instance),
                 ("outcome", &outcome),
-                ("left_ms", &call.patience_left(&*self.clock).as_millis()),
+                (
+                    "left_ms",
+                    &call.patience_left(&*self.shared.clock).as_millis(),
+                ),
             ],
         );
     }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -53,12 +53,12 @@
 use crate::respond::refusal;
 use crate::respond::with_json;
 use crate::settings::NodeSettings;
+use crate::shared::Shared;
 use crate::store::Store;
 use crate::submission::desk::Asker;
 use crate::submission::desk::Desk;
 use crate::submission::desk::DeskParts;
 use crate::submission::desk::Posted;
-use crate::submission::desk::Question;
 use crate::submission::homes::Homes;
 use crate::submission::records::Runner;
 use crate::weights::HOLDER_PATH;
@@ -125,6 +125,7 @@
     /// Address of the platform's store.
     store: SocketAddr,
     clock: Arc<dyn Clock>,
+    journal: Journal,
     tasks: Tasks,
 }
 
@@ -362,21 +363,15 @@
     let (clock, journal) = (&base.clock, &base.journal);
     let dialect = &base.dialect;
     let fleet = Fleet::new(Arc::clone(clock), journal.clone(), Arc::clone(dialect));
-    let live = Live::new(
-        Arc::clone(&fleet),
-        Arc::clone(dialect),
-        base.links.clone(),
-        Arc::clone(clock),
-        journal.clone(),
-        base.settings.zone.clone(),
-    );
-    let drafting = Drafting::new(
-        Arc::clone(&fleet),
-        Arc::clone(dialect),
-        base.links.clone(),
-        Arc::clone(clock),
-        journal.clone(),
-    );
+    let shared = Shared {
+        fleet: Arc::clone(&fleet),
+        dialect: Arc::clone(dialect),
+        links: base.links.clone(),
+        clock: Arc::clone(clock),
+        journal: journal.clone(),
+    };
+    let live = Live::new(shared.clone(), base.settings.zone.clone());
+    let drafting = Drafting::new(shared);
     base.tasks.spawn(drafting.clone().run());
     let homes = Homes::new(base.store.clone(), journal.clone());
     let desk = Desk::new(DeskParts {
@@ -414,6 +409,7 @@
         links: base.links.clone(),
         store: base.settings.store,
         clock: Arc::clone(clock),
+        journal: journal.clone(),
         tasks: base.tasks.clone(),
     })
 }
@@ -502,13 +498,7 @@
         let (id, question) = match self.dialect.client_call(&head) {
             ClientCall::Ready => return self.ready(),
             ClientCall::Routed(routed) => return self.routed(&routed, &head, body).await,
-            ClientCall::ReadResults {
-                submission,
-                after,
-                wait,
-            } => (submission, Question::Results { after, wait }),
-            ClientCall::ReadItem { submission, item } => (submission, Question::Item(item)),
-            ClientCall::End { submission } => (submission, Question::End),
+            ClientCall::Asked(id, question) => (id, question),
         };
         self.desk.ask(Asker::Client, &id, &question, &head).await
     }
@@ -526,13 +516,7 @@
             return self.pass_on(name, head.uri.query()).await;
         }
         let (id, question) = match self.dialect.client_call(&head) {
-            ClientCall::ReadResults {
-                submission,
-                after,
-                wait,
-            } => (submission, Question::Results { after, wait }),
-            ClientCall::ReadItem { submission, item } => (submission, Question::Item(item)),
-            ClientCall::End { submission } => (submission, Question::End),
+            ClientCall::Asked(id, question) => (id, question),
             ClientCall::Routed(routed) if !self.tasks.is_draining() => {
                 let limit = self.fleet.config().max_body_bytes;
                 return self
@@ -626,9 +610,16 @@
             let status = StatusCode::PAYLOAD_TOO_LARGE;
             return refusal(Outcome::BadRequest(status), "body-too-large");
         };
-        let Ok(submission) = self.dialect.submission(&routed.request_id, &body) else {
-            let status = StatusCode::BAD_REQUEST;
-            return refusal(Outcome::BadRequest(status), "malformed-submission");
+        let submission = match self.dialect.submission(&routed.request_id, &body) {
+            Ok(submission) => submission,
+            Err(error) => {
+                self.journal.event(
+                    "submission_malformed",
+                    &[("submission", &routed.request_id), ("cause", &error)],
+                );
+                let status = StatusCode::BAD_REQUEST;
+                return refusal(Outcome::BadRequest(status), "malformed-submission");
+            }
         };
         let posted = Posted {
             host: &routed.host,
--- a/crates/node/src/respond.rs
+++ b/crates/node/src/respond.rs
@@ -25,11 +25,20 @@
     BadRequest(StatusCode),
 }
 
-#[derive(Serialize)]
-struct Reason {
+/// Why an answer has no upstream's bytes; part of its body, and kept with the answer
+/// for the log.
+#[derive(Debug, Clone, Copy, Serialize)]
+pub struct Reason {
     reason: &'static str,
 }
 
+/// The reason of an answer for the log; `none` for an upstream's.
+#[must_use]
+pub fn reason_of(response: &Response<Body>) -> &'static str {
+    let reason = response.extensions().get::<Reason>();
+    reason.map_or("none", |reason| reason.reason)
+}
+
 /// An answer without an upstream's bytes.
 #[must_use]
 pub fn refusal(outcome: Outcome, reason: &'static str) -> Response<Body> {
@@ -39,7 +48,9 @@
         Outcome::OutOfTime => StatusCode::GATEWAY_TIMEOUT,
         Outcome::BadRequest(status) => status,
     };
-    let mut response = json(status, &Reason { reason });
+    let reason = Reason { reason };
+    let mut response = json(status, &reason);
+    response.extensions_mut().insert(reason);
     if let Outcome::NotRun(retry_after) = outcome {
         let seconds = format!("{:.3}", retry_after.as_secs_f64());
         if let Ok(value) = HeaderValue::from_str(&seconds) {
--- /dev/null
+++ b/crates/node/src/shared.rs
@@ -0,0 +1,25 @@
+//! What the parts of a node that speak to upstreams have in common.
+
+use std::sync::Arc;
+
+use firweir::process::clock::Clock;
+use firweir::process::log::Journal;
+
+use crate::dialect::Dialect;
+use crate::fleet::Fleet;
+use crate::link::Links;
+
+/// Cheap to clone.
+#[derive(Debug, Clone)]
+pub struct Shared {
+    /// What the platform is known to say.
+    pub fleet: Arc<Fleet>,
+    /// Translates messages.
+    pub dialect: Arc<dyn Dialect>,
+    /// Connections.
+    pub links: Links,
+    /// The clock.
+    pub clock: Arc<dyn Clock>,
+    /// Events and metrics.
+    pub journal: Journal,
+}
--- a/crates/node/src/submission/desk.rs
+++ b/crates/node/src/submission/desk.rs
@@ -28,6 +28,7 @@
 use crate::dialect::Freshness;
 use crate::dialect::Kind;
 use crate::dialect::Object;
+use crate::dialect::Question;
 use crate::dialect::ResultPage;
 use crate::dialect::StoreError;
 use crate::drafting::Drafting;
@@ -37,6 +38,7 @@
 use crate::model::Submission;
 use crate::respond::Outcome;
 use crate::respond::empty;
+use crate::respond::reason_of;
 use crate::respond::refusal;
 use crate::respond::with_json;
 use crate::store::Created;
@@ -94,22 +96,6 @@
     Peer,
 }
 
-/// A question about one submission.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Question {
-    /// Its results from a position on.
-    Results {
-        /// Results before it are left out.
-        after: usize,
-        /// How long to wait for a first one.
-        wait: Duration,
-    },
-    /// The body of an item.
-    Item(String),
-    /// Its end.
-    End,
-}
-
 /// A submission as a client posted it.
 #[derive(Debug)]
 pub struct Posted<'a> {
@@ -489,6 +475,29 @@
         id: &str,
         question: &Question,
         call: &request::Parts,
+    ) -> Response<Body> {
+        let answer = self.answer_or_pass_on(asker, id, question, call).await;
+        if !answer.status().is_success() {
+            self.shared.journal.event(
+                "question_refused",
+                &[
+                    ("submission", &id),
+                    ("question", &format_args!("{question:?}")),
+                    ("from", &format_args!("{asker:?}")),
+                    ("status", &answer.status().as_u16()),
+                    ("reason", &reason_of(&answer)),
+                ],
+            );
+        }
+        answer
+    }
+
+    async fn answer_or_pass_on(
+        &self,
+        asker: Asker,
+        id: &str,
+        question: &Question,
+        call: &request::Parts,
     ) -> Response<Body> {
         let mut known = match self.known(id).await {
             Ok(Some(known)) => known,
