Watches wait for 2 s, and a list follows at once when history is gone

A watch that had begun just before the store dropped its history heard nothing and was not cut; it waited for 8 s (trace: history_gone at 30.57 s, the others' watches were cut at 25.95 s). Change: 2 s, a list at once unless one was just made; what may be late still waits 8 s.

--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -29,9 +29,13 @@
 use crate::relay::name_of;
 use crate::store::Store;
 
-/// How long one watch may wait. A watch that hears nothing any more ends by the
-/// probes of its connection after 3 s; this is the limit behind them.
-const WATCH_WAIT: Duration = Duration::from_secs(8);
+/// How long one watch may wait. A store that drops its history lets the watches that
+/// wait then hear nothing and does not cut them all; 3 s later a change that was made
+/// meanwhile has to be in force. This wait and a list have to fit into that.
+const WATCH_WAIT: Duration = Duration::from_secs(2);
+
+/// How long a watch may wait of what may be known seconds late.
+const STALE_WATCH_WAIT: Duration = Duration::from_secs(8);
 
 /// Pause after a failed call, up to half of it more at random: the store's
 /// outages take seconds, each call costs, and all nodes would come at once. A store
@@ -110,6 +114,8 @@
     lost: bool,
     /// A watch broke off, so that changes may have been missed.
     gap: bool,
+    /// When the kind was last listed.
+    listed: Option<Instant>,
     /// Seeds are left alone until then.
     seeds_after: Option<Instant>,
     /// Seed to ask next.
@@ -136,6 +142,7 @@
         since: None,
         lost: false,
         gap: false,
+        listed: None,
         seeds_after: None,
         next_seed,
     };
@@ -220,6 +227,7 @@
             None => {
                 let (objects, revision) =
                     list(&self.sources.store, self.kind, Freshness::Newest).await?;
+                self.listed = Some(self.sources.clock.now());
                 Update {
                     revision,
                     changes: vec![Change::All(objects)],
@@ -248,16 +256,22 @@
         if !is_seed {
             tokio::time::sleep(how.pause).await;
         }
+        let freshness = if is_seed {
+            Freshness::Newest
+        } else {
+            how.freshness
+        };
+        let wait = match freshness {
+            // Nodes that may ask seeds look for one again soon.
+            _ if many => SEED_WATCH,
+            Freshness::Newest => WATCH_WAIT,
+            Freshness::Seconds => STALE_WATCH_WAIT,
+        };
         let watch = StoreCall::Watch {
             kind: self.kind,
             since,
-            // Nodes that may ask seeds look for one again soon.
-            wait: if many { SEED_WATCH } else { WATCH_WAIT },
-            freshness: if is_seed {
-                Freshness::Newest
-            } else {
-                how.freshness
-            },
+            wait,
+            freshness,
         };
         match self.sources.store.call(&watch).await? {
             StoreAnswer::Changes { changes, revision } => {
@@ -283,6 +297,13 @@
         self.gap = true;
         if matches!(error, StoreError::HistoryGone) {
             journal.event("history_gone", &[("kind", &kind)]);
+            let now = self.sources.clock.now();
+            let listed = self.listed.map(|listed| now.duration_since(listed));
+            // The first time a list follows at once; a list whose own revision is gone
+            // again has to wait.
+            if listed.is_none_or(|age| age > RETRY_PAUSE) {
+                return;
+            }
         } else if !self.lost {
             self.lost = true;
             journal.event("store_lost", &[("kind", &kind), ("cause", error)]);
