--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -74,8 +74,8 @@
 const END_BEFORE_KILL: Duration = Duration::from_secs(1);
 
 /// Pause between two watches of the list of upstreams on a node that drafts nothing.
-/// Each load of weights changes an entry, and each answer to a watch costs a call: at
-/// 66 nodes these were 11,000 of 12,654 calls in a day. Upstreams that leave must get
+/// Each load of weights changes an entry, and each answer to a watch costs a call: 168
+/// loads at 66 nodes are 11,000 calls, worked out, of 12,654 that were counted. Upstreams that leave must get
 /// no request 2 s later.
 const IDLE_PAUSE: Duration = Duration::from_millis(800);
 
