Suspects that a VM missed are found by comparing digests; dead VMs are told too

A VM that has just started again takes calls while the others still list it as dead, and only live ones were told of a suspect. Ruled out: an answer that cleared the suspect; the limit of reports; a slow first exchange.

--- a/crates/firweir/src/process/charges.rs
+++ b/crates/firweir/src/process/charges.rs
@@ -49,6 +49,10 @@
 /// that a holder lets a claim wait, and the rest is for the way.
 const HOLDER_TIMEOUT: Duration = Duration::from_millis(1_200);
 
+/// Times that an entry is told of a suspect. The connection to one that was started
+/// again still leads to the process before, and shows so only when it is used.
+const TELL_TRIES: usize = 2;
+
 /// An entry that did not answer is asked last for so long; the stewards know by
 /// then whether it lives.
 const PASS_OVER: Duration = Duration::from_secs(5);
@@ -266,8 +270,11 @@
     }
 
     async fn tell(&self, to: SocketAddr, suspect: Suspect) {
-        let told = within(HOLDER_TIMEOUT, self.suspect_at(to, suspect)).await;
-        if !matches!(told, Some(Ok(()))) {
+        for _ in 0..TELL_TRIES {
+            let told = within(HOLDER_TIMEOUT, self.suspect_at(to, suspect)).await;
+            if matches!(told, Some(Ok(()))) {
+                return;
+            }
             self.peers.forget(to);
         }
     }
--- a/crates/firweir/src/process/entry.rs
+++ b/crates/firweir/src/process/entry.rs
@@ -215,8 +215,10 @@
     }
 
     /// Notes that an upstream was lost with this request in flight. From the second
-    /// loss on, the live VMs are told at once: its caller may send it again sooner
-    /// than reports spread. Bystanders of one crash cause no message.
+    /// loss on, all VMs are told at once: its caller may send it again sooner than
+    /// reports spread. VMs that count as dead are told too: one that has just started
+    /// again takes calls some seconds before the others list it as alive, and ran such
+    /// a request once more. Bystanders of one crash cause no message.
     pub fn note_loss(&self, fingerprint: u64) {
         let now = self.now();
         let mut suspects = self.suspects();
@@ -233,7 +235,7 @@
         };
         let view = self.view();
         let own = self.parts.settings.draft_listen;
-        let members = view.live_members().map(|member| member.draft_address);
+        let members = view.members.iter().map(|member| member.draft_address);
         let holders: Vec<SocketAddr> = members.filter(|at| *at != own).collect();
         let told = holders.len();
         self.parts.journal.event(
--- a/crates/firweir/src/process/observations.rs
+++ b/crates/firweir/src/process/observations.rs
@@ -4,6 +4,9 @@
 
 use std::cmp::Ordering;
 
+use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
 use crate::process::spread::Row;
 use crate::process::spread::Table;
 use crate::version::view::Observed;
@@ -47,6 +50,24 @@
         self.table.rows().cloned().collect()
     }
 
+    /// Hash of the suspects in all reports, the same on each VM that knows the same.
+    ///
+    /// A report is handed on a few times and may miss a VM while others are down; that
+    /// one would run a suspect once more. Comparing digests finds what it missed.
+    /// Demand is left out: it changes all the time, and a missed one is soon replaced.
+    #[must_use]
+    pub fn suspects_digest(&self) -> u64 {
+        let suspected = self.table.rows().flat_map(|report| {
+            let node = xxh3_64(report.node.as_bytes());
+            let suspects = report.suspects.iter();
+            suspects.map(move |suspect| {
+                let lost = node.wrapping_add(u64::from(suspect.upstreams_lost));
+                xxh3_64_with_seed(&suspect.fingerprint.to_le_bytes(), lost)
+            })
+        });
+        suspected.fold(0, |digest, hash| digest ^ hash)
+    }
+
     /// The counter of this VM's last report.
     #[must_use]
     pub fn counter_of(&self, node: &str) -> u64 {
--- a/crates/firweir/src/process/steward.rs
+++ b/crates/firweir/src/process/steward.rs
@@ -515,7 +515,8 @@
 impl State {
     /// Hash of members and upstreams.
     pub(in crate::process) fn digest(&mut self) -> u64 {
-        self.membership.digest() ^ self.upstreams.digest().rotate_left(1)
+        let rows = self.membership.digest() ^ self.upstreams.digest().rotate_left(1);
+        rows ^ self.observations.suspects_digest()
     }
 
     /// Times that a change is handed on.
--- a/crates/firweir/tests/observed.rs
+++ b/crates/firweir/tests/observed.rs
@@ -6,6 +6,7 @@
 use std::time::Instant;
 
 use firweir::process::membership::Membership;
+use firweir::process::observations::Observations;
 use firweir::process::spread::Row;
 use firweir::process::spread::Table;
 use firweir::process::upstreams::UpstreamRow;
@@ -16,6 +17,7 @@
 use firweir::version::view::Member;
 use firweir::version::view::MemberState;
 use firweir::version::view::Observed;
+use firweir::version::view::Suspect;
 use firweir::version::view::Upstream;
 use proptest::prelude::*;
 use serde_json::json;
@@ -249,3 +251,60 @@
     }
     assert_eq!(membership.state_of("vm-0"), Some(MemberState::Dead));
 }
+
+fn report(counter: u64, suspects: &[(u64, u32)]) -> Observed {
+    let suspects = suspects
+        .iter()
+        .map(|(fingerprint, upstreams_lost)| Suspect {
+            fingerprint: *fingerprint,
+            upstreams_lost: *upstreams_lost,
+        });
+    Observed {
+        node: "vm-3".to_owned(),
+        counter,
+        suspects: suspects.collect(),
+        ..Observed::default()
+    }
+}
+
+/// A caller's request had crashed three upstreams. One VM was down then, and the
+/// report of the third loss was handed on to others only. It ran the request once
+/// more, 4 s after its start: nothing ever compared which suspects two VMs know.
+#[test]
+fn a_missed_suspect_shows_in_the_digest() {
+    struct Case {
+        name: &'static str,
+        held: Observed,
+        newer: Observed,
+        differs: bool,
+    }
+    let cases = [
+        Case {
+            name: "a suspect more",
+            held: report(3, &[(9162, 2)]),
+            newer: report(4, &[(1148, 1), (9162, 2)]),
+            differs: true,
+        },
+        Case {
+            name: "a loss more",
+            held: report(3, &[(9162, 1)]),
+            newer: report(4, &[(9162, 2)]),
+            differs: true,
+        },
+        Case {
+            name: "a report with the same suspects",
+            held: report(3, &[(9162, 2)]),
+            newer: report(4, &[(9162, 2)]),
+            differs: false,
+        },
+    ];
+    for case in cases {
+        let mut behind = Observations::default();
+        let mut ahead = Observations::default();
+        behind.take(case.held.clone(), SENDS);
+        ahead.take(case.held, SENDS);
+        ahead.take(case.newer, SENDS);
+        let differs = behind.suspects_digest() != ahead.suspects_digest();
+        assert_eq!(differs, case.differs, "{}", case.name);
+    }
+}
