Streamed answers of engines go on elsewhere when their engine dies

Change: whole events are passed on and kept; the next engine gets the text so far and its events are counted on. An answer with a gap, a charged one, or one over 1 MB is broken off as before. Ruled out: refusals (none), deadlines too short for the load (answered calls end in time).

--- a/crates/bench/src/judge.rs
+++ b/crates/bench/src/judge.rs
@@ -479,6 +479,8 @@
         };
         let millis = |quantile| state.latency_us.value_at_quantile(quantile) as f64 / 1_000.0;
         let window_s = state.window.unwrap_or_default().as_secs_f64();
+        let produced = state.engines.iter().flatten();
+        let resumed = produced.filter(|answer| answer.resumed.is_some()).count();
         let mut measures = vec![
             count("offered", counts.offered, "calls"),
             count("answered", counts.answered, "calls"),
@@ -496,6 +498,7 @@
                 "upstreams",
             ),
             count("poison_requests", state.poisoned.len() as u64, "requests"),
+            count("answers_resumed", resumed as u64, "answers"),
             count("samples_delivered", counts.samples_delivered, "samples"),
             count("samples_mixed", state.mixed, "samples"),
             count("config_reverts", state.config_reverts, "reverts"),
--- a/crates/firweir/src/process/entry.rs
+++ b/crates/firweir/src/process/entry.rs
@@ -315,6 +315,19 @@
         Some(Arc::clone(&gates[position].gate))
     }
 
+    /// Logs that an answer broke off and was to go on at another engine.
+    pub fn note_continued(&self, service: &str, fingerprint: u64, goes_on: bool) {
+        self.parts.journal.count("entry.continued");
+        self.parts.journal.event(
+            "stream_continued",
+            &[
+                ("service", &service),
+                ("fingerprint", &fingerprint),
+                ("goes_on", &goes_on),
+            ],
+        );
+    }
+
     /// Logs and measures one call, as far as its head.
     pub fn note_call(&self, service: &str, outcome: &str, started: Instant, patience: Duration) {
         let elapsed = self.now().duration_since(started);
--- a/crates/firweir/src/request/call.rs
+++ b/crates/firweir/src/request/call.rs
@@ -26,6 +26,7 @@
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::Limited;
+use http_body_util::StreamBody;
 use hyper::body::Body as HttpBody;
 use hyper::body::Frame;
 use hyper::body::Incoming;
@@ -44,6 +45,7 @@
 use crate::request::answer::OUTCOME_HEADER;
 use crate::request::answer::Outcome;
 use crate::request::answer::Refused;
+use crate::request::continued::relay;
 use crate::request::cost::BYTES_PER_TOKEN;
 use crate::request::cost::estimate_tokens;
 use crate::request::draft::COMPLETIONS_PATH;
@@ -53,7 +55,6 @@
 use crate::request::head::CallHead;
 use crate::request::idempotency::Begin;
 use crate::request::idempotency::Identity;
-use crate::request::stream_end::StreamEnd;
 
 /// Largest request body.
 const REQUEST_LIMIT_BYTES: usize = 1 << 20;
@@ -92,10 +93,11 @@
 }
 
 /// A call with all that its tries need.
-struct Call {
+#[derive(Clone)]
+pub(in crate::request) struct Call {
     head: CallHead,
     headers: HeaderMap,
-    body: Bytes,
+    pub(in crate::request) body: Bytes,
     deadline: Instant,
     /// Hash of what an upstream gets to see; the same when it is sent again.
     fingerprint: u64,
@@ -187,7 +189,7 @@
         }
     }
 
-    fn remaining(&self, entry: &Entry) -> Duration {
+    pub(in crate::request) fn remaining(&self, entry: &Entry) -> Duration {
         self.deadline.saturating_duration_since(entry.now())
     }
 
@@ -230,7 +232,7 @@
     }
 
     /// Leave to try, for a suspect the only one at a time.
-    async fn check_standing<'a>(
+    pub(in crate::request) async fn check_standing<'a>(
         &self,
         entry: &'a Entry,
         may_have_run: bool,
@@ -253,13 +255,25 @@
         })
     }
 
-    fn suspicion(&self, entry: &Arc<Entry>) -> Suspicion {
-        Suspicion {
-            entry: Arc::clone(entry),
-            fingerprint: self.fingerprint,
+    /// Notes whether an upstream survived this call.
+    pub(in crate::request) fn note_ending(&self, entry: &Entry, ending: Ending) {
+        match ending {
+            Ending::Answered => entry.suspects().answered(self.fingerprint),
+            Ending::Failed => entry.note_loss(self.fingerprint),
+            Ending::Unreachable | Ending::Abandoned => {}
         }
     }
 
+    /// Logs that the answer was to go on at another engine.
+    pub(in crate::request) fn note_continued(&self, entry: &Entry, goes_on: bool) {
+        entry.note_continued(&self.head.service, self.fingerprint, goes_on);
+    }
+
+    /// Its answer may go on at another engine: a charged one runs once at most.
+    pub(in crate::request) const fn may_continue(&self) -> bool {
+        self.head.idempotency_key.is_none() && self.head.idempotent
+    }
+
     fn may_retry(&self, gate: &Gate, ending: Ending, tries: u32) -> bool {
         gate.allow_retry(ending, self.head.idempotent, tries)
     }
@@ -277,7 +291,7 @@
         let sending = async {
             let response = entry
                 .http()
-                .send(permit.address(), self.upstream_request())
+                .send(permit.address(), self.upstream_request(self.body.clone()))
                 .await?;
             if is_stream(&response) {
                 return Ok(Err(response));
@@ -313,15 +327,15 @@
         Err(Failure { ending, upstream })
     }
 
-    fn upstream_request(&self) -> Request<Full<Bytes>> {
-        let mut request = Request::new(Full::new(self.body.clone()));
+    pub(in crate::request) fn upstream_request(&self, body: Bytes) -> Request<Full<Bytes>> {
+        let mut request = Request::new(Full::new(body));
         *request.method_mut() = self.head.method.clone();
         *request.uri_mut() = self.head.path.parse().unwrap_or_default();
         *request.headers_mut() = without_hop_headers(&self.headers);
         request
     }
 
-    fn ask(&self, avoid: Vec<UpstreamKey>) -> Ask {
+    pub(in crate::request) fn ask(&self, avoid: Vec<UpstreamKey>) -> Ask {
         let prefix = &self.body[..self.body.len().min(PREFIX_BYTES)];
         Ask {
             class: Class::Live,
@@ -338,10 +352,17 @@
             Given::Whole(whole) => whole_response(whole),
             Given::Stream(response, permit) => {
                 let (parts, body) = response.into_parts();
-                let engine = self.head.path.starts_with(COMPLETIONS_PATH);
-                let suspicion = self.suspicion(entry);
-                let tracked = Tracked::new(body, permit, self.deadline, engine, suspicion);
-                let mut response = Response::new(tracked.boxed_unsync());
+                let body = match entry.gate(&self.head.service) {
+                    Some(gate) if self.head.path.starts_with(COMPLETIONS_PATH) => {
+                        let relayed = relay(Arc::clone(entry), self.clone(), gate, body, permit);
+                        StreamBody::new(relayed).boxed_unsync()
+                    }
+                    Some(_) | None => {
+                        let (entry, call) = (Arc::clone(entry), self.clone());
+                        Tracked::new(body, permit, entry, call).boxed_unsync()
+                    }
+                };
+                let mut response = Response::new(body);
                 *response.status_mut() = parts.status;
                 *response.headers_mut() = without_hop_headers(&parts.headers);
                 mark_answered(response.headers_mut());
@@ -351,7 +372,8 @@
     }
 }
 
-fn is_stream(response: &Response<Incoming>) -> bool {
+/// Whether the answer is a stream of events.
+pub(in crate::request) fn is_stream(response: &Response<Incoming>) -> bool {
     let kind = response.headers().get(header::CONTENT_TYPE);
     kind.is_some_and(|kind| kind.as_bytes().starts_with(b"text/event-stream"))
 }
@@ -377,62 +399,35 @@
     response
 }
 
-/// A streamed answer that reports its end to the gate.
+/// A streamed answer of a plain service that reports its end to the gate.
 ///
 /// If the upstream breaks off or the deadline passes, the caller's connection
 /// is broken off as well: a stream that simply ended there would look whole.
-///
-/// An engine that dies may still close its stream in good order, after some
-/// chunks and without the event that ends an answer. The caller would take half an
-/// answer for a whole one, so that end is passed on as a broken connection too.
 struct Tracked {
     body: Incoming,
     permit: Option<Permit>,
     deadline: Pin<Box<Sleep>>,
     bytes: usize,
-    /// Set for engines, whose streams end in a known way.
-    end: Option<StreamEnd>,
-    suspicion: Suspicion,
-}
-
-/// What tells of a streamed request whether its upstream survived it.
-struct Suspicion {
     entry: Arc<Entry>,
-    fingerprint: u64,
-}
-
-impl Suspicion {
-    fn note(&self, ending: Ending) {
-        match ending {
-            Ending::Answered => self.entry.suspects().answered(self.fingerprint),
-            Ending::Failed => self.entry.note_loss(self.fingerprint),
-            Ending::Unreachable | Ending::Abandoned => {}
-        }
-    }
+    call: Call,
 }
 
 impl Tracked {
-    fn new(
-        body: Incoming,
-        permit: Permit,
-        deadline: Instant,
-        engine: bool,
-        suspicion: Suspicion,
-    ) -> Self {
-        let deadline = tokio::time::sleep_until(tokio::time::Instant::from_std(deadline));
+    fn new(body: Incoming, permit: Permit, entry: Arc<Entry>, call: Call) -> Self {
+        let deadline = tokio::time::Instant::from_std(call.deadline);
         Self {
             body,
             permit: Some(permit),
-            deadline: Box::pin(deadline),
+            deadline: Box::pin(tokio::time::sleep_until(deadline)),
             bytes: 0,
-            end: engine.then(StreamEnd::default),
-            suspicion,
+            entry,
+            call,
         }
     }
 
     fn finish(&mut self, ending: Ending) {
         if let Some(permit) = self.permit.take() {
-            self.suspicion.note(ending);
+            self.call.note_ending(&self.entry, ending);
             permit.finish(ending, (self.bytes / BYTES_PER_TOKEN) as u32);
         }
     }
@@ -450,9 +445,6 @@
             Poll::Ready(Some(Ok(frame))) => {
                 if let Some(data) = frame.data_ref() {
                     self.bytes += data.len();
-                    if let Some(end) = &mut self.end {
-                        end.push(data);
-                    }
                 }
                 Poll::Ready(Some(Ok(frame)))
             }
@@ -460,10 +452,6 @@
                 self.finish(Ending::Failed);
                 Poll::Ready(Some(Err(io::Error::other(error))))
             }
-            Poll::Ready(None) if self.end.as_ref().is_some_and(|end| !end.is_whole()) => {
-                self.finish(Ending::Failed);
-                Poll::Ready(Some(Err(io::ErrorKind::UnexpectedEof.into())))
-            }
             Poll::Ready(None) => {
                 self.finish(Ending::Answered);
                 Poll::Ready(None)
--- a/crates/firweir/src/request/chunk.rs
+++ b/crates/firweir/src/request/chunk.rs
@@ -152,6 +152,24 @@
         }
     }
 
+    /// Position of the chunk that comes next.
+    #[must_use]
+    pub const fn next_seq(&self) -> u64 {
+        self.next_seq
+    }
+
+    /// No chunk waits for one before it.
+    #[must_use]
+    pub const fn has_no_gap(&self) -> bool {
+        self.early.is_empty()
+    }
+
+    /// The last chunk has come.
+    #[must_use]
+    pub const fn is_finished(&self) -> bool {
+        self.finished
+    }
+
     /// Puts a chunk where its position says, unless it was there before.
     fn keep(&mut self, chunk: Chunk) -> Result<(), StreamFault> {
         if chunk.seq < self.next_seq {
--- a/crates/firweir/src/request/draft.rs
+++ b/crates/firweir/src/request/draft.rs
@@ -29,6 +29,7 @@
 use crate::request::chunk::join;
 use crate::request::chunk::text_of;
 use crate::request::chunk::tokens_of;
+use crate::request::cost::BYTES_PER_TOKEN;
 use crate::request::gate::Ask;
 use crate::request::gate::Permit;
 use crate::version::view::WireError;
@@ -37,9 +38,6 @@
 /// Path of the engines' completions call.
 pub const COMPLETIONS_PATH: &str = "/v1/completions";
 
-/// Bytes of text per token, for cost estimates.
-const BYTES_PER_TOKEN: usize = 4;
-
 /// When a feed may come back with a draft for a service that is not known here.
 const UNKNOWN_SERVICE_PAUSE: Duration = Duration::from_secs(1);
 
