--- a/crates/node/src/drafting.rs
+++ b/crates/node/src/drafting.rs
@@ -37,6 +37,7 @@
 use crate::model::Upstream;
 use crate::shared::Shared;
 use crate::submission::board::Board;
+use crate::submission::records::Head;
 use crate::submission::texts::Kept;
 use crate::submission::texts::KeptTexts;
 use crate::submission::texts::Progress;
@@ -173,6 +174,14 @@
         self.offer(state, key);
     }
 
+    /// Age at which a submission is due; zero while its route is not known.
+    #[must_use]
+    pub fn due_of(&self, head: &Head) -> Duration {
+        let config = self.shared.fleet.config();
+        let route = config.route(&head.host, &head.path);
+        route.map_or(Duration::ZERO, |route| Duration::from_millis(route.due_ms))
+    }
+
     /// Whether anything is being drafted or waits for it.
     #[must_use]
     pub fn is_busy(&self) -> bool {
--- a/crates/node/src/model.rs
+++ b/crates/node/src/model.rs
@@ -49,6 +49,8 @@
     pub targets: Vec<Target>,
     /// Upstreams that one attempt of a client may be sent to.
     pub max_attempts: u32,
+    /// All results of a submission are due this long after it came; 0 if not said.
+    pub due_ms: u64,
     /// A submission's item may be given up after this time.
     pub queue_ttl_ms: u64,
     /// A sample may not mix versions of weights.
--- a/crates/node/src/submission/board.rs
+++ b/crates/node/src/submission/board.rs
@@ -18,6 +18,7 @@
 
 use firweir::process::clock::Clock;
 use firweir::process::log::Journal;
+use firweir_policy::listing::Unwritten;
 use tokio::sync::Notify;
 
 use crate::dialect::Freshness;
@@ -36,10 +37,6 @@
 use crate::submission::records::numbered;
 use crate::submission::records::result_bytes;
 
-/// Results that make no group whole wait this long for others: each write costs,
-/// and a trainer reads whole groups about twice a second.
-const GATHER: Duration = Duration::from_millis(300);
-
 /// How long one write is tried before the log looks anew at who runs it.
 const WRITE_PATIENCE: Duration = Duration::from_secs(4);
 
@@ -263,10 +260,17 @@
         Some(Arc::clone(&self.items[place]))
     }
 
-    /// Writes results for as long as this node runs the submission.
-    pub async fn keep_log(self: Arc<Self>, store: Store, clock: Arc<dyn Clock>, journal: Journal) {
+    /// Writes results for as long as this node runs the submission, which is due at this
+    /// age.
+    pub async fn keep_log(
+        self: Arc<Self>,
+        store: Store,
+        clock: Arc<dyn Clock>,
+        journal: Journal,
+        due: Duration,
+    ) {
         loop {
-            self.gather(&*clock).await;
+            self.gather(&*clock, due).await;
             if self.is_given_up() {
                 return;
             }
@@ -282,26 +286,35 @@
     }
 
     /// Waits until there are results to write.
-    async fn gather(&self, clock: &dyn Clock) {
+    async fn gather(&self, clock: &dyn Clock, due: Duration) {
         loop {
-            let due = {
+            let accepted = Duration::from_millis(self.head.accepted_ms);
+            let age = clock.since_epoch().saturating_sub(accepted);
+            let write_at = {
                 let state = self.lock();
-                if state.ended || self.is_given_up() || state.is_due(&self.items) {
+                if state.ended || self.is_given_up() {
                     return;
                 }
-                state.pending_since.map(|since| since + GATHER)
+                let unwritten = state.unwritten(&self.items, self.head.target_groups, age, due);
+                state.pending_since.map(|since| since + unwritten.wait())
             };
-            match due {
+            match write_at {
                 None => self.pending.notified().await,
-                Some(due) if due <= clock.now() => return,
-                Some(due) => {
-                    let due = tokio::time::Instant::from_std(due);
-                    drop(tokio::time::timeout_at(due, self.pending.notified()).await);
+                Some(at) if at <= clock.now() || self.is_all_done() => return,
+                Some(at) => {
+                    let at = tokio::time::Instant::from_std(at);
+                    drop(tokio::time::timeout_at(at, self.pending.notified()).await);
                 }
             }
         }
     }
 
+    /// Nothing is to come that a result could wait for.
+    fn is_all_done(&self) -> bool {
+        let state = self.lock();
+        !state.standings.contains(&Standing::Open)
+    }
+
     async fn write(
         &self,
         store: &Store,
@@ -416,16 +429,30 @@
         at.ok().map(|at| self.places[at].1)
     }
 
-    /// A pending result makes its group whole, or nothing else is to come.
-    fn is_due(&self, items: &[Arc<Item>]) -> bool {
-        let open = |group: &str| {
-            let mut places = items.iter().zip(&self.standings);
-            places.any(|(item, standing)| item.group == group && *standing == Standing::Open)
-        };
-        self.pending.iter().any(|result| {
-            let place = self.place(&result.item);
-            place.is_some_and(|place| !open(&items[place].group))
-        })
+    /// What decides when the pending results are written.
+    fn unwritten(
+        &self,
+        items: &[Arc<Item>],
+        target_groups: u32,
+        age: Duration,
+        due: Duration,
+    ) -> Unwritten {
+        let mut groups: Vec<(&str, Standing)> = items
+            .iter()
+            .zip(&self.standings)
+            .map(|(item, standing)| (item.group.as_str(), *standing))
+            .collect();
+        groups.sort_unstable_by_key(|(group, _)| *group);
+        let groups = groups.chunk_by(|a, b| a.0 == b.0);
+        let has = |group: &[(&str, Standing)], wanted| group.iter().any(|held| held.1 == wanted);
+        let whole: Vec<_> = groups.filter(|group| !has(group, Standing::Open)).collect();
+        Unwritten {
+            completes_group: whole.iter().any(|group| has(group, Standing::Pending)),
+            whole_groups: whole.len(),
+            target_groups: target_groups as usize,
+            age,
+            due,
+        }
     }
 
     /// The pending results that fit one chunk.
--- a/crates/node/src/submission/desk.rs
+++ b/crates/node/src/submission/desk.rs
@@ -723,7 +723,8 @@
             let (store, clock) = (self.shared.store.clone(), Arc::clone(&self.shared.clock));
             let journal = self.shared.journal.clone();
             drop(tokio::spawn(self.clone().watch_head(Arc::clone(&board))));
-            drop(tokio::spawn(board.keep_log(store, clock, journal)));
+            let due = self.shared.drafting.due_of(&board.head);
+            drop(tokio::spawn(board.keep_log(store, clock, journal, due)));
         }
     }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod health;
 pub mod lane;
 pub mod limit;
+pub mod listing;
 pub mod pace;
 pub mod placement;
 pub mod reserve;
--- a/crates/policy/tests/waves.rs
+++ b/crates/policy/tests/waves.rs
@@ -115,7 +115,10 @@
     let second = assign(11, &lags(left, behind));
     for (before, after) in first[1..].iter().zip(&second) {
         let kept = before.iter().all(|model| after.contains(model));
-        assert!(kept, "one engine that leaves moves no other: {before:?} {after:?}");
+        assert!(
+            kept,
+            "one engine that leaves moves no other: {before:?} {after:?}"
+        );
     }
 }
 
