--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -113,7 +113,7 @@
 
 /// A sample stays this long before it is moved for speed, so that two estimates that
 /// change places do not send it back and forth.
-const STAY_AT_LEAST: Duration = Duration::from_millis(800);
+const STAY_AT_LEAST: Duration = Duration::from_millis(1_400);
 
 /// Groups whose engine is remembered: those of a few open steps.
 const GROUPS_KEPT: usize = 512;
