A failure through one node leaves the way to the store through another

Traced by logging each call: at 3.0 s a read got through the third seed; a write that had tried another seed failed at 3.5 s and cleared the way that worked, and no way was tried for 1.5 s; the next two tries met the dead seeds again. Change: seeds that do not answer are left alone one by one; the way that worked is kept, one call at a time tries the store; a seed that the store turns away speaks for all.

--- a/crates/node/src/detour.rs
+++ b/crates/node/src/detour.rs
@@ -4,8 +4,10 @@
 //! while it serves all others. **Without it:** such a node lists no results of the steps
 //! that it runs, hears of no configuration and cannot order weights, for as long as that
 //! lasts; its trainers wait. **How:** a call that fails is made through a seed, and for a
-//! while all calls are. If a seed fails too, the store is taken for down. Every write has
-//! a condition and is settled by its writer, so one that is made twice does nothing.
+//! while all calls are. Seeds may be cut off too: one that does not answer is left alone
+//! for a while, whatever other calls do through other seeds. If a seed is turned away as
+//! well, the store is taken for down. Every write has a condition and is settled by its
+//! writer, so one that is made twice does nothing.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -21,19 +23,31 @@
 /// Begin of the paths at which a node makes calls of the store for others.
 pub const DETOUR_PATH: &str = "/peer/store";
 
-/// Calls take the detour for this long, then the store is tried again: a call that
-/// finds the path still cut costs its time limit.
+/// Calls take the detour for this long, then one call tries the store again: if it finds
+/// the path still cut that costs its time limit.
 const DETOUR_FOR: Duration = Duration::from_secs(3);
 
-/// After a detour that failed, none is tried for this long.
-const NO_DETOUR_FOR: Duration = Duration::from_millis(1_500);
+/// While one call tries the store again, the others still take the detour.
+const TRIAL: Duration = Duration::from_millis(1_300);
+
+/// A node that failed is not tried for this long.
+const LEFT_ALONE_FOR: Duration = Duration::from_millis(1_500);
+
+/// How a call through a node failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum DetourFailure {
+    /// The node did not answer.
+    NoAnswer,
+    /// The store turns the node away too.
+    TurnedAway,
+}
 
 #[derive(Debug, Default)]
 struct State {
     /// Calls go through this node until then.
     through: Option<(SocketAddr, Instant)>,
-    /// No detour is tried before.
-    blocked_until: Option<Instant>,
+    /// Nodes that are not tried before then.
+    left_alone: Vec<(SocketAddr, Instant)>,
     /// Node to try next.
     next: usize,
 }
@@ -55,39 +69,64 @@
         }
     }
 
-    /// The node that calls go through now, if any.
+    /// The node that this call goes through, if any.
     #[must_use]
     pub fn current(&self, now: Instant) -> Option<SocketAddr> {
-        let through = self.lock().through;
-        through
-            .filter(|(_, until)| *until > now)
-            .map(|(node, _)| node)
+        let mut state = self.lock();
+        let (node, until) = state.through?;
+        if until > now {
+            return Some(node);
+        }
+        state.through = Some((node, now + TRIAL));
+        None
     }
 
-    /// A node to try after the store itself has failed.
+    /// A node to try after the store itself has failed: the one that worked last, if any.
     #[must_use]
     pub fn another(&self, now: Instant) -> Option<SocketAddr> {
         let mut state = self.lock();
-        if self.nodes.is_empty() || state.blocked_until.is_some_and(|until| until > now) {
-            return None;
+        state.left_alone.retain(|(_, until)| *until > now);
+        let is_left_alone =
+            |node: &SocketAddr| state.left_alone.iter().any(|(held, _)| held == node);
+        let worked = state.through.map(|(node, _)| node);
+        if let Some(node) = worked.filter(|node| !is_left_alone(node)) {
+            return Some(node);
         }
-        state.next += 1;
-        Some(self.nodes[state.next % self.nodes.len()])
+        let count = self.nodes.len();
+        let mut places = (1..=count).map(|step| (state.next + step) % count);
+        let place = places.find(|place| !is_left_alone(&self.nodes[*place]))?;
+        state.next = place;
+        Some(self.nodes[place])
     }
 
     /// A call through this node was answered.
     pub fn worked(&self, now: Instant, node: SocketAddr) {
         let mut state = self.lock();
-        if state.through.is_none_or(|(_, until)| until <= now) {
+        if state
+            .through
+            .is_none_or(|(held, until)| held != node || until <= now + TRIAL)
+        {
             state.through = Some((node, now + DETOUR_FOR));
         }
     }
 
-    /// A call through a node failed.
-    pub fn failed(&self, now: Instant) {
+    /// A call through this node failed.
+    pub fn failed(&self, now: Instant, node: SocketAddr, failure: DetourFailure) {
         let mut state = self.lock();
-        state.through = None;
-        state.blocked_until = Some(now + NO_DETOUR_FOR);
+        let until = now + LEFT_ALONE_FOR;
+        match failure {
+            DetourFailure::NoAnswer => state.left_alone.push((node, until)),
+            DetourFailure::TurnedAway => {
+                let all = self.nodes.iter().map(|node| (*node, until));
+                state.left_alone.extend(all);
+            }
+        }
+        state.through = state.through.filter(|(held, _)| *held != node);
+    }
+
+    /// The store itself answered.
+    pub fn is_not_needed(&self) {
+        self.lock().through = None;
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -15,6 +15,7 @@
 use serde_json::value::RawValue;
 
 use crate::detour::Detour;
+use crate::detour::DetourFailure;
 use crate::detour::to_node;
 use crate::dialect::Dialect;
 use crate::dialect::Freshness;
@@ -122,8 +123,12 @@
             }
         }
         let direct = self.call_at(self.address, call, timeout, false).await;
+        if !is_unavailable(&direct) {
+            self.detour.is_not_needed();
+            return direct;
+        }
         // A watch that broke off is for its follower, who lists anew.
-        if !is_unavailable(&direct) || matches!(call, StoreCall::Watch { .. }) {
+        if matches!(call, StoreCall::Watch { .. }) {
             return direct;
         }
         let Some(node) = self.detour.another(self.clock.now()) else {
@@ -145,10 +150,14 @@
     ) -> Result<StoreAnswer, StoreError> {
         let answer = self.call_at(node, call, timeout, true).await;
         let now = self.clock.now();
-        if is_unavailable(&answer) {
-            self.detour.failed(now);
-        } else {
-            self.detour.worked(now, node);
+        match &answer {
+            Err(StoreError::Refused(_)) => {
+                self.detour.failed(now, node, DetourFailure::TurnedAway);
+            }
+            Err(StoreError::Unreachable | StoreError::Unknown) => {
+                self.detour.failed(now, node, DetourFailure::NoAnswer);
+            }
+            Ok(_) | Err(_) => self.detour.worked(now, node),
         }
         answer
     }
