A silent runner is found gone within one question; a restarted holder takes its duty back

Change: silence counts from when the runner was first asked, and a ping repeats the question until 2 s have passed; a process reads at its start whether its VM holds the duty, and takes the next epoch at once.

--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -59,6 +59,7 @@
 use crate::submission::desk::Asker;
 use crate::submission::desk::Desk;
 use crate::submission::desk::DeskParts;
+use crate::submission::desk::PING_PATH;
 use crate::submission::desk::Posted;
 use crate::submission::homes::Homes;
 use crate::submission::records::Runner;
@@ -510,6 +511,9 @@
     /// Answers another node.
     async fn peer(self: Arc<Self>, request: Request<Incoming>) -> Response<Body> {
         let (head, body) = request.into_parts();
+        if head.uri.path() == PING_PATH {
+            return empty(StatusCode::OK);
+        }
         if head.uri.path() == HOLDER_PATH {
             return json(StatusCode::OK, &self.weights.answer_holder().await);
         }
--- a/crates/node/src/submission/desk.rs
+++ b/crates/node/src/submission/desk.rs
@@ -68,6 +68,12 @@
 /// a pause of its VM moves what it runs; longer, and its trainer waits.
 const GONE_AFTER: Duration = Duration::from_secs(2);
 
+/// A question that a runner answers at once.
+pub const PING_PATH: &str = "/peer/ping";
+
+/// Least time for its answer.
+const PING_PATIENCE: Duration = Duration::from_millis(200);
+
 /// When a client may ask again where it is not known who runs a submission.
 const ASK_AGAIN: Duration = Duration::from_millis(250);
 
@@ -535,7 +541,7 @@
                     return with_json(head.status, body);
                 }
                 Ok(_) => false,
-                Err(error) => self.is_gone(runner, error),
+                Err(error) => self.is_gone(runner, error).await,
             };
             let next = if gone {
                 self.take_over(&known).await
@@ -565,31 +571,65 @@
         *request.uri_mut() = call.uri.clone();
         *request.headers_mut() = call.headers.clone();
         strip_framing(request.headers_mut());
-        let answer = self
+        self.note_asked(runner);
+        let passing = self
             .shared
             .links
-            .call(runner, request, wait + PEER_PATIENCE)
-            .await;
+            .call(runner, request, wait + PEER_PATIENCE);
+        let answer = passing.await;
         if answer.is_ok() {
-            self.lock().unreached.retain(|held| held.address != runner);
+            self.note_reached(runner);
         }
         answer
     }
 
-    /// Whether a runner that did not answer is to be taken for gone.
-    fn is_gone(&self, runner: SocketAddr, error: LinkError) -> bool {
-        let now = self.shared.clock.now();
+    /// Whether a runner that did not answer is gone. Asks it until [`GONE_AFTER`] has
+    /// passed since it was first asked: a client that had to come again for that
+    /// would wait 2 s more.
+    async fn is_gone(&self, runner: SocketAddr, mut error: LinkError) -> bool {
+        loop {
+            let silent_for = self.silent_for(runner);
+            // Nothing listens there: the process is gone, with all it had in memory.
+            if error == LinkError::Refused || silent_for >= GONE_AFTER {
+                return true;
+            }
+            let left = (GONE_AFTER - silent_for).max(PING_PATIENCE);
+            let mut request = Request::new(Full::new(Bytes::new()));
+            *request.uri_mut() = http::Uri::from_static(PING_PATH);
+            let pinging = self.shared.links.call(runner, request, left);
+            match pinging.await {
+                Ok(_) => {
+                    self.note_reached(runner);
+                    return false;
+                }
+                Err(failed) => error = failed,
+            }
+        }
+    }
+
+    /// Notes that a runner was asked and has not answered yet.
+    fn note_asked(&self, runner: SocketAddr) {
+        let since = self.shared.clock.now();
         let mut state = self.lock();
-        let known = state.unreached.iter().find(|held| held.address == runner);
-        let since = known.map_or(now, |held| held.since);
-        if known.is_none() {
-            state.unreached.push(Unreached {
-                address: runner,
-                since,
-            });
-        }
-        // Nothing listens there: the process is gone, with all it had in memory.
-        error == LinkError::Refused || now.duration_since(since) >= GONE_AFTER
+        // One that is older was left behind by a client that went away.
+        state
+            .unreached
+            .retain(|held| since.duration_since(held.since) < GONE_AFTER * 2);
+        if !state.unreached.iter().any(|held| held.address == runner) {
+            let address = runner;
+            state.unreached.push(Unreached { address, since });
+        }
+    }
+
+    fn note_reached(&self, runner: SocketAddr) {
+        self.lock().unreached.retain(|held| held.address != runner);
+    }
+
+    fn silent_for(&self, runner: SocketAddr) -> Duration {
+        let now = self.shared.clock.now();
+        let state = self.lock();
+        let asked = state.unreached.iter().find(|held| held.address == runner);
+        asked.map_or(Duration::ZERO, |held| now.duration_since(held.since))
     }
 
     /// Makes this node the runner in place of the one that is known.
--- a/crates/node/src/weights.rs
+++ b/crates/node/src/weights.rs
@@ -39,6 +39,7 @@
 
 use crate::dialect::Dialect;
 use crate::dialect::Kind;
+use crate::dialect::Object;
 use crate::dialect::OrderAnswer;
 use crate::dialect::StoreError;
 use crate::dialect::WeightOrder;
@@ -293,6 +294,7 @@
     /// Gives orders for as long as the process lives and holds the duty.
     pub async fn run(self) {
         let spread = rand::rng().random_range(0.0..1.0);
+        self.take_back().await;
         tokio::time::sleep(PATIENCE.mul_f64(spread)).await;
         // Whoever comes first takes a duty that no one ever held.
         if let Ok(None) = self.read_duty().await {
@@ -304,6 +306,22 @@
         }
     }
 
+    /// Takes the duty that an earlier process of this VM held, at once: its orders were
+    /// this VM's, so that no distance has to be kept from them. Otherwise engines
+    /// would get no weights until another node missed the orders and waited for a lease,
+    /// 6 s in all. An old answer of the store does: the change is made on a condition.
+    async fn take_back(&self) {
+        let store = &self.shared.parts.store;
+        let read = store.read_stale(Kind::Duties, DUTY).await;
+        match read.and_then(|object| object.map(read_duty).transpose()) {
+            Ok(Some((revision, duty))) if duty.holder == self.shared.parts.me => {
+                self.take(Some((revision, duty)), Before::Nobody).await;
+            }
+            Ok(_) => {}
+            Err(error) => self.event("orders_unread", &[("cause", &error)]),
+        }
+    }
+
     /// Gives the orders that are due, or asks for their holder.
     async fn look(&self, patience: Duration) {
         let due = self.due();
@@ -347,12 +365,7 @@
 
     async fn read_duty(&self) -> Result<Option<(u64, Duty)>, StoreError> {
         let object = self.shared.parts.store.read(Kind::Duties, DUTY).await?;
-        let Some(object) = object else {
-            return Ok(None);
-        };
-        let duty = serde_json::from_str(object.value.get());
-        let duty = duty.map_err(|error| StoreError::Malformed(error.into()))?;
-        Ok(Some((object.revision, duty)))
+        object.map(read_duty).transpose()
     }
 
     /// The last read is fresh enough for orders that are given now.
@@ -662,6 +675,13 @@
     }
 }
 
+/// The duty and the revision at which it stands.
+fn read_duty(object: Object) -> Result<(u64, Duty), StoreError> {
+    let duty = serde_json::from_str(object.value.get());
+    let duty = duty.map_err(|error| StoreError::Malformed(error.into()))?;
+    Ok((object.revision, duty))
+}
+
 /// The newest versions of the engine's models, as far as any were named.
 fn newest_of<'a>(engine: &Engine, named: &'a [ModelVersion]) -> Vec<&'a ModelVersion> {
     let models = engine.models.iter();
