--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -375,9 +375,7 @@
         // A sample that is larger than the memory is let in alone: the engine says
         // whether it takes it.
         let fits = tokens <= self.state.memory_tokens || self.in_flight == 0;
-        let own = self.state.model.is_none_or(|own| own == draft.model);
-        let kept = if own { 0 } else { self.state.slots / 2 };
-        fits && self.room(now) > kept && self.has_version_for(draft)
+        fits && self.room(now) > 0 && self.has_version_for(draft)
     }
 
     /// Samples that may start here now.
