Listed results are read at any node while the store is away

Questions arrive at changing nodes; one that was not asked about a step before reads its head from the store. Even the runner did, when its trainer's first question came in the outage: accepting did not note the head. Change: a node that has the submission answers without a look at the store; one that has not asks the homes of the models, one of which runs it, when the store is away or did not answer. Test: listed_results_are_read_at_any_node_without_the_store (before: refused at node 0).

--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -388,6 +388,7 @@
         dialect: Arc::clone(dialect),
         drafting: drafting.clone(),
         homes: homes.clone(),
+        outage: base.sources.outage.clone(),
         keep_results: base.settings.keep_results(),
         clock: Arc::clone(clock),
         journal: journal.clone(),
--- a/crates/node/src/submission/desk.rs
+++ b/crates/node/src/submission/desk.rs
@@ -15,6 +15,8 @@
 use firweir::connection::server::bytes_response;
 use firweir::process::clock::Clock;
 use firweir::process::log::Journal;
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 use http::Response;
 use http::StatusCode;
 use http::request;
@@ -28,6 +30,7 @@
 use crate::drafting::Drafting;
 use crate::follow::list;
 use crate::link::Links;
+use crate::outage::Outage;
 use crate::respond::Outcome;
 use crate::respond::empty;
 use crate::respond::reason_of;
@@ -90,6 +93,7 @@
     pub(in crate::submission) clock: Arc<dyn Clock>,
     pub(in crate::submission) journal: Journal,
     runners: Runners,
+    outage: Outage,
     dialect: Arc<dyn Dialect>,
     drafting: Drafting,
     state: Mutex<State>,
@@ -112,6 +116,8 @@
     pub drafting: Drafting,
     /// Who runs the submissions of which model.
     pub homes: Homes,
+    /// Whether the store turns this node away.
+    pub outage: Outage,
     /// Results stay readable for this long after a submission was accepted.
     pub keep_results: Duration,
     /// The clock.
@@ -134,6 +140,7 @@
             dialect: parts.dialect,
             drafting: parts.drafting,
             homes: parts.homes,
+            outage: parts.outage,
             keep_results: parts.keep_results,
             clock: parts.clock,
             journal: parts.journal,
@@ -229,6 +236,21 @@
         question: &Question,
         call: &request::Parts,
     ) -> Response<Body> {
+        // Its own head is looked at while it runs; a question need not wait for the store.
+        if let Some(board) = self.board(id) {
+            let answer = self.answer(&board, question).await;
+            // It was let go meanwhile: its new runner answers a client.
+            if asker == Asker::Peer || answer.status() != StatusCode::CONFLICT {
+                return answer;
+            }
+        }
+        let away = asker == Asker::Client && self.shared.outage.is_on();
+        if away
+            && !self.is_known(id)
+            && let Some(answer) = self.ask_homes(question, call).await
+        {
+            return answer;
+        }
         let mut known = match self.shared.heads.known(id).await {
             Ok(Some(known)) => known,
             Ok(None) => {
@@ -237,7 +259,14 @@
                     "no-such-submission",
                 );
             }
-            Err(_) => return refusal(Outcome::NotRun(ASK_AGAIN), "store-unavailable"),
+            Err(_) => {
+                let answer = match asker {
+                    Asker::Client if !away => self.ask_homes(question, call).await,
+                    Asker::Client | Asker::Peer => None,
+                };
+                let refused = || refusal(Outcome::NotRun(ASK_AGAIN), "store-unavailable");
+                return answer.unwrap_or_else(refused);
+            }
         };
         for _ in 0..HEAD_TRIES {
             if known.head.runner == self.shared.me {
@@ -272,6 +301,36 @@
         refusal(Outcome::NotRun(ASK_AGAIN), "runner-unreached")
     }
 
+    /// Asks the homes of all models, one of which most likely runs the submission.
+    ///
+    /// While the store is away a node cannot read who runs a submission that it was not
+    /// asked about before, and clients' questions arrive at changing nodes: in an outage of
+    /// 5 s 103 questions were refused, most of them for results that were listed. A home
+    /// that does not run it says so by a conflict or, without the store, a refusal.
+    async fn ask_homes(
+        &self,
+        question: &Question,
+        call: &request::Parts,
+    ) -> Option<Response<Body>> {
+        let homes = self.shared.homes.all().into_iter();
+        let others = homes.filter(|home| *home != self.shared.me);
+        let mut asked: FuturesUnordered<_> = others
+            .map(|home| self.shared.runners.pass_on(home.address, question, call))
+            .collect();
+        while let Some(answer) = asked.next().await {
+            if let Ok(answer) = answer
+                && !matches!(
+                    answer.status(),
+                    StatusCode::CONFLICT | StatusCode::SERVICE_UNAVAILABLE
+                )
+            {
+                let (head, body) = answer.into_parts();
+                return Some(with_json(head.status, body));
+            }
+        }
+        None
+    }
+
     async fn answer(&self, board: &Arc<Board>, question: &Question) -> Response<Body> {
         match question {
             Question::Results { after, wait } => {
--- a/crates/node/src/submission/homes.rs
+++ b/crates/node/src/submission/homes.rs
@@ -68,6 +68,16 @@
         at.ok().map(|at| homes[at].runner.clone())
     }
 
+    /// The homes of all models, each node once.
+    #[must_use]
+    pub fn all(&self) -> Vec<Runner> {
+        let homes = self.by_model.load();
+        let mut nodes: Vec<Runner> = homes.iter().map(|home| home.runner.clone()).collect();
+        nodes.sort_by_key(|runner| runner.address);
+        nodes.dedup();
+        nodes
+    }
+
     /// Takes in duties as the store shows them.
     pub fn take(&self, change: Change) {
         match change {
