firweirctl explain: what all VMs logged about one id, in order of time

Users' on-call engineers have logs only, and a step's story is spread over the logs of several VMs. Bad input is named: a missing file, a file without an event, an id that no event names.

--- a/crates/firweir/src/bin/firweirctl.rs
+++ b/crates/firweir/src/bin/firweirctl.rs
@@ -10,6 +10,8 @@
 use firweir::process::ctl::CtlError;
 use firweir::process::ctl::Operator;
 use firweir::process::ctl::VmStatus;
+use firweir::process::explain::Explanation;
+use firweir::process::explain::explain;
 use firweir::process::run::BAD_INPUT;
 use firweir::process::run::Parts;
 use tokio::task::LocalSet;
@@ -28,6 +30,7 @@
     Diff(Diff),
     Apply(Apply),
     Status(Status),
+    Explain(Explain),
 }
 
 /// check a folder without the fleet
@@ -75,6 +78,18 @@
     object_api: SocketAddr,
 }
 
+/// show what all VMs logged about a request, item or submission, in order of time
+#[derive(FromArgs)]
+#[argh(subcommand, name = "explain")]
+struct Explain {
+    /// its id
+    #[argh(positional)]
+    id: String,
+    /// logs of VMs
+    #[argh(positional)]
+    logs: Vec<PathBuf>,
+}
+
 /// Exit code for a change that was accepted and is not confirmed everywhere.
 const UNCONFIRMED: u8 = 1;
 
@@ -118,10 +133,21 @@
                 println!("{}", line_of(&vm));
             }
         }
+        Command::Explain(Explain { id, logs }) => print_explanation(&explain(&id, &logs)?),
     }
     Ok(())
 }
 
+fn print_explanation(explanation: &Explanation) {
+    let first_ms = explanation.events.first().map_or(0, |seen| seen.time_ms);
+    for seen in &explanation.events {
+        println!("+{} ms {}", seen.time_ms - first_ms, seen.text);
+    }
+    if explanation.unreadable > 0 {
+        eprintln!("{} lines were no events", explanation.unreadable);
+    }
+}
+
 fn line_of(vm: &VmStatus) -> String {
     let state = vm.state.map_or("unknown".to_owned(), |state| {
         format!("{state:?}").to_lowercase()
--- a/crates/firweir/src/process/ctl.rs
+++ b/crates/firweir/src/process/ctl.rs
@@ -19,6 +19,7 @@
 use crate::connection::object::ObjectError;
 use crate::connection::object::Versioned;
 use crate::connection::peer::Peers;
+use crate::process::explain::ExplainError;
 use crate::process::run::Parts;
 use crate::process::steward::CONFIG_KEY;
 use crate::version::folder::Change;
@@ -62,6 +63,12 @@
             source(err)
             from()
         }
+        /// Logs say nothing of an id.
+        Explain(err: ExplainError) {
+            display("{err}")
+            source(err)
+            from()
+        }
         /// The object API did not do it.
         Object(err: ObjectError) {
             display("{err}")
--- a/crates/firweir/src/process/mod.rs
+++ b/crates/firweir/src/process/mod.rs
@@ -10,6 +10,7 @@
 pub mod drafting;
 pub mod entry;
 pub mod exchange;
+pub mod explain;
 pub mod feed;
 pub mod flags;
 pub mod follow;
