A request that goes on elsewhere keeps all fields that its caller sent

Found in the read-through: the request to the next engine was written from the fields that firweir knows. Test: the_next_engine_gets_the_callers_request_and_the_text.

--- a/crates/firweir/src/request/continued.rs
+++ b/crates/firweir/src/request/continued.rs
@@ -18,6 +18,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Frame;
 use hyper::body::Incoming;
+use serde_json::Map;
 use serde_json::Value;
 
 use crate::connection::client::within;
@@ -28,7 +29,6 @@
 use crate::request::chunk::DONE;
 use crate::request::chunk::text_of;
 use crate::request::cost::BYTES_PER_TOKEN;
-use crate::request::draft::Completion;
 use crate::request::gate::Gate;
 use crate::request::gate::Permit;
 
@@ -36,6 +36,10 @@
 /// than engines make in one answer.
 const KEPT_LIMIT_BYTES: usize = 1 << 20;
 
+/// Field of a request with the start of its answer: `resume_text` of
+/// [`Completion`](crate::request::draft::Completion).
+const RESUME_TEXT: &str = "resume_text";
+
 /// Begin of the line that carries an event's data.
 const DATA: &[u8] = b"data:";
 
@@ -151,6 +155,17 @@
     renumbered.freeze()
 }
 
+/// The caller's request with the text that its answer has so far. All else in it, known
+/// here or not, stays as the caller sent it; `None` if it is no JSON object.
+#[must_use]
+pub fn going_on(body: &[u8], text: &str) -> Option<Bytes> {
+    let mut request: Map<String, Value> = serde_json::from_slice(body).ok()?;
+    let before = request.get(RESUME_TEXT).and_then(Value::as_str);
+    let text = format!("{}{text}", before.unwrap_or_default());
+    request.insert(RESUME_TEXT.to_owned(), text.into());
+    serde_json::to_vec(&request).ok().map(Bytes::from)
+}
+
 /// An answer on its way to its caller.
 struct Relay {
     entry: Arc<Entry>,
@@ -263,10 +278,8 @@
     }
 
     async fn ask_engine(&self, permit: &Permit, text: &str) -> Option<Incoming> {
-        let mut completion: Completion = serde_json::from_slice(&self.call.body).ok()?;
-        completion.resume_text.push_str(text);
-        let body = serde_json::to_vec(&completion).ok()?;
-        let request = self.call.upstream_request(body.into());
+        let body = going_on(&self.call.body, text)?;
+        let request = self.call.upstream_request(body);
         let sending = self.entry.http().send(permit.address(), request);
         let response = within(self.call.remaining(&self.entry), sending).await;
         let response = response?.ok()?;
--- a/crates/firweir/tests/continued.rs
+++ b/crates/firweir/tests/continued.rs
@@ -2,6 +2,9 @@
 
 use firweir::request::continued::Broken;
 use firweir::request::continued::Passed;
+use firweir::request::continued::going_on;
+use serde_json::Value;
+use serde_json::json;
 
 fn event(seq: u64, text: &str, last: bool) -> String {
     let finish = if last { "\"stop\"" } else { "null" };
@@ -94,3 +97,18 @@
     assert!(rest.ends_with("data: [DONE]\n\n"), "{rest}");
     assert!(passed.is_whole());
 }
+
+/// The next engine got the caller's request without the settings that firweir does not know,
+/// and went on in another style.
+#[test]
+fn the_next_engine_gets_the_callers_request_and_the_text() {
+    let sent = json!({"model": "m", "prompt": "p", "max_tokens": 9, "temperature": 0.2});
+    let body = going_on(sent.to_string().as_bytes(), "one ").expect("an object");
+    let asked: Value = serde_json::from_slice(&body).expect("JSON");
+    assert_eq!(asked["temperature"], 0.2);
+    assert_eq!(asked["resume_text"], "one ");
+    let again = going_on(&body, "two ").expect("an object");
+    let asked: Value = serde_json::from_slice(&again).expect("JSON");
+    assert_eq!(asked["resume_text"], "one two ");
+    assert_eq!(going_on(b"[1]", "one"), None);
+}
--- a/crates/node/src/detour.rs
+++ b/crates/node/src/detour.rs
@@ -27,10 +27,12 @@
 /// the path still cut that costs its time limit.
 const DETOUR_FOR: Duration = Duration::from_secs(3);
 
-/// While one call tries the store again, the others still take the detour.
+/// While one call tries the store again, the others still take the detour: its time limit
+/// of a second, and a try through a node behind it.
 const TRIAL: Duration = Duration::from_millis(1_300);
 
-/// A node that failed is not tried for this long.
+/// A node that failed is not tried for this long. What cuts it off or turns it away takes
+/// seconds, and each try costs a call or a second.
 const LEFT_ALONE_FOR: Duration = Duration::from_millis(1_500);
 
 /// How a call through a node failed.
