Nodes that drain take callers until shortly before they end, and begin no steps

Change: clients are taken until 1.5 s before the end; a step that comes meanwhile goes to its model's home or is refused, since its runner would be gone in seconds. After a home that did not answer it gets 502, as the home may have accepted it.

--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -68,9 +68,11 @@
 use crate::weights::Weights;
 use crate::weights::WeightsParts;
 
-/// How long clients are still taken after SIGTERM: the balancer asks once a second
-/// and stops after two misses.
-const CLIENT_LINGER: Duration = Duration::from_millis(2_500);
+/// Clients are taken until this long before a node that drains ends: an answer takes
+/// 1.5 s at most. The balancer asks once a second and stops after two misses, but it
+/// goes on with nodes that drain where few others are left in a zone: with an end after
+/// 2.5 s, three lookups in a minute found nobody listening.
+const FINISH_CLIENTS: Duration = Duration::from_millis(1_500);
 
 /// The process ends this long before it would be killed.
 const END_BEFORE_KILL: Duration = Duration::from_secs(1);
@@ -261,7 +263,8 @@
     let node = build(&base, peer_listen);
     start_followers(&base, &node);
     let outlive = settings.grace().saturating_sub(END_BEFORE_KILL);
-    let clients = serve(&base, &node, client_listen, CLIENT_LINGER, Node::client).await?;
+    let linger = outlive.saturating_sub(FINISH_CLIENTS);
+    let clients = serve(&base, &node, client_listen, linger, Node::client).await?;
     let ready = serve(&base, &node, ready_listen, outlive, Node::client).await?;
     let peers = serve(&base, &node, peer_listen, outlive, Node::peer).await?;
     serve_metrics(&base).await?;
@@ -272,7 +275,7 @@
     let drained = async {
         clients.await;
         // Submissions go on here while other nodes pass their questions on.
-        tokio::time::sleep(outlive.saturating_sub(CLIENT_LINGER)).await;
+        tokio::time::sleep(outlive.saturating_sub(linger)).await;
     };
     let terminated = async {
         base.until_terminated().await?;
@@ -636,7 +639,10 @@
             body: &body,
         };
         match asker {
-            Asker::Client => self.desk.submit(&posted, submission).await,
+            Asker::Client => {
+                let draining = self.tasks.is_draining();
+                self.desk.submit(&posted, submission, draining).await
+            }
             Asker::Peer => self.desk.accept(&posted, submission).await,
         }
     }
--- a/crates/node/src/submission/accept.rs
+++ b/crates/node/src/submission/accept.rs
@@ -52,21 +52,25 @@
 }
 
 impl Desk {
-    /// Accepts a submission, or has the home of its model accept it.
-    pub async fn submit(&self, posted: &Posted<'_>, submission: Submission) -> Response<Body> {
+    /// Accepts a submission, or has the home of its model accept it. A node that drains
+    /// begins no step that another one would have to take over in a few seconds.
+    pub async fn submit(
+        &self,
+        posted: &Posted<'_>,
+        submission: Submission,
+        draining: bool,
+    ) -> Response<Body> {
         if self.is_known(&submission.id) {
             return empty(StatusCode::ACCEPTED);
         }
         let model = submission.model.clone();
-        match self.shared.homes.of(&model) {
-            Some(home) if home == self.shared.me => self.accept(posted, submission).await,
-            Some(home) => {
-                if self.pass_to_home(&home, posted).await {
-                    return empty(StatusCode::ACCEPTED);
-                }
-                self.accept_as_home(posted, submission, &model).await
-            }
-            None => self.accept_as_home(posted, submission, &model).await,
+        let home = self.shared.homes.of(&model);
+        match home.filter(|home| *home != self.shared.me) {
+            Some(home) if self.pass_to_home(&home, posted).await => empty(StatusCode::ACCEPTED),
+            // The home may have accepted it and not said so.
+            Some(_) if draining => refusal(Outcome::Unknown, "draining"),
+            None if draining => refusal(Outcome::NotRun(SUBMIT_AGAIN), "draining"),
+            Some(_) | None => self.accept_as_home(posted, submission, &model).await,
         }
     }
 
@@ -77,7 +81,8 @@
         model: &str,
     ) -> Response<Body> {
         let answer = self.accept(posted, submission).await;
-        if answer.status() == StatusCode::ACCEPTED {
+        let is_home = self.shared.homes.of(model).as_ref() == Some(&self.shared.me);
+        if answer.status() == StatusCode::ACCEPTED && !is_home {
             let (homes, me) = (self.shared.homes.clone(), self.shared.me.clone());
             let model = model.to_owned();
             drop(tokio::spawn(async move { homes.settle(&model, me).await }));
