A runner says that nothing is listed only while it surely runs the submission

Change: an empty page needs a read of the head, sent less than 700 ms before, that shows the node as the runner; else it is read first. Pages with results need none: what is listed never changes.

--- a/crates/node/src/submission/board.rs
+++ b/crates/node/src/submission/board.rs
@@ -88,6 +88,8 @@
     /// Texts of items that an earlier runner saved, sorted by item.
     saved: Mutex<Vec<(String, Progress)>>,
     saved_records: AtomicUsize,
+    /// When a read was sent that showed this node as the runner.
+    confirmed: Mutex<Option<Instant>>,
     listed: Notify,
     pending: Notify,
     /// Another node runs it.
@@ -120,6 +122,7 @@
             state: Mutex::new(state),
             saved: Mutex::default(),
             saved_records: AtomicUsize::new(0),
+            confirmed: Mutex::default(),
             listed: Notify::new(),
             pending: Notify::new(),
             given_up: AtomicBool::new(false),
@@ -168,6 +171,22 @@
         Ok(())
     }
 
+    /// Notes that a read that was sent then showed this node as the runner.
+    pub fn confirm(&self, sent: Instant) {
+        *self.lock_confirmed() = Some(sent);
+    }
+
+    /// When such a read was last sent.
+    #[must_use]
+    pub fn confirmed(&self) -> Option<Instant> {
+        *self.lock_confirmed()
+    }
+
+    fn lock_confirmed(&self) -> MutexGuard<'_, Option<Instant>> {
+        let confirmed = self.confirmed.lock();
+        confirmed.unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Takes out the text of an item that an earlier runner saved.
     #[must_use]
     pub fn take_saved(&self, item: &str) -> Option<Progress> {
--- a/crates/node/src/submission/desk.rs
+++ b/crates/node/src/submission/desk.rs
@@ -53,6 +53,10 @@
 /// this node did not hear of must stop its items within 3 s.
 const LOOK_AT_HEAD: Duration = Duration::from_millis(1_800);
 
+/// For this long after a read of its head a runner may say that nothing is listed: what
+/// another node lists meanwhile may be missing in an answer for a second.
+const CONFIRMED_FOR: Duration = Duration::from_millis(700);
+
 /// Pause before the list of submissions is asked for again at a start.
 const RESUME_PAUSE: Duration = Duration::from_millis(700);
 
@@ -199,9 +203,49 @@
         while board.is_running() && !board.is_complete() {
             tokio::time::sleep(LOOK_AT_HEAD).await;
             // Without the store no one else can take it over either.
-            if let Ok(Some(known)) = self.shared.heads.reread(&board.id).await {
-                self.apply(known);
-            }
+            drop(self.confirm(&board).await);
+        }
+    }
+
+    /// Looks whether this node still runs a submission; lets it go if not.
+    ///
+    /// # Errors
+    ///
+    /// The store did not answer.
+    async fn confirm(&self, board: &Board) -> Result<bool, StoreError> {
+        let sent = self.shared.clock.now();
+        let Some(known) = self.shared.heads.reread(&board.id).await? else {
+            return Ok(false);
+        };
+        let mine = known.head.runner == self.shared.me;
+        if mine {
+            board.confirm(sent);
+        }
+        self.apply(known);
+        Ok(mine)
+    }
+
+    /// Answers that nothing is listed from a position on, if that is certain.
+    ///
+    /// **Failure:** a runner that was silent for 2 s, since its VM is slow, has lost its
+    /// submission to another node, which lists more. Asked before it looks at the head
+    /// again, it would show less than a trainer has read. **Guard:** it says that there is
+    /// nothing only if a read of the head, sent less than [`CONFIRMED_FOR`] ago, showed it
+    /// as the runner. What is listed never changes, so other pages need no such read.
+    async fn nothing_listed(&self, board: &Board, page: &ResultPage<'_>) -> Response<Body> {
+        let now = self.shared.clock.now();
+        let confirmed = board.confirmed();
+        let fresh = confirmed.is_some_and(|sent| now.duration_since(sent) < CONFIRMED_FOR);
+        let certain = fresh || page.next >= page.total;
+        let mine = if certain {
+            Ok(true)
+        } else {
+            self.confirm(board).await
+        };
+        match mine {
+            Ok(true) => with_json(StatusCode::OK, self.shared.dialect.result_page(page)),
+            Ok(false) => empty(StatusCode::CONFLICT),
+            Err(_) => refusal(Outcome::NotRun(ASK_AGAIN), "not-confirmed"),
         }
     }
 
@@ -343,6 +387,9 @@
                     next: after + results.len(),
                     results: &results,
                 };
+                if results.is_empty() {
+                    return self.nothing_listed(board, &page).await;
+                }
                 with_json(StatusCode::OK, self.shared.dialect.result_page(&page))
             }
             Question::Item(item) => match board.unlisted(item) {
