Small pages only for submissions that have ended

What collapsed was the reading of ended submissions from their start. Change: 900 KB for open steps as before, 250 KB for ended ones.

--- a/crates/node/src/submission/board.rs
+++ b/crates/node/src/submission/board.rs
@@ -49,11 +49,15 @@
 /// call costs, refused ones too.
 const WRITE_PAUSE: Duration = Duration::from_millis(400);
 
-/// Most bytes of texts in one page of results. A page passes from its runner to the node
-/// that was asked, over links of 60 Mbit/s that many readers share: with 900 KB it took
-/// 120 ms alone, readers that came together all ran out of time, asked again, and none
-/// got a page any more.
-const PAGE_LIMIT_BYTES: usize = 250_000;
+/// Most bytes of texts in one page of results. A trainer reads an open step twice a second
+/// and needs all that is there: with pages of 250 KB its last groups waited behind others.
+const PAGE_LIMIT_BYTES: usize = 900_000;
+
+/// The same for a submission that has ended. It is read from its start, by many at once,
+/// and each page passes from its runner to the node that was asked, over links of 60
+/// Mbit/s: with 900 KB a page took 120 ms alone, readers that came together all ran out
+/// of time, asked again, and none got a page any more.
+const ENDED_PAGE_LIMIT_BYTES: usize = 250_000;
 
 /// Where an item stands.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -453,11 +457,16 @@
 
     fn page(&self, after: usize) -> Vec<ItemResult> {
         let state = self.lock();
+        let limit_bytes = if state.ended {
+            ENDED_PAGE_LIMIT_BYTES
+        } else {
+            PAGE_LIMIT_BYTES
+        };
         let mut size = 0;
         let mut page = Vec::new();
         for result in state.listed.iter().skip(after) {
             size += result_bytes(result);
-            if !page.is_empty() && size > PAGE_LIMIT_BYTES {
+            if !page.is_empty() && size > limit_bytes {
                 break;
             }
             page.push(result.clone());
