--- a/crates/firweir/src/process/entry.rs
+++ b/crates/firweir/src/process/entry.rs
@@ -51,6 +51,7 @@
 use crate::request::draft::write_drafted;
 use crate::request::draft::write_segments;
 use crate::request::gate::Gate;
+use crate::request::gate::GateUpstream;
 use crate::request::idempotency::Ledger;
 use crate::version::view::Demand;
 use crate::version::view::Observed;
@@ -386,14 +387,18 @@
                     |named| Arc::clone(&named.gate),
                 );
                 let sharing = Sharing::of(view, &self.parts.settings.node, &service.name);
-                let upstreams = view.upstreams_of(&service.name);
+                let upstreams = view.upstreams_of(&service.name).iter();
+                let zone = &self.parts.settings.zone;
+                let listed: Vec<GateUpstream> = upstreams
+                    .map(|upstream| GateUpstream {
+                        address: upstream.address,
+                        start: 0,
+                        local_zone: upstream.zone == *zone,
+                        leaving: upstream.leaving,
+                    })
+                    .collect();
                 let limit = service.value.limit_per_upstream;
-                gate.set_upstreams(
-                    upstreams,
-                    &self.parts.settings.zone,
-                    limit,
-                    &sharing.fleet(),
-                );
+                gate.set_upstreams(&listed, limit, &sharing.fleet());
                 NamedGate {
                     service: service.name.clone(),
                     gate,
--- a/crates/firweir/src/request/gate.rs
+++ b/crates/firweir/src/request/gate.rs
@@ -17,6 +17,7 @@
 use firweir_policy::work::Finish;
 use firweir_policy::work::Fleet;
 use firweir_policy::work::Refusal;
+use firweir_policy::work::ToldLoad;
 use firweir_policy::work::UpstreamKey;
 use firweir_policy::work::UpstreamState;
 use firweir_policy::work::Work;
@@ -25,7 +26,6 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::process::clock::Clock;
-use crate::version::view::Upstream;
 
 /// What a request asks its gate for.
 #[derive(Debug, Clone)]
@@ -44,6 +44,20 @@
     pub avoid: Vec<UpstreamKey>,
 }
 
+/// An upstream as a gate is told of it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct GateUpstream {
+    /// Where it answers.
+    pub address: SocketAddr,
+    /// Tells starts of a process at one address apart: what was learnt of an earlier one
+    /// says nothing of the next. The same on every VM.
+    pub start: u64,
+    /// In the same availability zone as this VM.
+    pub local_zone: bool,
+    /// It gets no new work.
+    pub leaving: bool,
+}
+
 /// The work was turned away; no byte of it was sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct TurnedAway {
@@ -69,8 +83,8 @@
     /// Addresses by upstream key. Rows are never removed, so that a key names
     /// the same upstream for as long as the process lives.
     addresses: Vec<SocketAddr>,
-    /// Keys sorted by address.
-    keys: Vec<(SocketAddr, UpstreamKey)>,
+    /// Keys sorted by address and start.
+    keys: Vec<((SocketAddr, u64), UpstreamKey)>,
 }
 
 impl std::fmt::Debug for Inner {
@@ -100,16 +114,16 @@
         })
     }
 
-    /// Takes in the upstreams of the service as the view shows them.
-    pub fn set_upstreams(&self, upstreams: &[Upstream], zone: &str, limit: u32, fleet: &Fleet<'_>) {
+    /// Takes in the upstreams of the service, each of which runs `limit` requests at once.
+    pub fn set_upstreams(&self, upstreams: &[GateUpstream], limit: u32, fleet: &Fleet<'_>) {
         let now = self.clock.now();
         let mut inner = self.lock();
         let states: Vec<UpstreamState> = upstreams
             .iter()
             .map(|upstream| UpstreamState {
-                key: inner.key_of(upstream.address),
+                key: inner.key_of(upstream.address, upstream.start),
                 hash: hash_of(upstream.address),
-                local_zone: upstream.zone == zone,
+                local_zone: upstream.local_zone,
                 leaving: upstream.leaving,
                 limit,
             })
@@ -222,6 +236,7 @@
             ending: Ending::Abandoned,
             elapsed: Duration::ZERO,
             tokens: 0,
+            told: None,
         };
         inner.dispatcher.finish(now, key, &finish);
         inner.carry_out();
@@ -234,13 +249,14 @@
 }
 
 impl Inner {
-    fn key_of(&mut self, address: SocketAddr) -> UpstreamKey {
-        match self.keys.binary_search_by_key(&address, |(held, _)| *held) {
+    fn key_of(&mut self, address: SocketAddr, start: u64) -> UpstreamKey {
+        let name = (address, start);
+        match self.keys.binary_search_by_key(&name, |(held, _)| *held) {
             Ok(at) => self.keys[at].1,
             Err(at) => {
                 let key = UpstreamKey(self.addresses.len() as u32);
                 self.addresses.push(address);
-                self.keys.insert(at, (address, key));
+                self.keys.insert(at, (name, key));
                 key
             }
         }
@@ -322,10 +338,15 @@
 
     /// Reports how the request ended.
     pub fn finish(mut self, ending: Ending, tokens: u32) {
-        self.end(ending, tokens);
+        self.end(ending, tokens, None);
+    }
+
+    /// Reports how the request ended, and the load that the upstream told of.
+    pub fn finish_told(mut self, ending: Ending, told: Option<ToldLoad>) {
+        self.end(ending, 0, told);
     }
 
-    fn end(&mut self, ending: Ending, tokens: u32) {
+    fn end(&mut self, ending: Ending, tokens: u32, told: Option<ToldLoad>) {
         if !self.ended {
             self.ended = true;
             let elapsed = self.gate.clock.now().duration_since(self.started);
@@ -335,6 +356,7 @@
                     ending,
                     elapsed,
                     tokens,
+                    told,
                 },
             );
         }
@@ -343,6 +365,6 @@
 
 impl Drop for Permit {
     fn drop(&mut self) {
-        self.end(Ending::Abandoned, 0);
+        self.end(Ending::Abandoned, 0, None);
     }
 }
--- a/crates/node/src/dialect.rs
+++ b/crates/node/src/dialect.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use firweir_policy::work::ToldLoad;
 use http::HeaderMap;
 use http::Request;
 use http::Response;
@@ -19,6 +20,7 @@
 use crate::model::Item;
 use crate::model::ItemResult;
 use crate::model::ModelVersion;
+use crate::model::RewardCall;
 use crate::model::Submission;
 use crate::model::Upstream;
 
@@ -93,12 +95,14 @@
 pub struct AnswerHead {
     /// Id of the request that it answers.
     pub request_id: Option<String>,
-    /// It carries the upstream's proof of origin.
-    pub proven: bool,
+    /// The upstream's proof of origin.
+    pub proof: Option<String>,
     /// The upstream says that it did not run the request.
     pub not_run: bool,
     /// Version of the weights that make the answer.
     pub version: Option<u64>,
+    /// Load of the upstream, all its callers together.
+    pub load: Option<ToldLoad>,
 }
 
 /// One event of an upstream's stream.
@@ -125,6 +129,17 @@
     pub after_event: u64,
 }
 
+/// A request for the score of an item's whole text.
+#[derive(Debug)]
+pub struct RewardRequest<'a> {
+    /// The call.
+    pub call: &'a RewardCall,
+    /// Upstream that is to run it.
+    pub upstream: &'a Upstream,
+    /// How long its answer is waited for.
+    pub patience: Duration,
+}
+
 /// An order to load weights.
 #[derive(Debug)]
 pub struct WeightOrder<'a> {
@@ -160,6 +175,8 @@
 pub struct EngineReport {
     /// An order is in progress.
     pub loading: bool,
+    /// When the upstream that reports started, as [`crate::model::Instance`] has it.
+    pub born_ms: u64,
     /// Orders that were accepted since its start.
     pub orders_accepted: u64,
     /// Models that it has loaded, sorted by name.
@@ -303,6 +320,8 @@
         more: bool,
         /// Revision of the store.
         revision: u64,
+        /// Objects that cannot be read; they are left out, and hide no other one.
+        unreadable: usize,
     },
     /// Changes since the revision of the watch.
     Changes {
@@ -310,6 +329,8 @@
         changes: Vec<ObjectChange>,
         /// Revision to go on from.
         revision: u64,
+        /// Changes that cannot be read; they are left out.
+        unreadable: usize,
     },
     /// Done, with nothing to tell.
     Done,
@@ -388,6 +409,16 @@
     /// The item's path, headers or body are unusable.
     fn draft_request(&self, draft: &DraftRequest<'_>) -> Result<Request<Full<Bytes>>, BadMessage>;
 
+    /// Writes the request for an item's score.
+    ///
+    /// # Errors
+    ///
+    /// The call's id, host, path or body are unusable.
+    fn reward_request(
+        &self,
+        request: &RewardRequest<'_>,
+    ) -> Result<Request<Full<Bytes>>, BadMessage>;
+
     /// The decoded body of an item.
     ///
     /// # Errors
--- a/crates/node/src/draft_run.rs
+++ b/crates/node/src/draft_run.rs
@@ -126,7 +126,7 @@
             return Attempt::Broken("foreign-answer");
         }
         match head.status {
-            StatusCode::OK if said.proven => {}
+            StatusCode::OK if said.proof.is_some() => {}
             StatusCode::UNPROCESSABLE_ENTITY => return Attempt::Impossible,
             _ if said.not_run => {
                 if body.collect().await.is_ok() {
--- a/crates/node/src/drafting.rs
+++ b/crates/node/src/drafting.rs
@@ -27,18 +27,21 @@
 use crate::engines::rollout_engines;
 use crate::fleet::Fleet;
 use crate::model::Config;
+use crate::model::Instance;
 use crate::model::Item;
 use crate::model::ItemResult;
 use crate::model::ItemState;
 use crate::model::ModelVersion;
 use crate::model::Upstream;
+use crate::scoring::Scored;
+use crate::scoring::Scoring;
 use crate::shared::Shared;
 use crate::submission::board::Board;
 use crate::submission::records::Head;
 use crate::submission::records::TextPiece;
-use crate::submission::texts::Kept;
 use crate::submission::texts::KeptTexts;
 use crate::submission::texts::Progress;
+use crate::submission::texts::SavedText;
 
 /// Events from which a text is worth saving: shorter ones are made anew within 1.3 s.
 const WORTH_SAVING: usize = 25;
@@ -58,6 +61,8 @@
     /// When it was first offered, and first started.
     offered: Instant,
     first_start: Option<Instant>,
+    /// When its text was whole.
+    drafted: Option<Instant>,
     /// Runs so far.
     tries: u32,
     /// Tells the run to leave its engine.
@@ -72,7 +77,7 @@
     /// Sorted by key.
     engines: Vec<(UpstreamKey, Arc<Upstream>)>,
     /// Sorted by instance. Never removed, so that a key names one instance.
-    keys: Vec<(String, UpstreamKey)>,
+    keys: Vec<(Instance, UpstreamKey)>,
     /// Sorted by service and model. Never removed either.
     models: Vec<(String, ModelKey)>,
     next_draft: u64,
@@ -112,6 +117,7 @@
 #[derive(Debug, Clone)]
 pub struct Drafting {
     pub(crate) shared: Shared,
+    scoring: Scoring,
     inner: Arc<Inner>,
 }
 
@@ -124,9 +130,10 @@
 impl Drafting {
     /// Nothing to draft yet.
     #[must_use]
-    pub fn new(shared: Shared) -> Self {
+    pub fn new(shared: Shared, scoring: Scoring) -> Self {
         Self {
             shared,
+            scoring,
             inner: Arc::default(),
         }
     }
@@ -147,18 +154,17 @@
     fn add_item(&self, state: &mut State, board: &Arc<Board>, place: usize, rank: u64) {
         let item = &board.items[place];
         let kept = state.kept.take(&item.id, board.head.min_version);
-        if let Some(Kept {
-            whole: true,
-            progress,
-            ..
-        }) = kept
-        {
-            board.note(self.shared.clock.now(), completed(item, &progress));
+        let kept = kept.map(|kept| kept.progress);
+        if let Some(progress) = kept.as_ref().filter(|kept| is_done(item, kept)) {
+            board.note(self.shared.clock.now(), completed(item, progress));
+            // It may come yet again.
+            state.kept.keep(&item.id, progress.clone());
             return;
         }
-        // What is saved goes first: what is saved later has to follow from it.
-        let saved = board.take_saved(&item.id);
-        let progress = saved.or_else(|| kept.map(|kept| kept.progress));
+        // A whole text goes first, then what is saved: what is saved later has to follow
+        // from it.
+        let whole = kept.as_ref().filter(|kept| kept.whole).cloned();
+        let progress = whole.or_else(|| board.saved_text(&item.id)).or(kept);
         let key = DraftKey(state.next_draft);
         state.next_draft += 1;
         state.jobs.push(Job {
@@ -170,10 +176,53 @@
             running: false,
             offered: self.shared.clock.now(),
             first_start: None,
+            drafted: None,
             tries: 0,
             leave: Arc::default(),
         });
-        self.offer(state, key);
+        self.go_on(state, key);
+    }
+
+    /// Drafts what is missing of an item's text, or has the whole text scored.
+    fn go_on(&self, state: &mut State, key: DraftKey) {
+        let Some(at) = state.job_at(key) else {
+            return;
+        };
+        if !state.jobs[at].progress.whole {
+            return self.offer(state, key);
+        }
+        let job = &mut state.jobs[at];
+        let item = Arc::clone(&job.board.items[job.place]);
+        let Some(call) = item.reward_call.clone() else {
+            return self.complete(state, at);
+        };
+        job.running = true;
+        // A run that ended as it was told to leave has left that word unread.
+        job.leave = Arc::default();
+        let (board, leave) = (Arc::clone(&job.board), Arc::clone(&job.leave));
+        let drafting = self.clone();
+        drop(tokio::spawn(async move {
+            let scored = tokio::select! {
+                scored = drafting.scoring.score(&board, &item, &call) => scored,
+                // No one wants it any more.
+                () = leave.notified() => return,
+            };
+            drafting.take_score(key, scored);
+        }));
+    }
+
+    fn take_score(&self, key: DraftKey, scored: Scored) {
+        let mut state = self.lock();
+        let Some(at) = state.job_at(key) else {
+            return;
+        };
+        match scored {
+            Scored::Score(score) => {
+                state.jobs[at].progress.score = Some(score);
+                self.complete(&mut state, at);
+            }
+            Scored::GivenUp(reason) => self.abandon(&mut state, key, reason),
+        }
     }
 
     /// Age at which a submission is due; zero while its route is not known.
@@ -206,7 +255,7 @@
                 job.leave.notify_one();
             }
             let item = &job.board.items[job.place];
-            state.kept.keep(&item.id, job.progress, false);
+            state.kept.keep(&item.id, job.progress);
         }
         drop(guard);
         self.inner.wake.notify_one();
@@ -349,17 +398,18 @@
             state: ItemState::Abandoned,
             text: String::new(),
             versions: Vec::new(),
+            score: None,
         };
         job.board.note(self.shared.clock.now(), result);
     }
 
     fn give_up_expired(&self, state: &mut State) {
-        let now_ms = self.shared.clock.since_epoch().as_millis() as u64;
+        let now = self.shared.clock.now();
         let config = self.shared.fleet.config();
         let expired = |job: &Job| {
             let head = &job.board.head;
             let route = config.route(&head.host, &head.path);
-            route.is_some_and(|route| head.accepted_ms + route.queue_ttl_ms < now_ms)
+            route.is_some_and(|route| job.board.expires(route) < now)
         };
         let expired: Vec<DraftKey> = state
             .jobs
@@ -387,6 +437,7 @@
             versions: job.progress.versions.clone(),
             made: 0,
         };
+        job.leave = Arc::default();
         let leave = Arc::clone(&job.leave);
         let drafting = self.clone();
         job.running = true;
@@ -456,28 +507,10 @@
     fn settle(&self, state: &mut State, key: DraftKey, at: usize, attempt: Attempt) {
         match attempt {
             Attempt::Whole => {
-                let job = state.jobs.remove(at);
-                let item = &job.board.items[job.place];
-                let result = completed(item, &job.progress);
-                let now = self.shared.clock.now();
-                let waited_ms = job
-                    .first_start
-                    .map(|at| at.duration_since(job.offered).as_millis());
-                let took = now.duration_since(job.offered);
-                self.shared.journal.time("item.completed", took);
-                self.shared.journal.event(
-                    "item_completed",
-                    &[
-                        ("submission", &job.board.id),
-                        ("item", &item.id),
-                        ("events", &job.progress.events.len()),
-                        ("tries", &job.tries),
-                        ("waited_ms", &waited_ms.unwrap_or_default()),
-                        ("took_ms", &took.as_millis()),
-                    ],
-                );
-                job.board.note(now, result);
-                state.kept.keep(&item.id, job.progress, true);
+                let job = &mut state.jobs[at];
+                job.progress.whole = true;
+                job.drafted = Some(self.shared.clock.now());
+                self.go_on(state, key);
             }
             Attempt::Impossible => self.abandon(state, key, "impossible"),
             Attempt::Failed => {
@@ -503,6 +536,33 @@
         }
     }
 
+    /// Lists an item whose text is whole, and scored if that is wanted.
+    fn complete(&self, state: &mut State, at: usize) {
+        let job = state.jobs.remove(at);
+        let item = &job.board.items[job.place];
+        let result = completed(item, &job.progress);
+        let now = self.shared.clock.now();
+        let since_offer = |at: Instant| at.duration_since(job.offered).as_millis();
+        let waited_ms = job.first_start.map(since_offer);
+        let drafted_ms = job.drafted.map(since_offer);
+        let took = now.duration_since(job.offered);
+        self.shared.journal.time("item.completed", took);
+        self.shared.journal.event(
+            "item_completed",
+            &[
+                ("submission", &job.board.id),
+                ("item", &item.id),
+                ("events", &job.progress.events.len()),
+                ("tries", &job.tries),
+                ("waited_ms", &waited_ms.unwrap_or_default()),
+                ("drafted_ms", &drafted_ms.unwrap_or_default()),
+                ("took_ms", &took.as_millis()),
+            ],
+        );
+        job.board.note(now, result);
+        state.kept.keep(&item.id, job.progress);
+    }
+
     /// Takes in the next event of a run.
     pub(crate) fn take_event(&self, key: DraftKey, event: StreamEvent, version: u64) {
         let now = self.shared.clock.now();
@@ -515,24 +575,28 @@
     }
 
     /// Texts of a submission's unfinished samples behind what was saved of them before;
-    /// `saved` gives the events of each item, sorted by item.
+    /// `saved` is sorted by item.
     #[must_use]
-    pub fn unsaved_texts(&self, submission: &str, saved: &[(String, usize)]) -> Vec<TextPiece> {
+    pub fn unsaved_texts(&self, submission: &str, saved: &[SavedText]) -> Vec<TextPiece> {
         let state = self.lock();
         let jobs = state.jobs.iter();
         let of_submission = jobs.filter(|job| job.board.id == submission);
         let pieces = of_submission.filter_map(|job| {
             let item = &job.board.items[job.place].id;
-            let known = saved.binary_search_by(|(held, _)| held.cmp(item));
-            let after = known.map_or(0, |at| saved[at].1);
+            let known = saved.binary_search_by(|held| held.item.cmp(item));
+            let known = known.ok().map(|at| &saved[at]);
+            let after = known.map_or(0, |saved| saved.events);
+            let whole = job.progress.whole;
             let (events, versions) = (&job.progress.events, &job.progress.versions);
-            let is_new = events.len() >= WORTH_SAVING.max(after + 1);
+            let longer = events.len() >= WORTH_SAVING.max(after + 1);
+            let is_new = longer || (whole && known.is_none_or(|saved| !saved.whole));
             // A text that began anew does not follow from what was saved of it.
             (is_new && !job.progress.restarted).then(|| TextPiece {
                 item: item.clone(),
                 after,
                 events: events[after..].to_vec(),
                 versions: versions.clone(),
+                whole,
             })
         });
         pieces.collect()
@@ -551,9 +615,18 @@
         state: ItemState::Completed,
         text: progress.events.join("\n"),
         versions: progress.versions.clone(),
+        score: progress.score.as_ref().map(|score| score.proof.clone()),
     }
 }
 
+/// The text is whole, and has the score that this item asks for: an item that comes again
+/// keeps its text, but may ask for another score.
+fn is_done(item: &Item, progress: &Progress) -> bool {
+    let held = progress.score.as_ref().map(|score| &score.call);
+    let scored = item.reward_call.is_none() || held == item.reward_call.as_ref();
+    progress.whole && scored
+}
+
 fn ranks_of(board: &Board) -> Vec<u64> {
     let mut groups: Vec<&str> = Vec::new();
     let mut samples = Vec::new();
@@ -583,15 +656,13 @@
         at.ok().map(|at| Arc::clone(&self.engines[at].1))
     }
 
-    fn key_of(&mut self, instance: &str) -> UpstreamKey {
-        let found = self
-            .keys
-            .binary_search_by(|(held, _)| held.as_str().cmp(instance));
+    fn key_of(&mut self, instance: &Instance) -> UpstreamKey {
+        let found = self.keys.binary_search_by(|(held, _)| held.cmp(instance));
         match found {
             Ok(at) => self.keys[at].1,
             Err(at) => {
                 let key = UpstreamKey(self.keys.len() as u32);
-                self.keys.insert(at, (instance.to_owned(), key));
+                self.keys.insert(at, (instance.clone(), key));
                 key
             }
         }
--- a/crates/node/src/engines.rs
+++ b/crates/node/src/engines.rs
@@ -60,7 +60,7 @@
 fn lags(engines: &[Arc<Upstream>], models: &[String], named: &[ModelVersion]) -> Vec<Lag> {
     let mut lags = Vec::new();
     for (at, engine) in engines.iter().enumerate() {
-        let hash = xxh3_64(engine.instance.as_bytes());
+        let hash = xxh3_64(engine.instance.id.as_bytes());
         for held in &engine.models {
             let newest = named.iter().find(|named| named.model == held.model);
             let newest = newest.map_or(held.version, |named| named.version);
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -1,6 +1,7 @@
 //! What this node holds to be true of the platform: configuration, upstreams,
 //! versions of weights. Read without locks; replaced whole.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -10,6 +11,7 @@
 use firweir::process::log::Journal;
 use tokio::sync::Notify;
 
+use crate::dialect::BadMessage;
 use crate::dialect::Dialect;
 use crate::dialect::Object;
 use crate::follow::Change;
@@ -52,10 +54,22 @@
 pub struct UpstreamList {
     /// Sorted by name.
     listed: Vec<Listed>,
+    /// Entries that name no upstream, with the revisions at which they were logged.
+    refused: Vec<(String, u64)>,
     regained: Option<Instant>,
 }
 
 impl UpstreamList {
+    /// The entry does not say when its upstream started, though others of its service do:
+    /// another writer made it.
+    fn lacks_birth(&self, upstream: &Upstream) -> bool {
+        let others = || {
+            let listed = self.listed.iter().map(|held| &held.upstream);
+            listed.filter(|other| other.service == upstream.service)
+        };
+        upstream.instance.born_ms == 0 && others().any(|other| other.instance.born_ms != 0)
+    }
+
     /// Fewer than half of a service's entries are left.
     fn has_lost_most(&self, service: &str) -> bool {
         let of_service = || {
@@ -108,15 +122,18 @@
     /// Takes in a configuration; one older than the one in force changes nothing,
     /// since a read from before an outage must not take back what callers saw.
     pub fn take_config(&self, change: Change) {
-        let object = match change {
-            Change::All(objects) => objects.into_iter().next_back(),
-            Change::Put(object) => Some(object),
-            Change::Gone(_) => None,
-        };
-        let Some(object) = object else {
-            return;
+        let objects = match change {
+            Change::All(objects) => objects,
+            Change::Put(object) => vec![object],
+            Change::Gone(_) => return,
         };
-        match self.dialect.config(&object) {
+        for object in &objects {
+            self.take_one_config(object);
+        }
+    }
+
+    fn take_one_config(&self, object: &Object) {
+        match self.dialect.config(object) {
             Ok(mut config) if config.version > self.config.load().version => {
                 config.sort();
                 let (version, routes) = (config.version, config.routes.len());
@@ -168,9 +185,11 @@
         self.changed.notify_waiters();
     }
 
-    /// Takes in a change of the list of upstreams.
-    pub fn take_upstreams(&self, list: &mut UpstreamList, change: Change) {
+    /// Takes in a change of the list of upstreams. Gives the addresses at which another
+    /// start of an upstream answers than before.
+    pub fn take_upstreams(&self, list: &mut UpstreamList, change: Change) -> Vec<SocketAddr> {
         let now = self.clock.now();
+        let mut restarted = Vec::new();
         match change {
             Change::All(objects) => {
                 if !list.listed.is_empty() {
@@ -186,14 +205,20 @@
                 for name in missing {
                     self.remove(list, &name, now);
                 }
-                for object in objects {
-                    self.put(list, &object);
+                list.refused
+                    .retain(|(name, _)| names.contains(&name.as_str()));
+                for object in &objects {
+                    restarted.extend(self.put(list, object));
                 }
             }
-            Change::Put(object) => self.put(list, &object),
-            Change::Gone(name) => self.remove(list, &name, now),
+            Change::Put(object) => restarted.extend(self.put(list, &object)),
+            Change::Gone(name) => {
+                list.refused.retain(|(held, _)| *held != name);
+                self.remove(list, &name, now);
+            }
         }
         self.publish(list);
+        restarted
     }
 
     /// Drops upstreams whose time has come.
@@ -207,17 +232,16 @@
         }
     }
 
-    fn put(&self, list: &mut UpstreamList, object: &Object) {
+    /// Takes in an entry; gives the address of an upstream that has started again.
+    fn put(&self, list: &mut UpstreamList, object: &Object) -> Option<SocketAddr> {
         let upstream = match self.dialect.upstream(object) {
             Ok(upstream) => upstream,
             Err(error) => {
-                self.journal.event(
-                    "upstream_refused",
-                    &[("object", &object.name), ("cause", &error)],
-                );
-                return;
+                self.refuse(list, object, &error);
+                return None;
             }
         };
+        list.refused.retain(|(name, _)| *name != object.name);
         let at = list.listed.partition_point(|held| held.name < object.name);
         let known = list.listed.get(at).filter(|held| held.name == object.name);
         if known.is_none_or(|held| held.upstream.leaving != upstream.leaving) {
@@ -227,6 +251,13 @@
                 &[("upstream", instance), ("leaving", &leaving)],
             );
         }
+        let before = known.map(|held| &held.upstream.instance);
+        let restarted = before.is_some_and(|before| *before != upstream.instance);
+        if restarted {
+            self.journal
+                .event("upstream_restarted", &[("upstream", &upstream.instance)]);
+        }
+        let address = upstream.address;
         let listed = Listed {
             name: object.name.clone(),
             upstream: Arc::new(upstream),
@@ -236,6 +267,22 @@
             Some(held) if held.name == object.name => *held = listed,
             _ => list.listed.insert(at, listed),
         }
+        restarted.then_some(address)
+    }
+
+    /// An entry of another writer names no upstream, and takes the place of the entry of
+    /// its name. It is logged once for each of its changes, however often it is listed.
+    fn refuse(&self, list: &mut UpstreamList, object: &Object, cause: &BadMessage) {
+        let refused = (object.name.clone(), object.revision);
+        if !list.refused.contains(&refused) {
+            self.journal.event(
+                "upstream_refused",
+                &[("object", &object.name), ("cause", cause)],
+            );
+            list.refused.retain(|(name, _)| *name != object.name);
+            list.refused.push(refused);
+        }
+        list.listed.retain(|held| held.name != object.name);
     }
 
     fn remove(&self, list: &mut UpstreamList, name: &str, now: Instant) {
@@ -260,6 +307,7 @@
             .listed
             .iter()
             .filter(|held| held.drop_at.is_none() || list.has_lost_most(&held.upstream.service))
+            .filter(|held| !list.lacks_birth(&held.upstream))
             .map(|held| Arc::clone(&held.upstream))
             .collect();
         upstreams.sort_by(|a, b| a.instance.cmp(&b.instance));
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -290,7 +290,9 @@
             freshness,
         };
         match self.sources.store.call(&watch).await? {
-            StoreAnswer::Changes { changes, revision } => {
+            StoreAnswer::Changes {
+                changes, revision, ..
+            } => {
                 let changes = changes.into_iter().map(|change| {
                     if change.deleted {
                         Change::Gone(change.object.name)
@@ -357,6 +359,7 @@
                 objects,
                 more,
                 revision,
+                ..
             } => {
                 let ended = !more || objects.is_empty();
                 all.extend(objects);
--- a/crates/node/src/link.rs
+++ b/crates/node/src/link.rs
@@ -225,6 +225,11 @@
         tokio::time::timeout(timeout, whole).await.map_err(late)?
     }
 
+    /// Closes idle connections to an address: another process answers there now.
+    pub fn forget(&self, to: SocketAddr) {
+        self.lock().retain(|held| held.to != to);
+    }
+
     fn take(&self, to: SocketAddr) -> Option<Line> {
         let now = self.clock.now();
         let mut idle = self.lock();
--- a/crates/node/src/live.rs
+++ b/crates/node/src/live.rs
@@ -3,8 +3,6 @@
 
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::Mutex;
-use std::sync::PoisonError;
 use std::task::Context;
 use std::task::Poll;
 use std::time::Duration;
@@ -18,11 +16,9 @@
 use firweir::process::clock::Clock;
 use firweir::process::entry::balanced;
 use firweir::request::gate::Ask;
-use firweir::request::gate::Gate;
 use firweir::request::gate::Permit;
 use firweir_policy::work::Class;
 use firweir_policy::work::Ending;
-use firweir_policy::work::Fleet as Sharing;
 use firweir_policy::work::UpstreamKey;
 use http::Request;
 use http::Response;
@@ -37,6 +33,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::dialect::RoutedCall;
+use crate::gates::Gates;
 use crate::link::Lease;
 use crate::link::LinkError;
 use crate::model::Route;
@@ -67,24 +64,16 @@
 /// When a client may come back while this node knows no configuration yet.
 const NOT_READY: Duration = Duration::from_millis(300);
 
-#[derive(Debug)]
-struct NamedGate {
-    service: String,
-    gate: Arc<Gate>,
-}
-
 /// Answers live calls; shared by all connections.
 #[derive(Debug)]
 pub struct Live {
     shared: Shared,
-    zone: String,
     /// Hash of this node. Its calls of a service go to the same upstream while that is
     /// no fuller than others, so that its connections are used again: with many nodes each
     /// has few calls, and a connection idles out between two of them. A quiet day of 66
     /// nodes took 1,432 connections to upstreams without it, 1,078 with it.
     affinity: u64,
-    /// Sorted by service.
-    gates: Mutex<Vec<NamedGate>>,
+    gates: Gates,
 }
 
 /// How one try ended.
@@ -113,48 +102,22 @@
     /// Answers nothing before the fleet knows a configuration.
     #[must_use]
     pub fn new(shared: Shared, node: &str, zone: String) -> Arc<Self> {
+        let gates = Gates::new(Arc::clone(&shared.clock), zone, balanced);
         Arc::new(Self {
             shared,
-            zone,
             affinity: xxh3_64(node.as_bytes()),
-            gates: Mutex::default(),
+            gates,
         })
     }
 
     /// Brings the gates up to what the fleet knows.
     pub fn take_fleet(&self) {
-        let upstreams = self.shared.fleet.upstreams();
-        for service in &self.shared.fleet.config().services {
-            let gate = self.gate(&service.name);
-            let of_service = || upstreams.iter().filter(|held| held.service == service.name);
-            let limit = of_service().map(|held| held.slots).max().unwrap_or(1);
-            let listed: Vec<_> = of_service().map(|held| gate_upstream(held)).collect();
-            gate.set_upstreams(&listed, &self.zone, limit, &Sharing::ALONE);
-        }
+        self.gates.take_fleet(&self.shared.fleet);
     }
 
     /// Lets time-bound decisions happen.
     pub fn tick(&self) {
-        let gates = self.gates.lock().unwrap_or_else(PoisonError::into_inner);
-        for named in gates.iter() {
-            named.gate.tick();
-        }
-    }
-
-    fn gate(&self, service: &str) -> Arc<Gate> {
-        let mut gates = self.gates.lock().unwrap_or_else(PoisonError::into_inner);
-        match gates.binary_search_by(|named| named.service.as_str().cmp(service)) {
-            Ok(at) => Arc::clone(&gates[at].gate),
-            Err(at) => {
-                let gate = Gate::new(Arc::clone(&self.shared.clock), balanced());
-                let named = NamedGate {
-                    service: service.to_owned(),
-                    gate: Arc::clone(&gate),
-                };
-                gates.insert(at, named);
-                gate
-            }
-        }
+        self.gates.tick();
     }
 
     /// Answers one call.
@@ -209,7 +172,7 @@
 
     async fn run(self: &Arc<Self>, call: &Call<'_>) -> Response<Body> {
         let service = pick_target(call.route, &call.routed.request_id);
-        let gate = self.gate(service);
+        let gate = self.gates.of(service);
         gate.count_offered();
         let idempotent = call.route.kind == RouteKind::Idempotent;
         let attempts = call.route.max_attempts.max(1);
@@ -345,10 +308,10 @@
             if body.collect().await.is_ok() {
                 exchange.lease.keep();
             }
-            permit.finish(Ending::Abandoned, 0);
+            permit.finish_told(Ending::Abandoned, said.load);
             return Try::NotRun;
         }
-        if !own || !said.proven {
+        if !own || said.proof.is_none() {
             self.note_try(call, upstream, "foreign-answer");
             permit.finish(Ending::Failed, 0);
             return Try::Unknown;
@@ -374,10 +337,10 @@
         let mut answer = bytes_response(head.status, body.to_bytes());
         *answer.headers_mut() = headers;
         if head.status.is_server_error() {
-            permit.finish(Ending::Failed, 0);
+            permit.finish_told(Ending::Failed, said.load);
             return Try::FailedAnswer(answer);
         }
-        permit.finish(Ending::Answered, 0);
+        permit.finish_told(Ending::Answered, said.load);
         Try::Answer(answer)
     }
 
@@ -420,17 +383,8 @@
     }
 }
 
-fn gate_upstream(upstream: &Upstream) -> firweir::version::view::Upstream {
-    firweir::version::view::Upstream {
-        service: upstream.service.clone(),
-        address: upstream.address,
-        zone: upstream.zone.clone(),
-        leaving: upstream.leaving,
-    }
-}
-
 /// The service that this request falls to, by the weights of the route's targets.
-fn pick_target<'a>(route: &'a Route, request_id: &str) -> &'a str {
+pub(crate) fn pick_target<'a>(route: &'a Route, request_id: &str) -> &'a str {
     let total: u64 = route
         .targets
         .iter()
--- a/crates/node/src/model.rs
+++ b/crates/node/src/model.rs
@@ -1,6 +1,8 @@
 //! What the platform tells a node, in the product's own words: configuration,
 //! upstreams, versions of weights, submissions.
 
+use std::fmt::Display;
+use std::fmt::Formatter;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -126,11 +128,32 @@
     pub version: u64,
 }
 
+/// Names one start of a process of a service. A restart may keep the id: it holds and
+/// knows nothing of before, so that nothing that was learnt of the earlier start goes on.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Instance {
+    /// Id, which requests name so that no other process runs them.
+    pub id: String,
+    /// When it started by its own time of day; 0 where it does not say. A label to
+    /// compare for equality only: times of day jump.
+    pub born_ms: u64,
+}
+
+impl Display for Instance {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> std::fmt::Result {
+        if self.born_ms == 0 {
+            formatter.write_str(&self.id)
+        } else {
+            write!(formatter, "{}@{}", self.id, self.born_ms)
+        }
+    }
+}
+
 /// One start of a process of a service.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Upstream {
-    /// Names this start; a restart has another name.
-    pub instance: String,
+    /// Names this start.
+    pub instance: Instance,
     /// Service that it answers for.
     pub service: String,
     /// Where it answers.
@@ -165,6 +188,28 @@
     pub value: String,
 }
 
+/// The call that grades an item's whole text. It may be repeated.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RewardCall {
+    /// Its id.
+    pub id: String,
+    /// Host of its route.
+    pub host: String,
+    /// Path, which leads to its route.
+    pub path: String,
+    /// Body, in base64 as it came.
+    pub body_base64: String,
+}
+
+/// What an item's reward call brought.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Score {
+    /// The call that was answered.
+    pub call: RewardCall,
+    /// The proof of origin that came with the answer.
+    pub proof: String,
+}
+
 /// One sample that a trainer asks for.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Item {
@@ -182,6 +227,9 @@
     pub prompt_tokens: u32,
     /// Tokens of the answer as the trainer estimates them; often far off.
     pub expected_tokens: u32,
+    /// The call that grades its text, if one is wanted.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub reward_call: Option<RewardCall>,
 }
 
 /// All samples of one step of a trainer.
@@ -220,4 +268,7 @@
     pub text: String,
     /// Versions of the weights that made an event of the text, ascending.
     pub versions: Vec<u64>,
+    /// Proof of origin of the answer to the item's reward call, if it has one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub score: Option<String>,
 }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -53,6 +53,7 @@
 use crate::respond::empty;
 use crate::respond::refusal;
 use crate::respond::with_json;
+use crate::scoring::Scoring;
 use crate::settings::NodeSettings;
 use crate::shared::Shared;
 use crate::store::Store;
@@ -120,6 +121,7 @@
     dialect: Arc<dyn Dialect>,
     fleet: Arc<Fleet>,
     live: Arc<Live>,
+    scoring: Scoring,
     desk: Desk,
     drafting: Drafting,
     homes: Homes,
@@ -381,7 +383,8 @@
         &base.settings.node,
         base.settings.zone.clone(),
     );
-    let drafting = Drafting::new(shared);
+    let scoring = Scoring::new(shared.clone(), base.settings.zone.clone());
+    let drafting = Drafting::new(shared, scoring.clone());
     base.tasks.spawn(drafting.clone().run());
     let homes = Homes::new(base.store.clone(), journal.clone());
     let desk = Desk::new(DeskParts {
@@ -413,6 +416,7 @@
         dialect: Arc::clone(dialect),
         fleet,
         live,
+        scoring,
         desk,
         drafting,
         homes,
@@ -428,12 +432,15 @@
 
 fn start_followers(base: &Base, node: &Arc<Node>) {
     let (fleet, live) = (Arc::clone(&node.fleet), Arc::clone(&node.live));
+    let scoring = node.scoring.clone();
     base.follow(Kind::Configuration, Following::at_once, move |change| {
         fleet.take_config(change);
         live.take_fleet();
+        scoring.take_fleet();
     });
     let list = Arc::new(std::sync::Mutex::new(UpstreamList::default()));
     let (fleet, live) = (Arc::clone(&node.fleet), Arc::clone(&node.live));
+    let (scoring, links) = (node.scoring.clone(), node.links.clone());
     let followed = Arc::clone(&list);
     let drafting = node.drafting.clone();
     let how = move || Following {
@@ -448,8 +455,11 @@
         let mut list = followed
             .lock()
             .unwrap_or_else(std::sync::PoisonError::into_inner);
-        fleet.take_upstreams(&mut list, change);
+        for address in fleet.take_upstreams(&mut list, change) {
+            links.forget(address);
+        }
         live.take_fleet();
+        scoring.take_fleet();
     });
     let fleet = Arc::clone(&node.fleet);
     let weights = node.weights.clone();
@@ -470,6 +480,7 @@
     let desk = node.desk.clone();
     base.tasks.spawn(async move { desk.resume().await });
     let (fleet, live) = (Arc::clone(&node.fleet), Arc::clone(&node.live));
+    let scoring = node.scoring.clone();
     base.tasks.spawn(async move {
         loop {
             tokio::time::sleep(TICK_EVERY).await;
@@ -479,6 +490,7 @@
             fleet.drop_gone(&mut list);
             drop(list);
             live.tick();
+            scoring.tick();
         }
     });
 }
--- /dev/null
+++ b/crates/node/src/scoring.rs
@@ -0,0 +1,297 @@
+//! Scores of whole texts: one call of a plain service for each, through the routes that
+//! callers use, sent again elsewhere until it has an answer.
+//!
+//! When a call starts, and where, is decided by [`Background`], so that the calls of a
+//! step do not crowd out callers of the same service.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use firweir::connection::client::within;
+use firweir::request::gate::Ask;
+use firweir::request::gate::Permit;
+use firweir_policy::background::Background;
+use firweir_policy::dispatch::Dispatcher;
+use firweir_policy::work::Class;
+use firweir_policy::work::Ending;
+use firweir_policy::work::UpstreamKey;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use http_body_util::Limited;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::dialect::RewardRequest;
+use crate::gates::Gates;
+use crate::link::Exchange;
+use crate::link::LinkError;
+use crate::live::pick_target;
+use crate::model::Item;
+use crate::model::RewardCall;
+use crate::model::Route;
+use crate::model::Score;
+use crate::model::Upstream;
+use crate::shared::Shared;
+use crate::submission::board::Board;
+
+/// Pause before a call that did not run, or broke off, is sent again: a full service
+/// frees a place in a tenth of a second, and a restart takes seconds.
+const AGAIN_AFTER: Duration = Duration::from_millis(100);
+
+/// Pause before a call is looked at again that no route leads anywhere: a configuration
+/// is in force within seconds.
+const NO_ROUTE_PAUSE: Duration = Duration::from_secs(1);
+
+/// A call that is past its due time asks for a place with this much time left, which
+/// makes it the most urgent one.
+const LATE_ASK: Duration = Duration::from_secs(1);
+
+/// An answer to a reward call larger than this is broken: its proof is in its head.
+const ANSWER_LIMIT_BYTES: usize = 1 << 20;
+
+/// How scoring a text ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Scored {
+    /// It has a score.
+    Score(Score),
+    /// The item is given up, for this reason.
+    GivenUp(&'static str),
+}
+
+/// How one attempt of a reward call ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum Attempt {
+    /// A success, with this proof of origin.
+    Answered(String),
+    /// The upstream says that the call failed.
+    Failed,
+    /// It did not run.
+    NotRun(&'static str),
+    /// It may have run, and no usable answer came.
+    Broken(&'static str),
+    /// No route leads to a service.
+    NoRoute,
+    /// The call can never be sent.
+    Unusable,
+}
+
+/// Scores texts; cheap to clone.
+#[derive(Debug, Clone)]
+pub struct Scoring {
+    shared: Shared,
+    gates: Arc<Gates>,
+}
+
+fn background() -> Box<dyn Dispatcher> {
+    Box::new(Background::new())
+}
+
+impl Scoring {
+    /// Knows no upstream before [`Scoring::take_fleet`].
+    #[must_use]
+    pub fn new(shared: Shared, zone: String) -> Self {
+        let gates = Gates::new(Arc::clone(&shared.clock), zone, background);
+        Self {
+            shared,
+            gates: Arc::new(gates),
+        }
+    }
+
+    /// Brings the gates up to what the fleet knows.
+    pub fn take_fleet(&self) {
+        self.gates.take_fleet(&self.shared.fleet);
+    }
+
+    /// Lets time-bound decisions happen.
+    pub fn tick(&self) {
+        self.gates.tick();
+    }
+
+    /// Scores an item's whole text. Dropping the future ends its call.
+    pub async fn score(&self, board: &Board, item: &Item, call: &RewardCall) -> Scored {
+        let mut avoid = Vec::new();
+        let mut failures = 0;
+        loop {
+            let Some(expires) = self.expires(board) else {
+                // The item's own route is gone.
+                return Scored::GivenUp("route-gone");
+            };
+            if self.shared.clock.now() >= expires {
+                return Scored::GivenUp("score-expired");
+            }
+            let attempt = self.attempt(board, call, &mut avoid).await;
+            if let Attempt::Answered(proof) = attempt {
+                let call = call.clone();
+                return Scored::Score(Score { call, proof });
+            }
+            self.note(board, item, call, &attempt);
+            let pause = match attempt {
+                Attempt::Failed => {
+                    failures += 1;
+                    if failures >= self.most_failures(board, call) {
+                        return Scored::GivenUp("score-failed");
+                    }
+                    Duration::ZERO
+                }
+                Attempt::NoRoute | Attempt::Unusable => NO_ROUTE_PAUSE,
+                Attempt::NotRun(_) | Attempt::Broken(_) | Attempt::Answered(_) => AGAIN_AFTER,
+            };
+            tokio::time::sleep(pause).await;
+        }
+    }
+
+    /// When the item may be given up; `None` once its route is gone.
+    fn expires(&self, board: &Board) -> Option<std::time::Instant> {
+        let config = self.shared.fleet.config();
+        let route = config.route(&board.head.host, &board.head.path)?;
+        Some(board.expires(route))
+    }
+
+    /// Failures that end the item: the calls of both its routes have a limit, and the
+    /// larger one is safe under either.
+    fn most_failures(&self, board: &Board, call: &RewardCall) -> u32 {
+        let config = self.shared.fleet.config();
+        let of_item = config.route(&board.head.host, &board.head.path);
+        let of_call = config.route(&call.host, &call.path);
+        let limits = [of_item, of_call].into_iter().flatten();
+        let most = limits.map(|route| route.max_attempts).max();
+        most.unwrap_or(u32::MAX).max(1)
+    }
+
+    async fn attempt(
+        &self,
+        board: &Board,
+        call: &RewardCall,
+        avoid: &mut Vec<UpstreamKey>,
+    ) -> Attempt {
+        let config = self.shared.fleet.config();
+        let Some(route) = config.route(&call.host, &call.path) else {
+            return Attempt::NoRoute;
+        };
+        let service = pick_target(route, &call.id);
+        let ask = self.ask(board, avoid);
+        let permit = match self.gates.of(service).admit(ask).await {
+            Ok(permit) => permit,
+            Err(turned) => return Attempt::NotRun(turned.reason.as_str()),
+        };
+        let upstreams = self.shared.fleet.upstreams();
+        let upstream = upstreams
+            .iter()
+            .find(|held| held.address == permit.address() && held.service == service);
+        let Some(upstream) = upstream else {
+            permit.finish(Ending::Unreachable, 0);
+            return Attempt::NotRun("upstream-gone");
+        };
+        let key = permit.upstream();
+        let attempt = self.send(route, call, upstream, permit).await;
+        if !matches!(attempt, Attempt::Answered(_)) && !avoid.contains(&key) {
+            avoid.push(key);
+        }
+        attempt
+    }
+
+    fn ask(&self, board: &Board, avoid: &[UpstreamKey]) -> Ask {
+        let now = self.shared.clock.now();
+        let due = board.due(&self.shared.fleet.config());
+        Ask {
+            class: Class::Training,
+            caller: xxh3_64(board.head.model.as_bytes()),
+            prefix: 0,
+            cost_tokens: 1,
+            deadline: due.max(now + LATE_ASK),
+            avoid: avoid.to_vec(),
+        }
+    }
+
+    async fn send(
+        &self,
+        route: &Route,
+        call: &RewardCall,
+        upstream: &Upstream,
+        permit: Permit,
+    ) -> Attempt {
+        let patience = route.timeout();
+        let request = RewardRequest {
+            call,
+            upstream,
+            patience,
+        };
+        let request = match self.shared.dialect.reward_request(&request) {
+            Ok(request) => request,
+            Err(error) => {
+                let fields: [(&str, &dyn std::fmt::Display); 2] =
+                    [("request", &call.id), ("cause", &error)];
+                self.shared.journal.event("reward_call_unusable", &fields);
+                return Attempt::Unusable;
+            }
+        };
+        let sending = self.shared.links.send(upstream.address, request);
+        match within(patience, async {
+            match sending.await {
+                Ok(exchange) => Ok(self.read(call, exchange).await),
+                Err(error) => Err(error),
+            }
+        })
+        .await
+        {
+            Some(Ok((attempt, ending, told))) => {
+                permit.finish_told(ending, told);
+                attempt
+            }
+            Some(Err(LinkError::Refused | LinkError::NotSent)) => {
+                permit.finish(Ending::Unreachable, 0);
+                Attempt::NotRun("not-sent")
+            }
+            Some(Err(LinkError::Broken | LinkError::Late)) => {
+                permit.finish(Ending::Failed, 0);
+                Attempt::Broken("no-answer")
+            }
+            None => {
+                permit.finish(Ending::Failed, 0);
+                Attempt::Broken("late")
+            }
+        }
+    }
+
+    /// Reads an answer to its end and says what it is worth.
+    async fn read(
+        &self,
+        call: &RewardCall,
+        exchange: Exchange,
+    ) -> (Attempt, Ending, Option<firweir_policy::work::ToldLoad>) {
+        let (head, body) = exchange.answer.into_parts();
+        let said = self.shared.dialect.answer_head(&head);
+        let whole = Limited::new(body, ANSWER_LIMIT_BYTES).collect().await;
+        let is_whole = whole.is_ok();
+        if said.not_run {
+            if is_whole {
+                exchange.lease.keep();
+            }
+            return (Attempt::NotRun("upstream"), Ending::Abandoned, said.load);
+        }
+        let own = said.request_id.as_deref() == Some(call.id.as_str());
+        let Some(proof) = said.proof.filter(|_| own && is_whole) else {
+            return (Attempt::Broken("answer"), Ending::Failed, said.load);
+        };
+        exchange.lease.keep();
+        match head.status {
+            status if status.is_success() => {
+                (Attempt::Answered(proof), Ending::Answered, said.load)
+            }
+            // The call's own fault: some always fail, at any upstream.
+            StatusCode::INTERNAL_SERVER_ERROR => (Attempt::Failed, Ending::Answered, said.load),
+            _ => (Attempt::Broken("status"), Ending::Failed, said.load),
+        }
+    }
+
+    fn note(&self, board: &Board, item: &Item, call: &RewardCall, attempt: &Attempt) {
+        self.shared.journal.event(
+            "reward_call_failed",
+            &[
+                ("submission", &board.id),
+                ("item", &item.id),
+                ("request", &call.id),
+                ("outcome", &format_args!("{attempt:?}")),
+            ],
+        );
+    }
+}
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -195,6 +195,14 @@
             StoreCall::Delete { .. } => "store.delete",
         });
         match answer {
+            Ok(StoreAnswer::Page { unreadable, .. } | StoreAnswer::Changes { unreadable, .. })
+                if *unreadable > 0 =>
+            {
+                self.journal.event(
+                    "objects_unreadable",
+                    &[("call", &format_args!("{call:?}")), ("objects", unreadable)],
+                );
+            }
             Ok(_) => {}
             Err(StoreError::Unknown) => self.journal.count("store.unknown"),
             Err(StoreError::Refused(_) | StoreError::Unreachable) => {
@@ -208,6 +216,18 @@
         }
     }
 
+    /// Notes that an object of the system's own is not as the system writes it.
+    pub fn note_unreadable(&self, kind: Kind, name: &str, cause: &serde_json::Error) {
+        self.journal.event(
+            "object_unreadable",
+            &[
+                ("kind", &format_args!("{kind:?}")),
+                ("object", &name),
+                ("cause", cause),
+            ],
+        );
+    }
+
     /// Reads an object; `None` if there is none.
     ///
     /// # Errors
--- a/crates/node/src/submission/accept.rs
+++ b/crates/node/src/submission/accept.rs
@@ -134,7 +134,8 @@
                         ("min_version", &submission.min_version),
                     ],
                 );
-                self.start(Board::new(id.clone(), head, submission.items));
+                let clock = &*self.shared.clock;
+                self.start(Board::new(id.clone(), head, submission.items, clock));
                 empty(StatusCode::ACCEPTED)
             }
             Ok(None) => empty(StatusCode::ACCEPTED),
--- a/crates/node/src/submission/board.rs
+++ b/crates/node/src/submission/board.rs
@@ -28,8 +28,10 @@
 use crate::dialect::StoreAnswer;
 use crate::dialect::StoreCall;
 use crate::dialect::StoreError;
+use crate::model::Config;
 use crate::model::Item;
 use crate::model::ItemResult;
+use crate::model::Route;
 use crate::store::Created;
 use crate::store::Store;
 use crate::submission::records::Chunk;
@@ -40,6 +42,7 @@
 use crate::submission::records::numbered;
 use crate::submission::records::result_bytes;
 use crate::submission::texts::Progress;
+use crate::submission::texts::SavedText;
 use crate::submission::texts::put_together;
 
 /// How long one write is tried before the log looks anew at who runs it.
@@ -91,6 +94,11 @@
     pub head: Head,
     /// Its items, in the trainer's order.
     pub items: Vec<Arc<Item>>,
+    /// When this process began to run it.
+    started: Instant,
+    /// When it was accepted, as far as this process knows: before `started`, where that
+    /// was at another node, by the times of day of both.
+    accepted: Instant,
     state: Mutex<State>,
     /// Texts of items that an earlier runner saved, sorted by item.
     saved: Mutex<Vec<(String, Progress)>>,
@@ -106,7 +114,12 @@
 impl Board {
     /// A submission of which nothing is listed yet.
     #[must_use]
-    pub fn new(id: String, head: Head, items: Vec<Item>) -> Arc<Self> {
+    pub fn new(id: String, head: Head, items: Vec<Item>, clock: &dyn Clock) -> Arc<Self> {
+        let started = clock.now();
+        let accepted_ago = clock
+            .since_epoch()
+            .saturating_sub(Duration::from_millis(head.accepted_ms));
+        let accepted = started.checked_sub(accepted_ago).unwrap_or(started);
         let mut places: Vec<(String, usize)> = items
             .iter()
             .enumerate()
@@ -126,6 +139,8 @@
             id,
             head,
             items: items.into_iter().map(Arc::new).collect(),
+            started,
+            accepted,
             state: Mutex::new(state),
             saved: Mutex::default(),
             saved_records: AtomicUsize::new(0),
@@ -141,7 +156,12 @@
     /// # Errors
     ///
     /// The store did not answer, or lacks a part.
-    pub async fn load(store: &Store, id: &str, head: Head) -> Result<Arc<Self>, StoreError> {
+    pub async fn load(
+        store: &Store,
+        id: &str,
+        head: Head,
+        clock: &dyn Clock,
+    ) -> Result<Arc<Self>, StoreError> {
         let mut items = Vec::new();
         for number in 0..head.parts as usize {
             let object = store
@@ -152,7 +172,7 @@
                 .map_err(|error| StoreError::Malformed(error.into()))?;
             items.extend(part.items);
         }
-        let board = Self::new(id.to_owned(), head, items);
+        let board = Self::new(id.to_owned(), head, items, clock);
         board.catch_up(store).await?;
         if board.is_running() {
             let records: Vec<UnfinishedTexts> =
@@ -178,6 +198,31 @@
         Ok(())
     }
 
+    /// When this process began to run it.
+    ///
+    /// What may not happen too soon counts from here: giving items up, removing results.
+    /// The time of its acceptance is known by two times of day, which jump by seconds;
+    /// an item that was given up early is one that its trainer was still owed.
+    #[must_use]
+    pub const fn started(&self) -> Instant {
+        self.started
+    }
+
+    /// When its items may be given up.
+    #[must_use]
+    pub fn expires(&self, route: &Route) -> Instant {
+        self.started + Duration::from_millis(route.queue_ttl_ms)
+    }
+
+    /// When all its results are due, as far as this process knows: what hangs on it is
+    /// only which work goes first. Its acceptance where its route is not known.
+    #[must_use]
+    pub fn due(&self, config: &Config) -> Instant {
+        let route = config.route(&self.head.host, &self.head.path);
+        let due_ms = route.map_or(0, |route| route.due_ms);
+        self.accepted + Duration::from_millis(due_ms)
+    }
+
     /// Notes that a read that was sent then showed this node as the runner.
     pub fn confirm(&self, sent: Instant) {
         *self.lock_confirmed() = Some(sent);
@@ -194,22 +239,24 @@
         confirmed.unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Takes out the text of an item that an earlier runner saved.
+    /// The text of an item that an earlier runner saved.
     #[must_use]
-    pub fn take_saved(&self, item: &str) -> Option<Progress> {
-        let mut saved = self.lock_saved();
+    pub fn saved_text(&self, item: &str) -> Option<Progress> {
+        let saved = self.lock_saved();
         let at = saved.binary_search_by(|(held, _)| held.as_str().cmp(item));
-        at.ok().map(|at| std::mem::take(&mut saved[at].1))
+        at.ok().map(|at| saved[at].1.clone())
     }
 
-    /// Events of each item that are saved, sorted by item.
+    /// What is saved of each item, sorted by item.
     #[must_use]
-    pub fn saved_events(&self) -> Vec<(String, usize)> {
+    pub fn saved_texts(&self) -> Vec<SavedText> {
         let saved = self.lock_saved();
-        let events = saved
-            .iter()
-            .map(|(item, text)| (item.clone(), text.events.len()));
-        events.collect()
+        let texts = saved.iter().map(|(item, text)| SavedText {
+            item: item.clone(),
+            events: text.events.len(),
+            whole: text.whole,
+        });
+        texts.collect()
     }
 
     /// Records of unfinished texts that are in the store.
@@ -341,8 +388,7 @@
     /// Waits until there are results to write.
     async fn gather(&self, clock: &dyn Clock, due: Duration) {
         loop {
-            let accepted = Duration::from_millis(self.head.accepted_ms);
-            let age = clock.since_epoch().saturating_sub(accepted);
+            let age = clock.now().saturating_duration_since(self.accepted);
             let write_at = {
                 let state = self.lock();
                 if state.ended || self.is_given_up() {
@@ -530,7 +576,10 @@
 }
 
 /// The records of a submission from a number on, as far as they follow one another.
-async fn read_numbered<T: DeserializeOwned>(
+///
+/// A record that another writer has spoilt counts as an empty one: all that read it see
+/// the same, so that positions stay, and the records behind it are not lost with it.
+async fn read_numbered<T: DeserializeOwned + Default>(
     store: &Store,
     kind: Kind,
     submission: &str,
@@ -557,9 +606,11 @@
             if object.name != numbered(submission, from + records.len()) {
                 return Ok(records);
             }
-            let record = serde_json::from_str(object.value.get())
-                .map_err(|error| StoreError::Malformed(error.into()))?;
-            records.push(record);
+            let record = serde_json::from_str(object.value.get());
+            records.push(record.unwrap_or_else(|error| {
+                store.note_unreadable(kind, &object.name, &error);
+                T::default()
+            }));
         }
         if !more || from + records.len() == number {
             return Ok(records);
--- a/crates/node/src/submission/desk.rs
+++ b/crates/node/src/submission/desk.rs
@@ -441,7 +441,7 @@
             return Ok(board);
         }
         let started = self.shared.clock.now();
-        let loaded = Board::load(&self.shared.store, id, head).await;
+        let loaded = Board::load(&self.shared.store, id, head, &*self.shared.clock).await;
         let took_ms = self.shared.clock.now().duration_since(started).as_millis();
         match &loaded {
             Ok(board) => {
--- a/crates/node/src/submission/records.rs
+++ b/crates/node/src/submission/records.rs
@@ -58,7 +58,7 @@
 }
 
 /// Some results of a submission, in the order in which they are listed.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Chunk {
     /// Names the write that made this value.
     pub write: String,
@@ -77,10 +77,13 @@
     pub events: Vec<String>,
     /// Versions of the weights that made an event up to here, ascending.
     pub versions: Vec<u64>,
+    /// The text is whole with them, and waits for its score.
+    #[serde(default)]
+    pub whole: bool,
 }
 
 /// Texts of samples that are being made, so that another runner goes on with them.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct UnfinishedTexts {
     /// Names the write that made this value.
     pub write: String,
@@ -123,7 +126,11 @@
         .iter()
         .map(|header| header.name.len() + header.value.len() + 30)
         .sum();
-    item.body_base64.len() + item.path.len() + headers + 200
+    let reward_call = item.reward_call.as_ref();
+    let reward_bytes = reward_call.map_or(0, |call| {
+        call.body_base64.len() + call.host.len() + call.path.len() + 100
+    });
+    item.body_base64.len() + item.path.len() + headers + reward_bytes + 200
 }
 
 /// About the bytes that a piece of a text takes in a record.
--- a/crates/node/src/submission/removal.rs
+++ b/crates/node/src/submission/removal.rs
@@ -15,13 +15,12 @@
 impl Desk {
     /// Removes a submission from the store once its results need no longer be read.
     pub(in crate::submission) async fn clean_up(self, board: Arc<Board>) {
-        let due_ms = board.head.accepted_ms + self.shared.keep_results.as_millis() as u64;
+        let due = board.started() + self.shared.keep_results;
         loop {
-            let now_ms = self.shared.clock.since_epoch().as_millis() as u64;
             if board.is_given_up() {
                 return;
             }
-            if now_ms >= due_ms && !board.is_running() {
+            if self.shared.clock.now() >= due && !board.is_running() {
                 break;
             }
             tokio::time::sleep(CLEAN_UP_EVERY).await;
--- a/crates/node/src/submission/saver.rs
+++ b/crates/node/src/submission/saver.rs
@@ -5,7 +5,8 @@
 //! anew elsewhere and the groups that they belong to come too late. **How:** a numbered record
 //! each [`SAVE_EVERY`] with what is new of the long ones. Records are created only, as
 //! chunks of results are: a runner that meets a record of its number is not the only one,
-//! and saves no more. Whoever runs the submission next reads them and goes on.
+//! and saves no more. A text that is whole and waits for its score is saved whatever its
+//! length: its runner's successor then only asks for the score. Whoever runs the submission next reads them and goes on.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -23,6 +24,7 @@
 use crate::submission::records::cut;
 use crate::submission::records::numbered;
 use crate::submission::records::piece_bytes;
+use crate::submission::texts::SavedText;
 
 /// Time between two records: what a sample loses with its runner is a second on
 /// average, and a step costs three calls of the store.
@@ -49,7 +51,7 @@
 impl Saver {
     /// Saves for as long as this node runs the submission and is the only one.
     pub async fn run(self) {
-        let mut saved = self.board.saved_events();
+        let mut saved = self.board.saved_texts();
         // A record whose write is still open: it may yet appear, so that nothing else may
         // get its number.
         let mut open: Option<UnfinishedTexts> = None;
@@ -78,7 +80,7 @@
     }
 
     /// What is new, as far as it fits one record.
-    fn next_record(&self, saved: &[(String, usize)]) -> Option<UnfinishedTexts> {
+    fn next_record(&self, saved: &[SavedText]) -> Option<UnfinishedTexts> {
         let pieces = self.drafting.unsaved_texts(&self.board.id, saved);
         let mut records = cut(pieces, piece_bytes);
         records.truncate(1);
@@ -103,12 +105,16 @@
     }
 }
 
-fn note_saved(saved: &mut Vec<(String, usize)>, record: &UnfinishedTexts) {
+fn note_saved(saved: &mut Vec<SavedText>, record: &UnfinishedTexts) {
     for piece in &record.pieces {
-        let events = piece.after + piece.events.len();
-        match saved.binary_search_by(|(item, _)| item.cmp(&piece.item)) {
-            Ok(at) => saved[at].1 = events,
-            Err(at) => saved.insert(at, (piece.item.clone(), events)),
+        let text = SavedText {
+            item: piece.item.clone(),
+            events: piece.after + piece.events.len(),
+            whole: piece.whole,
+        };
+        match saved.binary_search_by(|held| held.item.cmp(&piece.item)) {
+            Ok(at) => saved[at] = text,
+            Err(at) => saved.insert(at, text),
         }
     }
 }
--- a/crates/node/src/submission/texts.rs
+++ b/crates/node/src/submission/texts.rs
@@ -9,6 +9,7 @@
 use std::collections::VecDeque;
 
 use crate::dialect::StreamEvent;
+use crate::model::Score;
 use crate::submission::records::TextPiece;
 
 /// Bytes of texts that are kept: a step's texts take about a megabyte, and a VM has
@@ -24,6 +25,10 @@
     pub last_event: u64,
     /// Versions that made an event, ascending.
     pub versions: Vec<u64>,
+    /// The last event has come.
+    pub whole: bool,
+    /// Score of the whole text.
+    pub score: Option<Score>,
     /// Failures that an engine told of.
     pub failures: u32,
     /// An earlier text of this run of the submission was dropped.
@@ -50,6 +55,17 @@
     }
 }
 
+/// What the store has of an item's text.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SavedText {
+    /// Id of the item.
+    pub item: String,
+    /// Events that are saved.
+    pub events: usize,
+    /// They are the whole text.
+    pub whole: bool,
+}
+
 /// Puts texts together from the pieces that runners saved, oldest first; sorted by item.
 ///
 /// A piece that does not begin where the text ends comes from a runner that did not
@@ -68,6 +84,7 @@
             progress.events.extend(piece.events);
             progress.last_event = progress.events.len() as u64;
             progress.versions = piece.versions;
+            progress.whole = piece.whole;
         }
     }
     texts
@@ -80,8 +97,6 @@
     bytes: usize,
     /// The text.
     pub progress: Progress,
-    /// It is the item's whole text.
-    pub whole: bool,
 }
 
 /// Texts of items that may be asked for again, oldest first.
@@ -93,7 +108,7 @@
 
 impl KeptTexts {
     /// Keeps the text of an item, and drops the oldest beyond the limit.
-    pub fn keep(&mut self, item: &str, mut progress: Progress, whole: bool) {
+    pub fn keep(&mut self, item: &str, mut progress: Progress) {
         if progress.events.is_empty() {
             return;
         }
@@ -106,7 +121,6 @@
             item: item.to_owned(),
             bytes,
             progress,
-            whole,
         });
         while self.bytes > KEPT_BYTES {
             let Some(oldest) = self.kept.pop_front() else {
--- a/crates/node/src/weights.rs
+++ b/crates/node/src/weights.rs
@@ -48,6 +48,7 @@
 use crate::fleet::Fleet;
 use crate::link::LinkError;
 use crate::link::Links;
+use crate::model::Instance;
 use crate::model::ModelVersion;
 use crate::model::Upstream;
 use crate::outage::Outage;
@@ -124,6 +125,28 @@
     epoch: u64,
 }
 
+/// The duty as it was read.
+#[derive(Debug)]
+struct Found {
+    /// Revision of its object.
+    revision: u64,
+    /// `None` if another writer has made it unreadable.
+    duty: Option<Duty>,
+}
+
+impl Found {
+    fn holder(&self) -> Option<&Runner> {
+        self.duty.as_ref().map(|duty| &duty.holder)
+    }
+
+    /// The highest epoch that may have been given. Each epoch was one change of the
+    /// object and each change of any object raises the store's revision, so that no
+    /// epoch is above the revision.
+    fn epoch(&self) -> u64 {
+        self.duty.as_ref().map_or(self.revision, |duty| duty.epoch)
+    }
+}
+
 /// The duty while this node holds it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct Held {
@@ -174,7 +197,7 @@
 /// One engine as far as orders go.
 #[derive(Debug, Clone)]
 struct Ordered {
-    instance: String,
+    instance: Instance,
     /// Orders that it accepted; `None` if it has to be asked.
     accepted: Option<u64>,
     /// An order for this version is on its way.
@@ -313,9 +336,9 @@
     async fn take_back(&self) {
         let store = &self.shared.parts.store;
         let read = store.read_stale(Kind::Duties, DUTY).await;
-        match read.and_then(|object| object.as_ref().map(read_duty).transpose()) {
-            Ok(Some((revision, duty))) if duty.holder == self.shared.parts.me => {
-                self.take(Some((revision, duty)), Before::Nobody).await;
+        match read.map(|object| object.as_ref().map(|object| self.found(object))) {
+            Ok(Some(found)) if found.holder() == Some(&self.shared.parts.me) => {
+                self.take(Some(found), Before::Nobody).await;
             }
             Ok(_) => {}
             Err(error) => self.event("orders_unread", &[("cause", &error)]),
@@ -363,9 +386,20 @@
         stuck
     }
 
-    async fn read_duty(&self) -> Result<Option<(u64, Duty)>, StoreError> {
+    async fn read_duty(&self) -> Result<Option<Found>, StoreError> {
         let object = self.shared.parts.store.read(Kind::Duties, DUTY).await?;
-        object.as_ref().map(read_duty).transpose()
+        Ok(object.as_ref().map(|object| self.found(object)))
+    }
+
+    fn found(&self, object: &Object) -> Found {
+        let duty = serde_json::from_str(object.value.get());
+        if let Err(error) = &duty {
+            self.event("duty_unreadable", &[("cause", error)]);
+        }
+        Found {
+            revision: object.revision,
+            duty: duty.ok(),
+        }
     }
 
     /// The last read is fresh enough for orders that are given now.
@@ -384,7 +418,9 @@
             return false;
         }
         match read {
-            Ok(Some((_, duty))) if duty.epoch == held.epoch => {
+            Ok(Some(Found {
+                duty: Some(duty), ..
+            })) if duty.epoch == held.epoch => {
                 state.held = Some(Held {
                     verified: sent,
                     ..held
@@ -407,24 +443,25 @@
 
     /// Orders are due and no one gives them: takes the duty unless its holder can.
     async fn ask_for_duty(&self) {
-        let (revision, duty) = match self.read_duty().await {
+        let found = match self.read_duty().await {
             Ok(Some(found)) => found,
             Ok(None) => return self.take(None, Before::Nobody).await,
             Err(error) => return self.event("orders_unread", &[("cause", &error)]),
         };
-        let before = if duty.holder == self.shared.parts.me {
-            Before::Nobody
-        } else {
-            match self.ask(duty.holder.address).await {
+        let before = match found.holder() {
+            Some(holder) if *holder == self.shared.parts.me => Before::Nobody,
+            Some(holder) => match self.ask(holder.address).await {
                 Ok(HolderAnswer::Able) => return,
                 Ok(HolderAnswer::Resigned { last_order_ms }) => {
                     Before::Resigned(last_order_ms.map(Duration::from_millis))
                 }
                 Err(LinkError::Refused) => Before::Gone,
                 Err(_) => Before::Unreached,
-            }
+            },
+            // Whoever held it before another writer spoilt it may order a while longer.
+            None => Before::Unreached,
         };
-        self.take(Some((revision, duty)), before).await;
+        self.take(Some(found), before).await;
     }
 
     async fn ask(&self, holder: SocketAddr) -> Result<HolderAnswer, LinkError> {
@@ -435,12 +472,12 @@
         serde_json::from_slice(answer.body()).map_err(|_malformed| LinkError::Broken)
     }
 
-    async fn take(&self, known: Option<(u64, Duty)>, before: Before) {
+    async fn take(&self, known: Option<Found>, before: Before) {
         let parts = &self.shared.parts;
         let duty = Duty {
             write: parts.store.write_id(),
             holder: parts.me.clone(),
-            epoch: known.as_ref().map_or(1, |(_, duty)| duty.epoch + 1),
+            epoch: known.as_ref().map_or(1, |found| found.epoch() + 1),
         };
         let write = &duty.write;
         let kind = Kind::Duties;
@@ -450,8 +487,9 @@
                 let created = parts.store.create(kind, DUTY, &duty, write, until).await;
                 matches!(created, Ok(Created::Now))
             }
-            Some((revision, _)) => {
-                let replacing = parts.store.replace(kind, DUTY, *revision, &duty, write);
+            Some(found) => {
+                let revision = found.revision;
+                let replacing = parts.store.replace(kind, DUTY, revision, &duty, write);
                 replacing.await.is_ok()
             }
         };
@@ -518,8 +556,8 @@
     fn state_of(&self, upstream: &Upstream, load: &ModelVersion, now: Instant) -> (bool, bool) {
         let mut state = self.lock();
         let ordered = &mut state.ordered;
-        let instance = upstream.instance.as_str();
-        let Ok(at) = ordered.binary_search_by(|held| held.instance.as_str().cmp(instance)) else {
+        let instance = &upstream.instance;
+        let Ok(at) = ordered.binary_search_by(|held| held.instance.cmp(instance)) else {
             return (false, false);
         };
         let held = &mut ordered[at];
@@ -600,6 +638,17 @@
                 return Ok(None);
             }
         };
+        // The list lags: this is another start under the same id, and what it counts
+        // says nothing of the one that is to be ordered.
+        let (listed, reports) = (upstream.instance.born_ms, report.born_ms);
+        if listed != 0 && reports != 0 && listed != reports {
+            let (instance, born_ms) = (&upstream.instance, report.born_ms);
+            self.event(
+                "report_of_another_start",
+                &[("upstream", instance), ("born_ms", &born_ms)],
+            );
+            return Ok(None);
+        }
         self.with(&upstream.instance, |held| {
             held.accepted = Some(report.orders_accepted);
         });
@@ -647,13 +696,13 @@
         });
     }
 
-    fn with<T>(&self, instance: &str, change: impl FnOnce(&mut Ordered) -> T) -> T {
+    fn with<T>(&self, instance: &Instance, change: impl FnOnce(&mut Ordered) -> T) -> T {
         let mut state = self.lock();
         let ordered = &mut state.ordered;
-        let found = ordered.binary_search_by(|held| held.instance.as_str().cmp(instance));
+        let found = ordered.binary_search_by(|held| held.instance.cmp(instance));
         let at = found.unwrap_or_else(|at| {
             let new = Ordered {
-                instance: instance.to_owned(),
+                instance: instance.clone(),
                 accepted: None,
                 ordering: None,
                 loading: None,
@@ -675,13 +724,6 @@
     }
 }
 
-/// The duty and the revision at which it stands.
-fn read_duty(object: &Object) -> Result<(u64, Duty), StoreError> {
-    let duty = serde_json::from_str(object.value.get());
-    let duty = duty.map_err(|error| StoreError::Malformed(error.into()))?;
-    Ok((object.revision, duty))
-}
-
 /// The newest versions of the engine's models, as far as any were named.
 fn newest_of<'a>(engine: &Engine, named: &'a [ModelVersion]) -> Vec<&'a ModelVersion> {
     let models = engine.models.iter();
--- a/crates/node/tests/texts.rs
+++ b/crates/node/tests/texts.rs
@@ -9,6 +9,7 @@
         after,
         events: events.iter().map(|event| (*event).to_owned()).collect(),
         versions: versions.to_vec(),
+        whole: false,
     }
 }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,6 +5,7 @@
 //! passes in the time and what happened, and carries out what comes back, so
 //! every decision can be read and tested without a network.
 
+pub mod background;
 pub mod dispatch;
 pub mod estimate;
 pub mod fair;
@@ -13,6 +14,7 @@
 pub mod limit;
 pub mod listing;
 pub mod pace;
+
 pub mod placement;
 pub mod reserve;
 pub mod retry;
--- a/crates/policy/src/work.rs
+++ b/crates/policy/src/work.rs
@@ -110,6 +110,17 @@
     Abandoned,
 }
 
+/// The load that an upstream tells of with an answer, of all its callers together.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ToldLoad {
+    /// Requests that it runs.
+    pub running: u32,
+    /// Requests that wait there.
+    pub waiting: u32,
+    /// Requests that it runs at once.
+    pub slots: u32,
+}
+
 /// What is known of a piece of work that ended.
 #[derive(Debug, Clone, Copy)]
 pub struct Finish {
@@ -119,4 +130,6 @@
     pub elapsed: Duration,
     /// Tokens of the answer; 0 where the answer counts none.
     pub tokens: u32,
+    /// Load of the upstream, if its answer told.
+    pub told: Option<ToldLoad>,
 }
--- /dev/null
+++ b/crates/policy/tests/background.rs
@@ -0,0 +1,386 @@
+//! Calls of a training step beside callers of the same plain service: what both get,
+//! played without a network.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+use std::time::Instant;
+
+use firweir_policy::background::Background;
+use firweir_policy::dispatch::Decision;
+use firweir_policy::dispatch::Dispatcher;
+use firweir_policy::route::mix;
+use firweir_policy::work::Class;
+use firweir_policy::work::Ending;
+use firweir_policy::work::Finish;
+use firweir_policy::work::Fleet;
+use firweir_policy::work::ToldLoad;
+use firweir_policy::work::UpstreamKey;
+use firweir_policy::work::UpstreamState;
+use firweir_policy::work::Work;
+use firweir_policy::work::WorkKey;
+
+/// Time of one look.
+const STEP_MS: u64 = 1;
+
+/// A caller's request takes this long on a free upstream.
+const CALLER_MS: u64 = 25;
+
+/// A caller comes each this many milliseconds.
+const CALLER_EVERY_MS: u64 = 90;
+
+/// Longer than this and a caller's answer is late.
+const CALLER_AIM_MS: u64 = 150;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Request {
+    Caller {
+        came_ms: u64,
+    },
+    Call {
+        sender: usize,
+        work: WorkKey,
+        sent_ms: u64,
+    },
+}
+
+#[derive(Debug, Default)]
+struct Upstream {
+    /// Requests that run, with the times of their ends.
+    running: Vec<(Request, u64)>,
+    waiting: VecDeque<(Request, u64)>,
+}
+
+impl Upstream {
+    /// Ends and starts what is due; gives what has ended.
+    fn step(&mut self, now_ms: u64, slots: usize) -> Vec<Request> {
+        let is_over = |(_, end_ms): &(Request, u64)| *end_ms <= now_ms;
+        let ended: Vec<Request> = self
+            .running
+            .extract_if(.., |held| is_over(held))
+            .map(|(request, _)| request)
+            .collect();
+        while self.running.len() < slots {
+            let Some((request, takes_ms)) = self.waiting.pop_front() else {
+                break;
+            };
+            self.running.push((request, now_ms + takes_ms));
+        }
+        ended
+    }
+}
+
+struct Load {
+    upstreams: usize,
+    slots: usize,
+    /// Calls of each sender's step.
+    calls: u64,
+    senders: usize,
+    call_ms: u64,
+    due_ms: u64,
+    /// Sends every call at once, as a sender without this policy does.
+    greedy: bool,
+}
+
+impl Load {
+    const fn step() -> Self {
+        Self {
+            upstreams: 4,
+            slots: 6,
+            calls: 96,
+            senders: 1,
+            call_ms: 200,
+            due_ms: 6_000,
+            greedy: false,
+        }
+    }
+}
+
+impl Load {
+    /// Half to one and a half times the usual time, the same in each run.
+    fn takes_ms(&self, sender: usize, work: WorkKey) -> u64 {
+        let spread = mix(work.0 * 2 + sender as u64) % 100;
+        self.call_ms * (50 + spread) / 100
+    }
+}
+
+#[derive(Debug)]
+struct Outcome {
+    callers: usize,
+    callers_late: usize,
+    calls_done_ms: u64,
+}
+
+fn states(load: &Load) -> Vec<UpstreamState> {
+    let state = |key: usize| UpstreamState {
+        key: UpstreamKey(key as u32),
+        hash: key as u64,
+        local_zone: true,
+        leaving: false,
+        limit: load.slots as u32,
+    };
+    (0..load.upstreams).map(state).collect()
+}
+
+fn work(key: u64, deadline: Instant) -> Work {
+    Work {
+        key: WorkKey(key),
+        class: Class::Training,
+        caller: 0,
+        prefix: 0,
+        cost_tokens: 1,
+        deadline,
+        avoid: Vec::new(),
+    }
+}
+
+/// Plays a step's calls that come all at once beside callers that come one by one.
+fn play(load: &Load) -> Outcome {
+    let start = Instant::now();
+    let at = |ms: u64| start + Duration::from_millis(ms);
+    let mut upstreams: Vec<Upstream> = (0..load.upstreams).map(|_| Upstream::default()).collect();
+    let mut senders: Vec<Background> = (0..load.senders).map(|_| Background::new()).collect();
+    for sender in &mut senders {
+        sender.set_upstreams(start, &states(load), &Fleet::ALONE);
+        (0..load.calls).for_each(|key| sender.offer(start, work(key, at(load.due_ms))));
+    }
+    if load.greedy {
+        senders.clear();
+        for key in 0..load.calls {
+            let request = Request::Call {
+                sender: 0,
+                work: WorkKey(key),
+                sent_ms: 0,
+            };
+            let to = key as usize % load.upstreams;
+            upstreams[to].waiting.push_back((request, load.call_ms));
+        }
+    }
+    let mut outcome = Outcome {
+        callers: 0,
+        callers_late: 0,
+        calls_done_ms: 0,
+    };
+    let mut left = load.calls * load.senders as u64;
+    let mut now_ms = 0;
+    let mut answered = 0;
+    while left > 0 || answered < outcome.callers {
+        assert!(now_ms < 60_000, "calls are never done: {left} left");
+        if left > 0 && now_ms % CALLER_EVERY_MS == 0 {
+            let to = outcome.callers % load.upstreams;
+            let request = Request::Caller { came_ms: now_ms };
+            upstreams[to].waiting.push_back((request, CALLER_MS));
+            outcome.callers += 1;
+        }
+        for (at_sender, sender) in senders.iter_mut().enumerate() {
+            if now_ms % 100 == 0 {
+                sender.tick(at(now_ms));
+            }
+            while let Some(decision) = sender.next_decision() {
+                let Decision::Start { work, upstream } = decision else {
+                    panic!("a call was refused: {decision:?}");
+                };
+                let request = Request::Call {
+                    sender: at_sender,
+                    work,
+                    sent_ms: now_ms,
+                };
+                let waiting = &mut upstreams[upstream.0 as usize].waiting;
+                waiting.push_back((request, load.takes_ms(at_sender, work)));
+            }
+        }
+        for upstream in &mut upstreams {
+            for ended in upstream.step(now_ms, load.slots) {
+                let told = ToldLoad {
+                    running: upstream.running.len() as u32 + 1,
+                    waiting: upstream.waiting.len() as u32,
+                    slots: load.slots as u32,
+                };
+                match ended {
+                    Request::Caller { came_ms } => {
+                        answered += 1;
+                        let late = now_ms - came_ms > CALLER_AIM_MS;
+                        outcome.callers_late += usize::from(late);
+                    }
+                    Request::Call {
+                        sender,
+                        work,
+                        sent_ms,
+                    } => {
+                        left -= 1;
+                        outcome.calls_done_ms = now_ms;
+                        let finish = Finish {
+                            ending: Ending::Answered,
+                            elapsed: Duration::from_millis(now_ms - sent_ms),
+                            tokens: 0,
+                            told: Some(told),
+                        };
+                        if let Some(sender) = senders.get_mut(sender) {
+                            sender.finish(at(now_ms), work, &finish);
+                        }
+                    }
+                }
+            }
+        }
+        now_ms += STEP_MS;
+    }
+    outcome
+}
+
+struct Case {
+    name: &'static str,
+    load: Load,
+    /// Callers whose answer may be late, of a hundred.
+    late_percent: usize,
+    done_within_ms: u64,
+}
+
+/// Passengers looked their claims up and waited for half a second: a step's texts had
+/// become whole together, and their hundred reward calls filled every place of the
+/// service, though the step had six seconds to go.
+#[test]
+fn what_callers_and_steps_get() {
+    let cases = [
+        Case {
+            name: "calm: callers notice nothing, and the step has time to spare",
+            load: Load::step(),
+            late_percent: 0,
+            done_within_ms: 2_400,
+        },
+        Case {
+            name: "two steps of two nodes, which do not know of each other",
+            load: Load {
+                senders: 2,
+                ..Load::step()
+            },
+            late_percent: 5,
+            done_within_ms: 4_500,
+        },
+        Case {
+            name: "everything five times slower",
+            load: Load {
+                call_ms: 1_000,
+                due_ms: 30_000,
+                ..Load::step()
+            },
+            late_percent: 0,
+            done_within_ms: 12_000,
+        },
+        Case {
+            name: "everything five times faster",
+            load: Load {
+                call_ms: 40,
+                due_ms: 1_200,
+                ..Load::step()
+            },
+            late_percent: 0,
+            done_within_ms: 480,
+        },
+        Case {
+            name: "short: all places are used, once the first answers tell how long calls take",
+            load: Load {
+                due_ms: 1_000,
+                ..Load::step()
+            },
+            late_percent: 100,
+            done_within_ms: 1_300,
+        },
+        Case {
+            name: "one upstream is left",
+            load: Load {
+                upstreams: 1,
+                calls: 40,
+                ..Load::step()
+            },
+            late_percent: 0,
+            done_within_ms: 5_500,
+        },
+    ];
+    for case in cases {
+        let outcome = play(&case.load);
+        let late_percent = outcome.callers_late * 100 / outcome.callers.max(1);
+        assert!(
+            late_percent <= case.late_percent,
+            "{}: {outcome:?}",
+            case.name
+        );
+        let done_ms = outcome.calls_done_ms;
+        assert!(done_ms <= case.done_within_ms, "{}: {outcome:?}", case.name);
+    }
+}
+
+/// The load that the policy answers is one: sent all at once, the same calls make
+/// callers late.
+#[test]
+fn without_pacing_callers_are_late() {
+    let outcome = play(&Load {
+        greedy: true,
+        ..Load::step()
+    });
+    assert!(outcome.callers_late * 2 > outcome.callers, "{outcome:?}");
+}
+
+/// A step stood still for seconds: calls to an upstream that had crashed were sent to it
+/// again and again, since it was the one with the fewest of them.
+#[test]
+fn a_failing_upstream_is_left_alone() {
+    let now = Instant::now();
+    let load = Load::step();
+    let mut sender = Background::new();
+    sender.set_upstreams(now, &states(&load), &Fleet::ALONE);
+    let due = now + Duration::from_secs(6);
+    (0..96).for_each(|key| sender.offer(now, work(key, due)));
+    let mut failed = 0;
+    let mut sent = 0;
+    while let Some(Decision::Start { work, upstream }) = sender.next_decision() {
+        sent += 1;
+        let dead = upstream == UpstreamKey(0);
+        failed += u32::from(dead);
+        let finish = Finish {
+            ending: if dead {
+                Ending::Unreachable
+            } else {
+                Ending::Answered
+            },
+            elapsed: Duration::from_millis(200),
+            tokens: 0,
+            told: None,
+        };
+        sender.finish(now, work, &finish);
+    }
+    assert_eq!(sent, 96);
+    assert!(
+        failed <= 5,
+        "{failed} calls went to an upstream that nothing listens at"
+    );
+}
+
+/// A call whose step is past its time was refused and its sample never listed. It is
+/// served with the first place that is free.
+#[test]
+fn a_call_past_its_time_is_served_first() {
+    let now = Instant::now();
+    let load = Load {
+        upstreams: 1,
+        slots: 1,
+        ..Load::step()
+    };
+    let mut sender = Background::new();
+    sender.set_upstreams(now, &states(&load), &Fleet::ALONE);
+    sender.offer(now, work(1, now + Duration::from_secs(5)));
+    sender.offer(now, work(2, now + Duration::from_secs(9)));
+    sender.offer(now, work(3, now));
+    let started = |sender: &mut Background| match sender.next_decision() {
+        Some(Decision::Start { work, .. }) => Some(work),
+        _ => None,
+    };
+    assert_eq!(started(&mut sender), Some(WorkKey(1)));
+    assert_eq!(started(&mut sender), None);
+    let finish = Finish {
+        ending: Ending::Answered,
+        elapsed: Duration::from_millis(200),
+        tokens: 0,
+        told: None,
+    };
+    sender.finish(now, WorkKey(1), &finish);
+    assert_eq!(started(&mut sender), Some(WorkKey(3)));
+}
--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -214,6 +214,7 @@
                     Ending::Abandoned
                 },
                 elapsed: now.duration_since(flight.started),
+                told: None,
                 tokens: 0,
             };
             self.dispatcher.finish(now, flight.work, &finish);
@@ -402,6 +403,7 @@
                 ending: Ending::Failed,
                 elapsed: STEP,
                 tokens: 0,
+                told: None,
             };
             play.dispatcher.finish(play.now, flight.work, &finish);
             play.carry_out();
@@ -434,6 +436,7 @@
                         ending: Ending::Unreachable,
                         elapsed: STEP,
                         tokens: 0,
+                        told: None,
                     };
                     play.dispatcher.finish(play.now, flight.work, &finish);
                     play.carry_out();
