A node without a configuration gives no item up

Cause: after a loss of power a node reads its submissions before it knows a configuration; scoring found no route and took it for a route that is gone.

--- a/crates/node/src/scoring.rs
+++ b/crates/node/src/scoring.rs
@@ -111,12 +111,8 @@
         let mut avoid = Vec::new();
         let mut failures = 0;
         loop {
-            let Some(expires) = self.expires(board) else {
-                // The item's own route is gone.
-                return Scored::GivenUp("route-gone");
-            };
-            if self.shared.clock.now() >= expires {
-                return Scored::GivenUp("score-expired");
+            if let Some(reason) = self.is_over(board) {
+                return Scored::GivenUp(reason);
             }
             let attempt = self.attempt(board, call, &mut avoid).await;
             if let Attempt::Answered(proof) = attempt {
@@ -139,11 +135,17 @@
         }
     }
 
-    /// When the item may be given up; `None` once its route is gone.
-    fn expires(&self, board: &Board) -> Option<std::time::Instant> {
+    /// Why the submission's items may be given up, if they may.
+    fn is_over(&self, board: &Board) -> Option<&'static str> {
         let config = self.shared.fleet.config();
-        let route = config.route(&board.head.host, &board.head.path)?;
-        Some(board.expires(route))
+        match config.route(&board.head.host, &board.head.path) {
+            Some(route) if self.shared.clock.now() < board.expires(route) => None,
+            Some(_) => Some("score-expired"),
+            // Without a configuration nothing is known of routes: a node that starts reads
+            // its submissions first.
+            None if config.version == 0 => None,
+            None => Some("route-gone"),
+        }
     }
 
     /// Failures that end the item: the calls of both its routes have a limit, and the
