An acceptance outlives its client; a home that answers no ping is passed over

A home that was gone held each attempt for 0.9 s, and clients that wait for a second had left by then.

Ruled out: a shorter wait for the home alone: a slow store takes 0.5 s for it.

--- a/crates/node/src/submission/accept.rs
+++ b/crates/node/src/submission/accept.rs
@@ -9,17 +9,20 @@
 use http::StatusCode;
 use http::request;
 use http_body_util::Full;
+use tokio::sync::watch;
 
 use crate::dialect::Kind;
 use crate::dialect::StoreError;
 use crate::model::Submission;
 use crate::respond::Outcome;
 use crate::respond::empty;
+use crate::respond::reason_of;
 use crate::respond::refusal;
 use crate::store::Created;
 use crate::submission::board::Board;
-use crate::submission::desk::ASK_AGAIN;
+use crate::submission::desk::Acceptance;
 use crate::submission::desk::Desk;
+use crate::submission::desk::Start;
 use crate::submission::records::Head;
 use crate::submission::records::Part;
 use crate::submission::records::Runner;
@@ -98,10 +101,12 @@
         *request.headers_mut() = posted.head.headers.clone();
         strip_framing(request.headers_mut());
         let passing = self.shared.links.call(home.address, request, HOME_PATIENCE);
-        let answer = passing.await;
-        let accepted = matches!(&answer, Ok(answer) if answer.status() == StatusCode::ACCEPTED);
+        let runners = &self.shared.runners;
+        let answer = runners.while_alive(home.address, passing).await;
+        let accepted =
+            matches!(&answer, Some(Ok(answer)) if answer.status() == StatusCode::ACCEPTED);
         if !accepted {
-            let outcome = answer.map(|answer| answer.status());
+            let outcome = answer.map(|answer| answer.map(|answer| answer.status()));
             self.shared.journal.event(
                 "home_failed",
                 &[
@@ -115,50 +120,105 @@
 
     /// Accepts a submission, once.
     pub async fn accept(&self, posted: &Posted<'_>, submission: Submission) -> Response<Body> {
+        let id = submission.id.clone();
+        let answer = self.accept_once(posted, submission).await;
+        if !answer.status().is_success() {
+            self.shared.journal.event(
+                "submission_refused",
+                &[
+                    ("submission", &id),
+                    ("status", &answer.status().as_u16()),
+                    ("reason", &reason_of(&answer)),
+                ],
+            );
+        }
+        answer
+    }
+
+    /// Accepts a submission in a task of its own, which every attempt of its client waits
+    /// for.
+    ///
+    /// **Failure:** a client leaves while the store is silent, and with it went the task
+    /// that accepted its step: the step counted as being accepted for ever, and each later
+    /// attempt was refused. **Guard:** the acceptance goes on to its end whoever leaves.
+    async fn accept_once(&self, posted: &Posted<'_>, submission: Submission) -> Response<Body> {
         let id = submission.id.clone();
         if self.is_known(&id) {
             return empty(StatusCode::ACCEPTED);
         }
-        if !self.begin_start(&id) {
-            // The same submission, sent again while the first is being accepted.
-            return refusal(Outcome::NotRun(ASK_AGAIN), "being-accepted");
-        }
-        let accepted = self.write_submission(posted, &submission).await;
-        let response = match accepted {
-            Ok(Some(head)) => {
-                self.shared.journal.event(
-                    "submission_accepted",
-                    &[
-                        ("submission", &id),
-                        ("items", &submission.items.len()),
-                        ("min_version", &submission.min_version),
-                    ],
+        let mut outcome = match self.begin_start(&id) {
+            Start::Running(outcome) => outcome,
+            Start::New(decided, outcome) => {
+                let accepting = self.clone().accept_to_end(
+                    posted.host.to_owned(),
+                    posted.head.uri.path().to_owned(),
+                    submission,
+                    decided,
                 );
-                let clock = &*self.shared.clock;
-                self.start(Board::new(id.clone(), head, submission.items, clock));
-                empty(StatusCode::ACCEPTED)
+                drop(tokio::spawn(accepting));
+                outcome
+            }
+        };
+        let outcome = outcome.wait_for(Option::is_some).await;
+        let outcome = outcome.ok().and_then(|outcome| *outcome);
+        match outcome {
+            Some(Acceptance::Accepted) => empty(StatusCode::ACCEPTED),
+            Some(Acceptance::NotKept) => {
+                refusal(Outcome::NotRun(SUBMIT_AGAIN), "store-unavailable")
+            }
+            // It may yet appear in the store, and then it runs.
+            Some(Acceptance::Unknown) | None => refusal(Outcome::Unknown, "store-silent"),
+        }
+    }
+
+    async fn accept_to_end(
+        self,
+        host: String,
+        path: String,
+        submission: Submission,
+        decided: watch::Sender<Option<Acceptance>>,
+    ) {
+        let id = submission.id.clone();
+        let acceptance = match self.write_submission(host, path, &submission).await {
+            Ok(head) => {
+                if let Some(head) = head {
+                    self.journal_accepted(&submission);
+                    let clock = &*self.shared.clock;
+                    self.start(Board::new(id.clone(), head, submission.items, clock));
+                }
+                Acceptance::Accepted
             }
-            Ok(None) => empty(StatusCode::ACCEPTED),
             Err(error) => {
                 self.shared.journal.event(
                     "submission_not_accepted",
                     &[("submission", &id), ("cause", &error)],
                 );
                 match error {
-                    // It may yet appear in the store, and then it runs.
-                    StoreError::Unknown => refusal(Outcome::Unknown, "store-silent"),
-                    _ => refusal(Outcome::NotRun(SUBMIT_AGAIN), "store-unavailable"),
+                    StoreError::Unknown => Acceptance::Unknown,
+                    _ => Acceptance::NotKept,
                 }
             }
         };
         self.end_start(&id);
-        response
+        decided.send_replace(Some(acceptance));
+    }
+
+    fn journal_accepted(&self, submission: &Submission) {
+        self.shared.journal.event(
+            "submission_accepted",
+            &[
+                ("submission", &submission.id),
+                ("items", &submission.items.len()),
+                ("min_version", &submission.min_version),
+            ],
+        );
     }
 
     /// Writes parts, then the head. `None` if another node had accepted it.
     async fn write_submission(
         &self,
-        posted: &Posted<'_>,
+        host: String,
+        path: String,
         submission: &Submission,
     ) -> Result<Option<Head>, StoreError> {
         let until = self.shared.clock.now() + ACCEPT_PATIENCE;
@@ -182,8 +242,8 @@
         }
         let head = Head {
             write: store.write_id(),
-            host: posted.host.to_owned(),
-            path: posted.head.uri.path().to_owned(),
+            host,
+            path,
             model: submission.model.clone(),
             min_version: submission.min_version,
             target_groups: submission.target_groups,
--- a/crates/node/src/submission/desk.rs
+++ b/crates/node/src/submission/desk.rs
@@ -20,6 +20,7 @@
 use http::Response;
 use http::StatusCode;
 use http::request;
+use tokio::sync::watch;
 
 use crate::dialect::Dialect;
 use crate::dialect::Freshness;
@@ -76,8 +77,38 @@
 pub(in crate::submission) struct State {
     /// Sorted by id.
     pub(in crate::submission) boards: Vec<Arc<Board>>,
-    /// Submissions that are being accepted or read from the store.
-    starting: Vec<String>,
+    /// Submissions that are being accepted.
+    starting: Vec<Starting>,
+}
+
+/// How the acceptance of a submission ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(in crate::submission) enum Acceptance {
+    /// It is kept, here or by another node.
+    Accepted,
+    /// Nothing of it is kept, or ever will be.
+    NotKept,
+    /// It may yet be kept.
+    Unknown,
+}
+
+/// A submission that is being accepted.
+#[derive(Debug)]
+struct Starting {
+    id: String,
+    outcome: watch::Receiver<Option<Acceptance>>,
+}
+
+/// Whether a submission is being accepted already.
+#[derive(Debug)]
+pub(in crate::submission) enum Start {
+    /// It is; this tells how it ends.
+    Running(watch::Receiver<Option<Acceptance>>),
+    /// It begins now, and its end has to be told.
+    New(
+        watch::Sender<Option<Acceptance>>,
+        watch::Receiver<Option<Acceptance>>,
+    ),
 }
 
 /// All submissions as this node knows them; cheap to clone.
@@ -96,7 +127,7 @@
     pub(in crate::submission) keep_results: Duration,
     pub(in crate::submission) clock: Arc<dyn Clock>,
     pub(in crate::submission) journal: Journal,
-    runners: Runners,
+    pub(in crate::submission) runners: Runners,
     outage: Outage,
     dialect: Arc<dyn Dialect>,
     drafting: Drafting,
@@ -514,20 +545,24 @@
     }
 
     fn is_starting(&self, id: &str) -> bool {
-        self.lock().starting.iter().any(|held| held == id)
+        self.lock().starting.iter().any(|held| held.id == id)
     }
 
-    pub(in crate::submission) fn begin_start(&self, id: &str) -> bool {
+    pub(in crate::submission) fn begin_start(&self, id: &str) -> Start {
         let mut state = self.lock();
-        if state.starting.iter().any(|held| held == id) {
-            return false;
+        if let Some(held) = state.starting.iter().find(|held| held.id == id) {
+            return Start::Running(held.outcome.clone());
         }
-        state.starting.push(id.to_owned());
-        true
+        let (decided, outcome) = watch::channel(None);
+        state.starting.push(Starting {
+            id: id.to_owned(),
+            outcome: outcome.clone(),
+        });
+        Start::New(decided, outcome)
     }
 
     pub(in crate::submission) fn end_start(&self, id: &str) {
-        self.lock().starting.retain(|held| held != id);
+        self.lock().starting.retain(|held| held.id != id);
     }
 
     pub(in crate::submission) fn lock(&self) -> MutexGuard<'_, State> {
--- a/crates/node/src/submission/runners.rs
+++ b/crates/node/src/submission/runners.rs
@@ -34,6 +34,10 @@
 /// Least time for its answer.
 const PING_PATIENCE: Duration = Duration::from_millis(200);
 
+/// A node that has not answered a call by then is pinged beside it: accepting a step takes
+/// two writes of the store, some 15 ms.
+const PING_AFTER: Duration = Duration::from_millis(100);
+
 #[derive(Debug)]
 struct Unreached {
     address: SocketAddr,
@@ -88,6 +92,34 @@
         answer
     }
 
+    /// Makes a call to a node for as long as that is alive: `None` once it has answered
+    /// neither the call nor a ping.
+    ///
+    /// **Load:** a trainer submits its step through any node, which passes it to the home
+    /// of its model. **Without it:** while a home is gone each node waits for it for as long
+    /// as a slow store may take, 0.9 s, and a client that waits for a second has left by
+    /// then: a step was accepted 2.9 s after the end of an outage that its home had not
+    /// outlived, and came 2 s late.
+    pub async fn while_alive<T>(
+        &self,
+        node: SocketAddr,
+        call: impl Future<Output = T>,
+    ) -> Option<T> {
+        let pinging = async {
+            tokio::time::sleep(PING_AFTER).await;
+            if self.ping(node, PING_PATIENCE).await.is_ok() {
+                std::future::pending::<()>().await;
+            }
+        };
+        unless(call, pinging).await
+    }
+
+    async fn ping(&self, node: SocketAddr, patience: Duration) -> Result<(), LinkError> {
+        let mut request = Request::new(Full::new(Bytes::new()));
+        *request.uri_mut() = http::Uri::from_static(PING_PATH);
+        self.links.call(node, request, patience).await.map(drop)
+    }
+
     /// Whether a runner that did not answer is gone. Asks it until [`GONE_AFTER`] has
     /// passed since it was first asked: a client that had to come again for that
     /// would wait 2 s more.
@@ -99,11 +131,8 @@
                 return true;
             }
             let left = GONE_AFTER.saturating_sub(silent_for).max(PING_PATIENCE);
-            let mut request = Request::new(Full::new(Bytes::new()));
-            *request.uri_mut() = http::Uri::from_static(PING_PATH);
-            let pinging = self.links.call(runner, request, left);
-            match pinging.await {
-                Ok(_) => {
+            match self.ping(runner, left).await {
+                Ok(()) => {
                     self.note_reached(runner);
                     return false;
                 }
@@ -142,6 +171,15 @@
     }
 }
 
+/// What a call brings, unless `other` ends first.
+async fn unless<T>(call: impl Future<Output = T>, other: impl Future<Output = ()>) -> Option<T> {
+    tokio::select! {
+        biased;
+        brought = call => Some(brought),
+        () = other => None,
+    }
+}
+
 /// Takes out what describes how the body came, which the next connection sets anew.
 pub fn strip_framing(headers: &mut http::HeaderMap) {
     let framing = [
