Requests wait for a node's first configuration

Cause: after a loss of power clients reach nodes some 20 ms before these have read their configuration; refused, they come back 0.3 s later and are late.

--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -114,6 +114,20 @@
         self.named.load_full()
     }
 
+    /// Waits until a configuration is known.
+    pub async fn configured(&self) {
+        loop {
+            let changed = self.changed.notified();
+            tokio::pin!(changed);
+            // Before the look, so that a change in between is not missed.
+            changed.as_mut().enable();
+            if self.config.load().version > 0 {
+                return;
+            }
+            changed.await;
+        }
+    }
+
     /// Waits for a change of anything above.
     pub async fn changed(&self) {
         self.changed.notified().await;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use firweir::connection::client::within;
 use firweir::connection::net::SharedNet;
 use firweir::connection::net::TcpNet;
 use firweir::connection::server;
@@ -44,6 +45,7 @@
 use crate::follow::follow;
 use crate::link::Links;
 use crate::live::Live;
+use crate::model::Config;
 use crate::model::RouteKind;
 use crate::outage::Outage;
 use crate::relay::RELAY_PATH;
@@ -95,6 +97,13 @@
 /// node notices a dead seed 2.6 s late, as `relay` works out.
 const RELAY_FROM: Duration = Duration::from_millis(2_800);
 
+/// How long a request waits for a node's first configuration: a list of the store takes
+/// some 10 ms. A store that is away is away for seconds.
+const CONFIG_WAIT: Duration = Duration::from_millis(200);
+
+/// Most of a client's own patience that this may take.
+const CONFIG_WAIT_PART: f64 = 0.25;
+
 /// Time between looks at time-bound decisions of live calls.
 const TICK_EVERY: Duration = Duration::from_millis(100);
 
@@ -607,10 +616,9 @@
         head: &http::request::Parts,
         body: Incoming,
     ) -> Response<Body> {
-        let config = self.fleet.config();
-        if config.version == 0 {
+        let Some(config) = self.first_config(routed).await else {
             return Live::not_ready();
-        }
+        };
         let Some(route) = config.route(&routed.host, head.uri.path()) else {
             return refusal(Outcome::BadRequest(StatusCode::NOT_FOUND), "no-route");
         };
@@ -622,6 +630,21 @@
             .await
     }
 
+    /// The configuration; waited for a while by a node that has just started.
+    ///
+    /// **Failure:** after a loss of power clients reach a node some 20 ms before it has
+    /// read its configuration, since the balancer goes on with all nodes where none is
+    /// ready. Refused, they come back after 0.3 s and are late. **Gain:** most of them are
+    /// answered in time.
+    async fn first_config(&self, routed: &RoutedCall) -> Option<Arc<Config>> {
+        let patience = routed.patience.unwrap_or(CONFIG_WAIT);
+        let wait = CONFIG_WAIT.min(patience.mul_f64(CONFIG_WAIT_PART));
+        // Late or not, the look below tells.
+        _ = within(wait, self.fleet.configured()).await;
+        let config = self.fleet.config();
+        (config.version > 0).then_some(config)
+    }
+
     async fn submitted(
         &self,
         asker: Asker,
