--- a/crates/node/src/drafting.rs
+++ b/crates/node/src/drafting.rs
@@ -26,6 +26,7 @@
 use crate::draft_run::Run;
 use crate::engines::rollout_engines;
 use crate::fleet::Fleet;
+use crate::mechanisms::Mechanism;
 use crate::model::Config;
 use crate::model::Instance;
 use crate::model::Item;
@@ -140,7 +141,8 @@
 
     /// Drafts all items of a submission that have no result yet.
     pub fn add(&self, board: &Arc<Board>) {
-        let ranks = ranks_of(board);
+        let long_first = self.shared.off.leaves(Mechanism::LongFirst);
+        let ranks = ranks_of(board, long_first);
         let mut state = self.lock();
         for (place, rank) in ranks.into_iter().enumerate() {
             if board.is_open(place) {
@@ -283,7 +285,12 @@
         while let Some((draft, engine)) = state.placement.next(now) {
             self.start(&mut state, draft, engine);
         }
-        for draft in state.placement.moves(now) {
+        let moves = if self.shared.off.leaves(Mechanism::Moves) {
+            state.placement.moves(now)
+        } else {
+            Vec::new()
+        };
+        for draft in moves {
             if let Some(at) = state.job_at(draft) {
                 state.jobs[at].leave.notify_one();
             }
@@ -627,7 +634,10 @@
     progress.whole && scored
 }
 
-fn ranks_of(board: &Board) -> Vec<u64> {
+fn ranks_of(board: &Board, long_first: bool) -> Vec<u64> {
+    if !long_first {
+        return vec![board.head.accepted_ms; board.items.len()];
+    }
     let mut groups: Vec<&str> = Vec::new();
     let mut samples = Vec::new();
     for item in &board.items {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod gates;
 pub mod link;
 pub mod live;
+pub mod mechanisms;
 pub mod model;
 pub mod node;
 pub mod outage;
--- a/crates/node/src/live.rs
+++ b/crates/node/src/live.rs
@@ -17,6 +17,8 @@
 use firweir::process::entry::balanced;
 use firweir::request::gate::Ask;
 use firweir::request::gate::Permit;
+use firweir_policy::dispatch::Balanced;
+use firweir_policy::dispatch::Dispatcher;
 use firweir_policy::work::Class;
 use firweir_policy::work::Ending;
 use firweir_policy::work::UpstreamKey;
@@ -36,6 +38,7 @@
 use crate::gates::Gates;
 use crate::link::Lease;
 use crate::link::LinkError;
+use crate::mechanisms::Mechanism;
 use crate::model::Route;
 use crate::model::RouteKind;
 use crate::model::Upstream;
@@ -64,6 +67,10 @@
 /// When a client may come back while this node knows no configuration yet.
 const NOT_READY: Duration = Duration::from_millis(300);
 
+fn keeping_outliers() -> Box<dyn Dispatcher> {
+    Box::new(Balanced::keeping_outliers())
+}
+
 /// Answers live calls; shared by all connections.
 #[derive(Debug)]
 pub struct Live {
@@ -102,7 +109,12 @@
     /// Answers nothing before the fleet knows a configuration.
     #[must_use]
     pub fn new(shared: Shared, node: &str, zone: String) -> Arc<Self> {
-        let gates = Gates::new(Arc::clone(&shared.clock), zone, balanced);
+        let dispatcher: fn() -> Box<dyn Dispatcher> = if shared.off.leaves(Mechanism::Outliers) {
+            balanced
+        } else {
+            keeping_outliers
+        };
+        let gates = Gates::new(Arc::clone(&shared.clock), zone, dispatcher);
         Arc::new(Self {
             shared,
             affinity: xxh3_64(node.as_bytes()),
@@ -174,6 +186,11 @@
         let service = pick_target(call.route, &call.routed.request_id);
         let gate = self.gates.of(service);
         gate.count_offered();
+        let prefix = if self.shared.off.leaves(Mechanism::CallAffinity) {
+            self.affinity
+        } else {
+            xxh3_64(call.routed.request_id.as_bytes())
+        };
         let idempotent = call.route.kind == RouteKind::Idempotent;
         let attempts = call.route.max_attempts.max(1);
         let mut avoid: Vec<UpstreamKey> = Vec::new();
@@ -181,7 +198,7 @@
         let mut may_have_run = false;
         let mut sent = 0;
         while sent < attempts {
-            let permit = match gate.admit(call.ask(self.affinity, &avoid)).await {
+            let permit = match gate.admit(call.ask(prefix, &avoid)).await {
                 Ok(permit) => permit,
                 Err(turned) if !may_have_run => {
                     let retry_after = turned
@@ -367,11 +384,11 @@
 }
 
 impl Call<'_> {
-    fn ask(&self, affinity: u64, avoid: &[UpstreamKey]) -> Ask {
+    fn ask(&self, prefix: u64, avoid: &[UpstreamKey]) -> Ask {
         Ask {
             class: Class::Live,
             caller: 0,
-            prefix: affinity,
+            prefix,
             cost_tokens: 1,
             deadline: self.deadline,
             avoid: avoid.to_vec(),
--- /dev/null
+++ b/crates/node/src/mechanisms.rs
@@ -0,0 +1,57 @@
+//! Mechanisms that a setting switches off, to measure what each is worth.
+
+use serde::Deserialize;
+
+/// One mechanism, by the name that it has in the settings.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Mechanism {
+    /// Samples move from slow engines to faster ones.
+    Moves,
+    /// The longest samples of a step start first.
+    LongFirst,
+    /// One node accepts and runs all steps of a model.
+    Homes,
+    /// A home is pinged while it accepts a step, and passed over if it is silent.
+    HomePing,
+    /// Calls of the store go through another node where the store turns this one away.
+    Detour,
+    /// Nodes follow the store through a few seeds.
+    Seeds,
+    /// Each model has two sets of engines, which get its versions by turns.
+    TwoSets,
+    /// Texts that are not listed yet are saved for the next runner.
+    SavedTexts,
+    /// Results wait for company before they are listed.
+    PacedListing,
+    /// A node's calls of a service keep to one upstream.
+    CallAffinity,
+    /// Slow and failing upstreams get no calls for a while.
+    Outliers,
+    /// Reward calls are paced by the slack of their step, and leave room for callers.
+    PacedRewards,
+    /// Requests wait for a node's first configuration.
+    FirstConfig,
+}
+
+/// The mechanisms that are off; none by default. Cheap to copy.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Off(u32);
+
+impl Off {
+    /// These are off.
+    #[must_use]
+    pub fn of(mechanisms: &[Mechanism]) -> Self {
+        Self(mechanisms.iter().fold(0, |off, held| off | bit(*held)))
+    }
+
+    /// Whether a mechanism works.
+    #[must_use]
+    pub const fn leaves(self, mechanism: Mechanism) -> bool {
+        self.0 & bit(mechanism) == 0
+    }
+}
+
+const fn bit(mechanism: Mechanism) -> u32 {
+    1 << mechanism as u32
+}
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -46,6 +46,8 @@
 use crate::follow::follow;
 use crate::link::Links;
 use crate::live::Live;
+use crate::mechanisms::Mechanism;
+use crate::mechanisms::Off;
 use crate::model::Config;
 use crate::model::RouteKind;
 use crate::outage::Outage;
@@ -147,6 +149,7 @@
     clock: Arc<dyn Clock>,
     journal: Journal,
     tasks: Tasks,
+    off: Off,
 }
 
 /// What both roles of a VM are built from.
@@ -162,6 +165,7 @@
     sources: Sources,
     net: SharedNet,
     tasks: Tasks,
+    off: Off,
 }
 
 impl Base {
@@ -182,7 +186,13 @@
             detour(&settings),
         );
         let sources = sources(&settings, &store, &links, &clock, &journal);
+        let off = Off::of(&settings.mechanisms_off);
+        if !settings.mechanisms_off.is_empty() {
+            let names = format_args!("{:?}", settings.mechanisms_off);
+            journal.event("mechanisms_off", &[("names", &names)]);
+        }
         Self {
+            off,
             exposition,
             sources,
             settings,
@@ -225,7 +235,8 @@
 /// Seeds, without this node.
 fn detour(settings: &NodeSettings) -> Detour {
     let own = settings.peer_listen;
-    let seeds = settings.seeds.iter().copied();
+    let is_on = Off::of(&settings.mechanisms_off).leaves(Mechanism::Detour);
+    let seeds = settings.seeds.iter().copied().filter(|_| is_on);
     Detour::new(
         seeds
             .filter(|seed| own.is_some_and(|own| own != *seed))
@@ -242,7 +253,8 @@
     clock: &Arc<dyn Clock>,
     journal: &Journal,
 ) -> Sources {
-    let relayed = settings.leaving_ms >= RELAY_FROM.as_millis() as u64;
+    let is_on = Off::of(&settings.mechanisms_off).leaves(Mechanism::Seeds);
+    let relayed = is_on && settings.leaving_ms >= RELAY_FROM.as_millis() as u64;
     let own = settings.peer_listen;
     let is_seed = own.is_some_and(|own| settings.seeds.contains(&own));
     let seeds = settings.seeds.iter().copied();
@@ -395,6 +407,7 @@
         links: base.links.clone(),
         clock: Arc::clone(clock),
         journal: journal.clone(),
+        off: base.off,
     };
     let live = Live::new(
         shared.clone(),
@@ -414,6 +427,7 @@
         homes: homes.clone(),
         outage: base.sources.outage.clone(),
         keep_results: base.settings.keep_results(),
+        off: base.off,
         clock: Arc::clone(clock),
         journal: journal.clone(),
     });
@@ -427,6 +441,7 @@
         dialect: Arc::clone(dialect),
         clock: Arc::clone(clock),
         boot_clock: Arc::new(SystemBootClock),
+        off: base.off,
         journal: journal.clone(),
     });
     base.tasks.spawn(weights.clone().run());
@@ -445,6 +460,7 @@
         clock: Arc::clone(clock),
         journal: journal.clone(),
         tasks: base.tasks.clone(),
+        off: base.off,
     })
 }
 
@@ -646,6 +662,10 @@
     /// ready. Refused, they come back after 0.3 s and are late. **Gain:** most of them are
     /// answered in time.
     async fn first_config(&self, routed: &RoutedCall) -> Option<Arc<Config>> {
+        if !self.off.leaves(Mechanism::FirstConfig) {
+            let config = self.fleet.config();
+            return (config.version > 0).then_some(config);
+        }
         let patience = routed.patience.unwrap_or(CONFIG_WAIT);
         let wait = CONFIG_WAIT.min(patience.mul_f64(CONFIG_WAIT_PART));
         // Late or not, the look below tells.
--- a/crates/node/src/scoring.rs
+++ b/crates/node/src/scoring.rs
@@ -25,6 +25,7 @@
 use crate::link::Exchange;
 use crate::link::LinkError;
 use crate::live::pick_target;
+use crate::mechanisms::Mechanism;
 use crate::model::Item;
 use crate::model::RewardCall;
 use crate::model::Route;
@@ -85,11 +86,17 @@
     Box::new(Background::new())
 }
 
+fn unpaced() -> Box<dyn Dispatcher> {
+    Box::new(Background::unpaced())
+}
+
 impl Scoring {
     /// Knows no upstream before [`Scoring::take_fleet`].
     #[must_use]
     pub fn new(shared: Shared, zone: String) -> Self {
-        let gates = Gates::new(Arc::clone(&shared.clock), zone, background);
+        let is_paced = shared.off.leaves(Mechanism::PacedRewards);
+        let dispatcher = if is_paced { background } else { unpaced };
+        let gates = Gates::new(Arc::clone(&shared.clock), zone, dispatcher);
         Self {
             shared,
             gates: Arc::new(gates),
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -8,6 +8,8 @@
 use quick_error::quick_error;
 use serde::Deserialize;
 
+use crate::mechanisms::Mechanism;
+
 quick_error! {
     /// Why a settings file cannot be used.
     #[derive(Debug)]
@@ -57,6 +59,9 @@
     /// Where counters and latencies are served as text.
     #[serde(default)]
     pub metrics_listen: Option<SocketAddr>,
+    /// Mechanisms that are switched off, to measure what each is worth.
+    #[serde(default)]
+    pub mechanisms_off: Vec<Mechanism>,
     /// Least severe events to log: off, error, warn, info or debug.
     #[serde(default = "default_log_level")]
     pub log_level: String,
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -8,6 +8,7 @@
 use crate::dialect::Dialect;
 use crate::fleet::Fleet;
 use crate::link::Links;
+use crate::mechanisms::Off;
 
 /// Cheap to clone.
 #[derive(Debug, Clone)]
@@ -22,4 +23,6 @@
     pub clock: Arc<dyn Clock>,
     /// Events and metrics.
     pub journal: Journal,
+    /// Mechanisms that are switched off.
+    pub off: Off,
 }
--- a/crates/node/src/submission/accept.rs
+++ b/crates/node/src/submission/accept.rs
@@ -13,6 +13,7 @@
 
 use crate::dialect::Kind;
 use crate::dialect::StoreError;
+use crate::mechanisms::Mechanism;
 use crate::model::Submission;
 use crate::respond::Outcome;
 use crate::respond::empty;
@@ -67,7 +68,8 @@
             return empty(StatusCode::ACCEPTED);
         }
         let model = submission.model.clone();
-        let home = self.shared.homes.of(&model);
+        let is_on = self.shared.off.leaves(Mechanism::Homes);
+        let home = self.shared.homes.of(&model).filter(|_| is_on);
         match home.filter(|home| *home != self.shared.me) {
             Some(home) if self.pass_to_home(&home, posted).await => empty(StatusCode::ACCEPTED),
             // The home may have accepted it and not said so.
@@ -85,7 +87,8 @@
     ) -> Response<Body> {
         let answer = self.accept(posted, submission).await;
         let is_home = self.shared.homes.of(model).as_ref() == Some(&self.shared.me);
-        if answer.status() == StatusCode::ACCEPTED && !is_home {
+        let is_on = self.shared.off.leaves(Mechanism::Homes);
+        if answer.status() == StatusCode::ACCEPTED && !is_home && is_on {
             let (homes, me) = (self.shared.homes.clone(), self.shared.me.clone());
             let model = model.to_owned();
             drop(tokio::spawn(async move { homes.settle(&model, me).await }));
@@ -102,7 +105,11 @@
         strip_framing(request.headers_mut());
         let passing = self.shared.links.call(home.address, request, HOME_PATIENCE);
         let runners = &self.shared.runners;
-        let answer = runners.while_alive(home.address, passing).await;
+        let answer = if self.shared.off.leaves(Mechanism::HomePing) {
+            runners.while_alive(home.address, passing).await
+        } else {
+            Some(passing.await)
+        };
         let accepted =
             matches!(&answer, Some(Ok(answer)) if answer.status() == StatusCode::ACCEPTED);
         if !accepted {
--- a/crates/node/src/submission/board.rs
+++ b/crates/node/src/submission/board.rs
@@ -361,16 +361,17 @@
     }
 
     /// Writes results for as long as this node runs the submission, which is due at this
-    /// age.
+    /// age; each as it comes unless they are `paced`.
     pub async fn keep_log(
         self: Arc<Self>,
         store: Store,
         clock: Arc<dyn Clock>,
         journal: Journal,
         due: Duration,
+        paced: bool,
     ) {
         loop {
-            self.gather(&*clock, due).await;
+            self.gather(&*clock, due, paced).await;
             if self.is_given_up() {
                 return;
             }
@@ -386,7 +387,7 @@
     }
 
     /// Waits until there are results to write.
-    async fn gather(&self, clock: &dyn Clock, due: Duration) {
+    async fn gather(&self, clock: &dyn Clock, due: Duration, paced: bool) {
         loop {
             let age = clock.now().saturating_duration_since(self.accepted);
             let write_at = {
@@ -395,7 +396,12 @@
                     return;
                 }
                 let unwritten = state.unwritten(&self.items, self.head.target_groups, age, due);
-                state.pending_since.map(|since| since + unwritten.wait())
+                let wait = if paced {
+                    unwritten.wait()
+                } else {
+                    Duration::ZERO
+                };
+                state.pending_since.map(|since| since + wait)
             };
             match write_at {
                 None => self.pending.notified().await,
--- a/crates/node/src/submission/desk.rs
+++ b/crates/node/src/submission/desk.rs
@@ -31,6 +31,8 @@
 use crate::drafting::Drafting;
 use crate::follow::list;
 use crate::link::Links;
+use crate::mechanisms::Mechanism;
+use crate::mechanisms::Off;
 use crate::outage::Outage;
 use crate::respond::Outcome;
 use crate::respond::empty;
@@ -125,6 +127,7 @@
     pub(in crate::submission) homes: Homes,
     pub(in crate::submission) heads: Heads,
     pub(in crate::submission) keep_results: Duration,
+    pub(in crate::submission) off: Off,
     pub(in crate::submission) clock: Arc<dyn Clock>,
     pub(in crate::submission) journal: Journal,
     pub(in crate::submission) runners: Runners,
@@ -155,6 +158,8 @@
     pub outage: Outage,
     /// Results stay readable for this long after a submission was accepted.
     pub keep_results: Duration,
+    /// Mechanisms that are switched off.
+    pub off: Off,
     /// The clock.
     pub clock: Arc<dyn Clock>,
     /// Events.
@@ -177,6 +182,7 @@
             homes: parts.homes,
             outage: parts.outage,
             keep_results: parts.keep_results,
+            off: parts.off,
             clock: parts.clock,
             journal: parts.journal,
             state: Mutex::default(),
@@ -511,9 +517,14 @@
                 clock: Arc::clone(&clock),
                 journal: journal.clone(),
             };
-            drop(tokio::spawn(saver.run()));
+            if self.shared.off.leaves(Mechanism::SavedTexts) {
+                drop(tokio::spawn(saver.run()));
+            }
             let due = self.shared.drafting.due_of(&board.head);
-            drop(tokio::spawn(board.keep_log(store, clock, journal, due)));
+            let paced = self.shared.off.leaves(Mechanism::PacedListing);
+            drop(tokio::spawn(
+                board.keep_log(store, clock, journal, due, paced),
+            ));
         }
     }
 
--- a/crates/node/src/weights.rs
+++ b/crates/node/src/weights.rs
@@ -28,6 +28,7 @@
 use firweir_policy::placement::ModelKey;
 use firweir_policy::waves::EngineWeights;
 use firweir_policy::waves::next_loads;
+use firweir_policy::waves::next_loads_of_all;
 use firweir_policy::work::UpstreamKey;
 use http::Request;
 use http_body_util::Full;
@@ -48,6 +49,8 @@
 use crate::fleet::Fleet;
 use crate::link::LinkError;
 use crate::link::Links;
+use crate::mechanisms::Mechanism;
+use crate::mechanisms::Off;
 use crate::model::Instance;
 use crate::model::ModelVersion;
 use crate::model::Upstream;
@@ -235,6 +238,8 @@
     pub clock: Arc<dyn Clock>,
     /// The clock that counts suspended time.
     pub boot_clock: Arc<dyn BootClock>,
+    /// Mechanisms that are switched off.
+    pub off: Off,
     /// Events.
     pub journal: Journal,
 }
@@ -541,7 +546,12 @@
         }
         let routes = &fleet.config().routes;
         let keep_running = !routes.iter().any(|route| route.single_version);
-        let due = next_loads(&weighed).into_iter().map(|place| {
+        let next = if self.shared.parts.off.leaves(Mechanism::TwoSets) {
+            next_loads(&weighed)
+        } else {
+            next_loads_of_all(&weighed)
+        };
+        let due = next.into_iter().map(|place| {
             let (at, load) = &loads[place];
             Due {
                 upstream: Arc::clone(&engines[*at].upstream),
--- a/crates/policy/src/background.rs
+++ b/crates/policy/src/background.rs
@@ -130,6 +130,8 @@
     window: u32,
     estimate: Estimate,
     decisions: VecDeque<Decision>,
+    /// Everything runs as soon as there is any place.
+    unpaced: bool,
 }
 
 impl Place {
@@ -208,6 +210,15 @@
         Self::default()
     }
 
+    /// One that starts everything as soon as there is any place.
+    #[must_use]
+    pub fn unpaced() -> Self {
+        Self {
+            unpaced: true,
+            ..Self::default()
+        }
+    }
+
     fn place_at(&self, key: UpstreamKey) -> Option<usize> {
         let found = self
             .places
@@ -241,12 +252,13 @@
         // Before the first answers nothing tells how long a call takes.
         let known = self.estimate.is_trusted();
         let needed = self.at_once(|pace| pace.longest_s(now));
-        let in_full = known && needed > f64::from(calm);
+        let in_full = self.unpaced || (known && needed > f64::from(calm));
         if self.running.is_empty() {
             self.window = self.places.len() as u32;
         }
         let window = f64::from(self.window);
         let at_once = match (known, in_full) {
+            _ if self.unpaced => f64::INFINITY,
             (false, _) => window,
             (true, false) => self.at_once(|pace| pace.left_s(now)).min(window),
             (true, true) => needed,
--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -122,6 +122,15 @@
         }
     }
 
+    /// A dispatcher that gives slow and failing upstreams work as it gives others.
+    #[must_use]
+    pub fn keeping_outliers() -> Self {
+        Self {
+            slots: Slots::keeping_outliers(),
+            ..Self::new()
+        }
+    }
+
     const fn lane(&self, kind: Kind) -> &Lane {
         &self.lanes[kind as usize]
     }
--- a/crates/policy/src/slots.rs
+++ b/crates/policy/src/slots.rs
@@ -54,9 +54,20 @@
     scale: f64,
     open: u32,
     free: u32,
+    /// No upstream is ejected for being slow or failing.
+    keeps_outliers: bool,
 }
 
 impl Slots {
+    /// Slots of which none is ever taken from use.
+    #[must_use]
+    pub fn keeping_outliers() -> Self {
+        Self {
+            keeps_outliers: true,
+            ..Self::default()
+        }
+    }
+
     /// Takes in the upstreams and the entries that share them. Slots in use are
     /// counted anew by [`Slots::take_again`].
     pub fn set(&mut self, now: Instant, upstreams: &[UpstreamState], fleet: &Fleet<'_>) {
@@ -280,6 +291,9 @@
 
     /// Upstreams that may still be ejected before too many are.
     fn may_eject(&self) -> usize {
+        if self.keeps_outliers {
+            return 0;
+        }
         let ejected = self.held.iter().filter(|slot| slot.health.is_ejected());
         ejections_allowed(self.held.len()).saturating_sub(ejected.count())
     }
--- a/crates/policy/src/waves.rs
+++ b/crates/policy/src/waves.rs
@@ -127,10 +127,21 @@
 /// The loads to order now, as places in `weights`.
 #[must_use]
 pub fn next_loads(weights: &[EngineWeights]) -> Vec<usize> {
-    let mut planned = weights.to_vec();
     let engines = distinct(weights.iter().map(|held| held.engine.0));
     let models = distinct(weights.iter().map(|held| held.model.0));
-    let a_version = engines_a_version(engines, models);
+    loads(weights, engines, engines_a_version(engines, models))
+}
+
+/// The loads to order now if every engine is to have every version of its models.
+#[must_use]
+pub fn next_loads_of_all(weights: &[EngineWeights]) -> Vec<usize> {
+    let engines = distinct(weights.iter().map(|held| held.engine.0));
+    loads(weights, engines, engines)
+}
+
+/// The loads to order now, where `a_version` engines get each version.
+fn loads(weights: &[EngineWeights], engines: usize, a_version: usize) -> Vec<usize> {
+    let mut planned = weights.to_vec();
     let at_once = ((engines as f64 * LOADING_PART).round() as usize).max(1);
     let mut loads = Vec::new();
     while planned.iter().filter(|held| held.loading).count() < at_once {
