Idle nodes pause by the leaving time of the settings; an acceptance confirms its runner

A fixed pause of 0.8 s was chosen on sites where upstreams may get requests for 2 s after they leave; now it is 0.6 of that time. A head that a node has just written names it as the runner: the first question needs no read.

--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -83,11 +83,12 @@
 /// The process ends this long before it would be killed.
 const END_BEFORE_KILL: Duration = Duration::from_secs(1);
 
-/// Pause between two watches of the list of upstreams on a node that drafts nothing.
-/// Each load of weights changes an entry, and each answer to a watch costs a call: 168
-/// loads at 66 nodes are 11,000 calls, worked out, of 12,654 that were counted. Upstreams that leave must get
-/// no request 2 s later.
-const IDLE_PAUSE: Duration = Duration::from_millis(800);
+/// Pause between two watches of the list of upstreams on a node that drafts nothing, as a
+/// part of the time for which an upstream that leaves may get requests. Each load of weights
+/// changes an entry, and each answer to a watch costs a call: 168 loads at 66 nodes are
+/// 11,000 calls, worked out, of 12,654 that were counted. The rest of that time is for the
+/// watch and for a request that is on its way.
+const IDLE_PAUSE_PART: f64 = 0.6;
 
 /// Largest body of a store call that is made for another node: the store's values end
 /// at a megabyte.
@@ -254,7 +255,7 @@
     journal: &Journal,
 ) -> Sources {
     let is_on = Off::of(&settings.mechanisms_off).leaves(Mechanism::Seeds);
-    let relayed = is_on && settings.leaving_ms >= RELAY_FROM.as_millis() as u64;
+    let relayed = is_on && settings.leaving() >= RELAY_FROM;
     let own = settings.peer_listen;
     let is_seed = own.is_some_and(|own| settings.seeds.contains(&own));
     let seeds = settings.seeds.iter().copied();
@@ -477,11 +478,12 @@
     let (scoring, links) = (node.scoring.clone(), node.links.clone());
     let followed = Arc::clone(&list);
     let drafting = node.drafting.clone();
+    let idle_pause = base.settings.leaving().mul_f64(IDLE_PAUSE_PART);
     let how = move || Following {
         pause: if drafting.is_busy() {
             Duration::ZERO
         } else {
-            IDLE_PAUSE
+            idle_pause
         },
         ..Following::at_once()
     };
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -90,6 +90,12 @@
         Duration::from_secs_f64(self.grace_s.max(0.0))
     }
 
+    /// An upstream that leaves may get requests for this long.
+    #[must_use]
+    pub const fn leaving(&self) -> Duration {
+        Duration::from_millis(self.leaving_ms)
+    }
+
     /// Results of a submission stay readable for this long after it was accepted.
     #[must_use]
     pub fn keep_results(&self) -> Duration {
--- a/crates/node/src/submission/accept.rs
+++ b/crates/node/src/submission/accept.rs
@@ -1,6 +1,7 @@
 //! Accepting submissions: once, and kept whole in the store before a trainer hears of it.
 
 use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Bytes;
 use firweir::connection::server::Body;
@@ -188,10 +189,13 @@
         let id = submission.id.clone();
         let acceptance = match self.write_submission(host, path, &submission).await {
             Ok(head) => {
-                if let Some(head) = head {
+                if let Some((head, sent)) = head {
                     self.journal_accepted(&submission);
                     let clock = &*self.shared.clock;
-                    self.start(Board::new(id.clone(), head, submission.items, clock));
+                    let board = Board::new(id.clone(), head, submission.items, clock);
+                    // Its head names this node since then.
+                    board.confirm(sent);
+                    self.start(board);
                 }
                 Acceptance::Accepted
             }
@@ -221,13 +225,14 @@
         );
     }
 
-    /// Writes parts, then the head. `None` if another node had accepted it.
+    /// Writes parts, then the head; gives that, and when it was sent. `None` if another node
+    /// had accepted it.
     async fn write_submission(
         &self,
         host: String,
         path: String,
         submission: &Submission,
-    ) -> Result<Option<Head>, StoreError> {
+    ) -> Result<Option<(Head, Instant)>, StoreError> {
         let until = self.shared.clock.now() + ACCEPT_PATIENCE;
         let store = &self.shared.store;
         let parts = cut(submission.items.clone(), item_bytes);
@@ -260,9 +265,10 @@
             runner: self.shared.me.clone(),
             ended: false,
         };
+        let sent = self.shared.clock.now();
         let created = store
             .create(Kind::Submissions, &submission.id, &head, &head.write, until)
             .await?;
-        Ok((created == Created::Now).then_some(head))
+        Ok((created == Created::Now).then_some((head, sent)))
     }
 }
