Samples wait for events by the usual pause between them

Cause: fixed limits of 0.3, 0.7, 2 and 2.5 s were chosen on engines with an event each 50 ms. On engines with one each 3 s a sample was moved after 0.3 s, and moved on there: none ever got its second event (test fails without the change). Change: nothing counts as silent before two events have come from some engine; then limits grow with the usual pause, and a sample that heard nothing waits twice as long.

--- a/crates/node/src/draft_run.rs
+++ b/crates/node/src/draft_run.rs
@@ -20,13 +20,9 @@
 use crate::model::Upstream;
 use crate::submission::board::Board;
 
-/// A first event later than this means that the engine is dark or its queue long.
-/// Engines make a first event within some 100 ms, and 0.9 s later while they load.
-const FIRST_EVENT: Duration = Duration::from_millis(2_500);
-
-/// A pause between events longer than this means that the engine is dark: events
-/// come each 50 ms, a slow engine's each 200 ms, and loading takes 0.9 s and more.
-const NEXT_EVENT: Duration = Duration::from_secs(2);
+/// A first event may take this much longer than a next one: the prompt is read first, and
+/// the engine may have a queue.
+const FIRST_EVENT_FACTOR: f64 = 1.25;
 
 /// An event longer than this is no event.
 const EVENT_LIMIT_BYTES: usize = 1 << 20;
@@ -72,6 +68,8 @@
     pub(crate) upstream: &'a Upstream,
     /// A first event has come.
     pub(crate) started: bool,
+    /// How long a next event is waited for.
+    pub(crate) patience: Duration,
 }
 
 impl Reached {
@@ -108,7 +106,7 @@
             .shared
             .links
             .send(self.upstream.address, request);
-        let exchange = match tokio::time::timeout(FIRST_EVENT, sending).await {
+        let exchange = match tokio::time::timeout(self.first_patience(), sending).await {
             Ok(Ok(exchange)) => exchange,
             Ok(Err(LinkError::Refused)) => return Attempt::Broken("refused"),
             Ok(Err(LinkError::NotSent)) => return Attempt::Broken("not-sent"),
@@ -118,6 +116,10 @@
         self.read(exchange, reached).await
     }
 
+    fn first_patience(&self) -> Duration {
+        self.patience.mul_f64(FIRST_EVENT_FACTOR)
+    }
+
     async fn read(&mut self, exchange: Exchange, reached: &mut Reached) -> Attempt {
         let Exchange { answer, lease } = exchange;
         let (head, body) = answer.into_parts();
@@ -153,9 +155,9 @@
         let mut buffer = BytesMut::new();
         loop {
             let patience = if self.started {
-                NEXT_EVENT
+                self.patience
             } else {
-                FIRST_EVENT
+                self.first_patience()
             };
             let frame = match tokio::time::timeout(patience, body.frame()).await {
                 Ok(Some(Ok(frame))) => frame,
--- a/crates/node/src/drafting.rs
+++ b/crates/node/src/drafting.rs
@@ -66,6 +66,18 @@
     drafted: Option<Instant>,
     /// Runs so far.
     tries: u32,
+    /// Runs in a row that ended since nothing came.
+    silences: u32,
+    /// Tells the run to leave its engine.
+    leave: Arc<Notify>,
+}
+
+/// An engine for one run of one sample.
+#[derive(Debug)]
+struct Assigned {
+    upstream: Arc<Upstream>,
+    /// How long a next event is waited for.
+    patience: Duration,
     /// Tells the run to leave its engine.
     leave: Arc<Notify>,
 }
@@ -180,6 +192,7 @@
             first_start: None,
             drafted: None,
             tries: 0,
+            silences: 0,
             leave: Arc::default(),
         });
         self.go_on(state, key);
@@ -439,19 +452,24 @@
         };
         let job = &mut state.jobs[at];
         let (board, place) = (Arc::clone(&job.board), job.place);
+        let patience = state.placement.event_patience(job.silences);
         let reached = Reached {
             event: job.progress.last_event,
             versions: job.progress.versions.clone(),
             made: 0,
         };
         job.leave = Arc::default();
-        let leave = Arc::clone(&job.leave);
+        let assigned = Assigned {
+            upstream,
+            patience,
+            leave: Arc::clone(&job.leave),
+        };
         let drafting = self.clone();
         job.running = true;
         job.tries += 1;
         job.first_start.get_or_insert(now);
         drop(tokio::spawn(async move {
-            let drafted = drafting.draft(key, board, place, upstream, leave, reached);
+            let drafted = drafting.draft(key, board, place, assigned, reached);
             drafted.await;
         }));
     }
@@ -461,10 +479,14 @@
         key: DraftKey,
         board: Arc<Board>,
         place: usize,
-        upstream: Arc<Upstream>,
-        leave: Arc<Notify>,
+        assigned: Assigned,
         mut reached: Reached,
     ) {
+        let Assigned {
+            upstream,
+            patience,
+            leave,
+        } = assigned;
         let started = self.shared.clock.now();
         let mut run = Run {
             drafting: &self,
@@ -473,6 +495,7 @@
             item: &board.items[place],
             upstream: &upstream,
             started: false,
+            patience,
         };
         let attempt = tokio::select! {
             attempt = run.attempt(&mut reached) => attempt,
@@ -503,7 +526,14 @@
         let mut state = self.lock();
         state.placement.finish(ended, key, ending);
         if let Some(at) = state.job_at(key) {
-            state.jobs[at].running = false;
+            let silent = matches!(attempt, Attempt::Broken("silent" | "head-late"));
+            let job = &mut state.jobs[at];
+            job.running = false;
+            job.silences = match (silent, reached.made) {
+                (true, 0) => job.silences + 1,
+                (true, _) => job.silences.max(1),
+                (false, _) => 0,
+            };
             self.settle(&mut state, key, at, attempt);
         }
         drop(state);
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -102,10 +102,25 @@
 /// 40 to 60 ms, a slow engine's each 200 ms.
 const SILENT_AT_LEAST: Duration = Duration::from_millis(300);
 
-/// A sample without a first event is left there for this long: prompts are read in
-/// milliseconds, and samples queue only where a node does not know of the others'.
+/// A sample without a first event is left there for this long at least: prompts are read
+/// in milliseconds, and samples queue only where a node does not know of the others'.
 const FIRST_EVENT_WITHIN: Duration = Duration::from_millis(700);
 
+/// The same in usual pauses between events, for engines whose events take long.
+const FIRST_EVENT_PAUSES: f64 = 14.0;
+
+/// An engine from which nothing comes for so many usual pauses, and for
+/// [`EVENT_PATIENCE_LEAST`], is given up: a load of weights stands still for some twenty.
+const EVENT_PATIENCE_PAUSES: f64 = 40.0;
+
+/// Least time after which it is given up.
+const EVENT_PATIENCE_LEAST: Duration = Duration::from_secs(2);
+
+/// A sample that heard nothing waits twice as long at its next engine, up to so many
+/// doublings: before two events have come from any engine, nothing tells how long one
+/// takes, and a limit shorter than that would never let one come.
+const PATIENCE_DOUBLINGS: u32 = 6;
+
 /// A sample goes on at an engine that is faster by this factor. The move costs some
 /// 20 ms; a sample that has run for [`STAY_AT_LEAST`] is one of the long ones, which
 /// run for seconds.
@@ -283,6 +298,17 @@
         moved
     }
 
+    /// How long a sample waits for its next event, after so many engines from which it heard
+    /// nothing.
+    #[must_use]
+    pub fn event_patience(&self, silences: u32) -> Duration {
+        let usual = Duration::from_secs_f64(self.usual_event_s().unwrap_or_default());
+        let known = usual
+            .mul_f64(EVENT_PATIENCE_PAUSES)
+            .max(EVENT_PATIENCE_LEAST);
+        known * 2_u32.pow(silences.min(PATIENCE_DOUBLINGS))
+    }
+
     /// Samples that wait.
     #[must_use]
     pub fn waiting(&self) -> usize {
@@ -349,10 +375,16 @@
 impl Running {
     /// Nothing has come from it for longer than an engine that is well takes.
     fn is_silent(&self, now: Instant, usual_event_s: Option<f64>) -> bool {
+        // Nothing tells yet how long an event takes: on slow engines a sample that is moved
+        // for its silence would be moved on for ever.
+        let Some(usual_s) = usual_event_s else {
+            return false;
+        };
+        let usual = Duration::from_secs_f64(usual_s);
         let Some(last_event) = self.last_event else {
-            return now.duration_since(self.since) > FIRST_EVENT_WITHIN;
+            let patience = usual.mul_f64(FIRST_EVENT_PAUSES).max(FIRST_EVENT_WITHIN);
+            return now.duration_since(self.since) > patience;
         };
-        let usual = Duration::from_secs_f64(usual_event_s.unwrap_or_default());
         now.duration_since(last_event) > usual.mul_f64(SILENCE).max(SILENT_AT_LEAST)
     }
 
--- a/crates/policy/tests/placement.rs
+++ b/crates/policy/tests/placement.rs
@@ -169,3 +169,33 @@
     let look = placement.next_look(now).expect("a time to look again");
     assert!(placement.next(look).is_some());
 }
+
+/// On engines that make an event each three seconds no sample ever got its second one:
+/// each was taken for silent after 0.3 s, moved to the next engine, and moved on there.
+#[test]
+fn samples_of_a_slow_fleet_are_left_where_they_are() {
+    let now = Instant::now();
+    let after = |ms: u64| now + Duration::from_millis(ms);
+    let mut placement = Placement::default();
+    placement.set_engines((0..3).map(|key| engine(key, 2, 9_000, 1)).collect());
+    (0..2).for_each(|key| placement.offer(draft(key, 10, 1, key)));
+    assert_eq!(started(&mut placement, now).len(), 2);
+    let first_patience = placement.event_patience(0);
+    assert!(placement.event_patience(2) > first_patience, "it grows");
+    (0..2).for_each(|key| placement.note_event(after(100), DraftKey(key)));
+    assert_eq!(placement.moves(after(2_900)), [], "nothing is known yet");
+    for at_ms in [3_100, 6_100, 9_100] {
+        (0..2).for_each(|key| placement.note_event(after(at_ms), DraftKey(key)));
+    }
+    assert!(placement.event_patience(0) > Duration::from_secs(60));
+    placement.note_event(after(12_100), DraftKey(0));
+    assert_eq!(placement.moves(after(14_000)), [], "a usual pause");
+    for at_ms in (15_100..=30_100).step_by(3_000) {
+        placement.note_event(after(at_ms), DraftKey(0));
+    }
+    assert_eq!(
+        placement.moves(after(30_100)),
+        [DraftKey(1)],
+        "seven pauses"
+    );
+}
