--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -108,6 +108,15 @@
         self.upstreams.load_full()
     }
 
+    /// The upstream of a service that answers at an address.
+    #[must_use]
+    pub fn upstream_at(&self, service: &str, address: SocketAddr) -> Option<Arc<Upstream>> {
+        let upstreams = self.upstreams.load();
+        let mut upstreams = upstreams.iter();
+        let found = upstreams.find(|held| held.address == address && held.service == service);
+        found.map(Arc::clone)
+    }
+
     /// The newest version of each model that a trainer named.
     #[must_use]
     pub fn named(&self) -> Arc<Vec<ModelVersion>> {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,8 +7,10 @@
 
 pub mod detour;
 pub mod dialect;
+pub mod disk;
 mod draft_run;
 pub mod drafting;
+pub mod duty;
 pub mod engines;
 pub mod fleet;
 pub mod follow;
--- a/crates/node/src/live.rs
+++ b/crates/node/src/live.rs
@@ -255,10 +255,7 @@
         permit: Permit,
         last: bool,
     ) -> Try {
-        let upstreams = self.shared.fleet.upstreams();
-        let upstream = upstreams
-            .iter()
-            .find(|held| held.address == permit.address() && held.service == service);
+        let upstream = self.shared.fleet.upstream_at(service, permit.address());
         let remaining = call.patience_left(&*self.shared.clock);
         let Some(upstream) = upstream.filter(|_| !remaining.is_zero()) else {
             permit.finish(Ending::Unreachable, 0);
@@ -269,10 +266,10 @@
         } else {
             remaining.mul_f64(TRY_PART).max(TRY_LEAST).min(remaining)
         };
-        let request = self.upstream_request(call, upstream, remaining);
-        let sending = self.exchange(call, upstream, request, permit);
+        let request = self.upstream_request(call, &upstream, remaining);
+        let sending = self.exchange(call, &upstream, request, permit);
         let Some(outcome) = within(patience, sending).await else {
-            self.note_try(call, upstream, "late");
+            self.note_try(call, &upstream, "late");
             return Try::Unknown;
         };
         outcome
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -26,7 +26,6 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use quick_error::quick_error;
-use rand::Rng;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 
@@ -38,6 +37,7 @@
 use crate::dialect::Kind;
 use crate::dialect::RoutedCall;
 use crate::drafting::Drafting;
+use crate::duty::SystemBootClock;
 use crate::fleet::Fleet;
 use crate::fleet::UpstreamList;
 use crate::follow::Change;
@@ -70,7 +70,6 @@
 use crate::submission::records::Runner;
 use crate::submission::runners::PING_PATH;
 use crate::weights::HOLDER_PATH;
-use crate::weights::SystemBootClock;
 use crate::weights::Weights;
 use crate::weights::WeightsParts;
 
@@ -108,10 +107,6 @@
 /// Most of a client's own patience that this may take.
 const CONFIG_WAIT_PART: f64 = 0.25;
 
-/// Within this time a request to empty a VM is reported as done: it allows 8 s and more,
-/// and is known up to 3 s late.
-const REPORT_WITHIN: Duration = Duration::from_secs(1);
-
 /// Time between looks at time-bound decisions of live calls.
 const TICK_EVERY: Duration = Duration::from_millis(100);
 
@@ -155,22 +150,22 @@
 
 /// What both roles of a VM are built from.
 #[derive(Debug, Clone)]
-struct Base {
-    settings: NodeSettings,
+pub(crate) struct Base {
+    pub(crate) settings: NodeSettings,
     dialect: Arc<dyn Dialect>,
     clock: Arc<dyn Clock>,
-    journal: Journal,
+    pub(crate) journal: Journal,
     exposition: Exposition,
     links: Links,
-    store: Store,
+    pub(crate) store: Store,
     sources: Sources,
     net: SharedNet,
-    tasks: Tasks,
+    pub(crate) tasks: Tasks,
     off: Off,
 }
 
 impl Base {
-    fn new(settings: NodeSettings, dialect: Arc<dyn Dialect>) -> Self {
+    pub(crate) fn new(settings: NodeSettings, dialect: Arc<dyn Dialect>) -> Self {
         let clock: Arc<dyn Clock> = Arc::new(SystemClock);
         let exposition = Exposition::default();
         let journal = Journal::exposing(Arc::clone(&clock), &settings.node, exposition.clone());
@@ -207,7 +202,7 @@
         }
     }
 
-    fn follow(
+    pub(crate) fn follow(
         &self,
         kind: Kind,
         how: impl Fn() -> Following + Send + Sync + 'static,
@@ -218,7 +213,7 @@
     }
 
     /// Waits for SIGTERM; settings files that change are read again at a restart.
-    async fn until_terminated(&self) -> io::Result<()> {
+    pub(crate) async fn until_terminated(&self) -> io::Result<()> {
         let mut term = signal(SignalKind::terminate())?;
         let mut reload = signal(SignalKind::hangup())?;
         loop {
@@ -319,48 +314,8 @@
     Ok(())
 }
 
-/// Runs a node on a VM with a disk. No VM keeps anything there, so that requests to empty
-/// any of them are reported as done at once, be it another one: not every VM with a disk
-/// has a node.
-///
-/// # Errors
-///
-/// Signals cannot be taken.
-pub async fn run_disk(settings: NodeSettings, dialect: Arc<dyn Dialect>) -> Result<(), NodeError> {
-    let base = Base::new(settings, dialect);
-    serve_metrics(&base).await?;
-    let store = base.store.clone();
-    let journal = base.journal.clone();
-    let (asked, mut asking) = tokio::sync::mpsc::unbounded_channel();
-    base.follow(Kind::Evacuations, Following::seconds_late, move |change| {
-        let objects = match change {
-            Change::All(objects) => objects,
-            Change::Put(object) => vec![object],
-            Change::Gone(_) => return,
-        };
-        for object in objects {
-            if !object.reported {
-                // The receiver lives as long as the process.
-                drop(asked.send(object));
-            }
-        }
-    });
-    base.tasks.spawn(async move {
-        while let Some(object) = asking.recv().await {
-            // All such nodes hear of it at the same time, and one report is enough.
-            let spread = rand::rng().random_range(0.0..1.0);
-            tokio::time::sleep(REPORT_WITHIN.mul_f64(spread)).await;
-            report_evacuated(&store, &journal, &object.name).await;
-        }
-    });
-    base.journal.event("node_started", &[]);
-    base.until_terminated().await?;
-    base.journal.event("node_ended", &[]);
-    Ok(())
-}
-
 /// Serves counters and latencies as text, if the settings say where.
-async fn serve_metrics(base: &Base) -> io::Result<()> {
+pub(crate) async fn serve_metrics(base: &Base) -> io::Result<()> {
     let Some(at) = base.settings.metrics_listen else {
         return Ok(());
     };
@@ -375,25 +330,6 @@
     Ok(())
 }
 
-/// Reports a VM as empty, until the store has taken it.
-async fn report_evacuated(store: &Store, journal: &Journal, name: &str) {
-    loop {
-        let outcome = match store.read(Kind::Evacuations, name).await {
-            Ok(Some(object)) if !object.reported => {
-                let (name, revision) = (object.name, object.revision);
-                let report = crate::dialect::StoreCall::ReportEvacuated { name, revision };
-                store.call(&report).await.map(drop)
-            }
-            Ok(_) => return,
-            Err(error) => Err(error),
-        };
-        if let Err(error) = outcome {
-            journal.event("evacuation_unreported", &[("cause", &error)]);
-            tokio::time::sleep(Duration::from_millis(500)).await;
-        }
-    }
-}
-
 fn build(base: &Base, peer_listen: SocketAddr) -> Arc<Node> {
     let me = Runner {
         node: base.settings.node.clone(),
--- a/crates/node/src/scoring.rs
+++ b/crates/node/src/scoring.rs
@@ -182,16 +182,13 @@
             Ok(permit) => permit,
             Err(turned) => return Attempt::NotRun(turned.reason.as_str()),
         };
-        let upstreams = self.shared.fleet.upstreams();
-        let upstream = upstreams
-            .iter()
-            .find(|held| held.address == permit.address() && held.service == service);
+        let upstream = self.shared.fleet.upstream_at(service, permit.address());
         let Some(upstream) = upstream else {
             permit.finish(Ending::Unreachable, 0);
             return Attempt::NotRun("upstream-gone");
         };
         let key = permit.upstream();
-        let attempt = self.send(route, call, upstream, permit).await;
+        let attempt = self.send(route, call, &upstream, permit).await;
         if !matches!(attempt, Attempt::Answered(_)) && !avoid.contains(&key) {
             avoid.push(key);
         }
--- a/crates/node/src/weights.rs
+++ b/crates/node/src/weights.rs
@@ -33,10 +33,6 @@
 use http::Request;
 use http_body_util::Full;
 use rand::Rng;
-use rustix::time::ClockId;
-use rustix::time::clock_gettime;
-use serde::Deserialize;
-use serde::Serialize;
 
 use crate::dialect::Dialect;
 use crate::dialect::Kind;
@@ -44,6 +40,13 @@
 use crate::dialect::OrderAnswer;
 use crate::dialect::StoreError;
 use crate::dialect::WeightOrder;
+use crate::duty::Before;
+use crate::duty::BootClock;
+use crate::duty::Duty;
+use crate::duty::Found;
+use crate::duty::HolderAnswer;
+use crate::duty::VERIFIED_FOR;
+use crate::duty::wait_after;
 use crate::engines::Engine;
 use crate::engines::rollout_engines;
 use crate::fleet::Fleet;
@@ -65,17 +68,10 @@
 /// Path at which a node tells other nodes whether it can give orders.
 pub const HOLDER_PATH: &str = "/peer/weights-holder";
 
-/// Orders are given within this time of sending the read that showed the duty: long
-/// enough for a slow answer of the store, short beside the engines' lease.
-const VERIFIED_FOR: Duration = Duration::from_millis(900);
-
 /// Part of [`VERIFIED_FOR`] after which the holder reads again before it orders: the rest
 /// is for the report of an engine's orders, which takes some milliseconds.
 const READ_AGAIN_AT: f64 = 0.75;
 
-/// Added to what a new holder waits: timers fire late, and packets take time.
-const TAKE_OVER_MARGIN: Duration = Duration::from_millis(400);
-
 /// Time between looks at whether orders are due.
 const LOOK_EVERY: Duration = Duration::from_millis(200);
 
@@ -100,56 +96,6 @@
 /// An engine that did not answer an order, or refused it, is asked again after this.
 const ASK_AGAIN: Duration = Duration::from_millis(400);
 
-/// Time since the system started, a suspended VM's time included.
-pub trait BootClock: Send + Sync + std::fmt::Debug {
-    /// That time.
-    fn since_boot(&self) -> Duration;
-}
-
-/// The machine's clock.
-#[derive(Debug, Clone, Copy, Default)]
-pub struct SystemBootClock;
-
-impl BootClock for SystemBootClock {
-    fn since_boot(&self) -> Duration {
-        let time = clock_gettime(ClockId::Boottime);
-        Duration::new(time.tv_sec as u64, time.tv_nsec as u32)
-    }
-}
-
-/// The duty as it stands in the store.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-struct Duty {
-    /// Names the write that made this value.
-    write: String,
-    /// Who gives orders.
-    holder: Runner,
-    /// Grows with each change of the holder.
-    epoch: u64,
-}
-
-/// The duty as it was read.
-#[derive(Debug)]
-struct Found {
-    /// Revision of its object.
-    revision: u64,
-    /// `None` if another writer has made it unreadable.
-    duty: Option<Duty>,
-}
-
-impl Found {
-    fn holder(&self) -> Option<&Runner> {
-        self.duty.as_ref().map(|duty| &duty.holder)
-    }
-
-    /// The highest epoch that may have been given. Each epoch was one change of the
-    /// object and each change of any object raises the store's revision, so that no
-    /// epoch is above the revision.
-    fn epoch(&self) -> u64 {
-        self.duty.as_ref().map_or(self.revision, |duty| duty.epoch)
-    }
-}
-
 /// The duty while this node holds it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct Held {
@@ -160,43 +106,6 @@
     verified: Duration,
 }
 
-/// What a node that is asked for the duty says.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum HolderAnswer {
-    /// It holds the duty and the store answers it.
-    Able,
-    /// It orders no more under the epoch that it held.
-    Resigned {
-        /// Time since its last order; `None` if it gave none.
-        last_order_ms: Option<u64>,
-    },
-}
-
-/// What is known of the holder before.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Before {
-    /// No one held the duty, or an earlier process of this VM, which is gone.
-    Nobody,
-    /// It resigned; its last order is this old.
-    Resigned(Option<Duration>),
-    /// Its process is gone: nothing listens at its address.
-    Gone,
-    /// It was not reached. It may run, and order until its last read is too old.
-    Unreached,
-}
-
-/// How long a node waits before its first order after it has taken the duty.
-#[must_use]
-pub fn wait_after(before: Before, lease: Duration) -> Duration {
-    match before {
-        Before::Nobody | Before::Resigned(None) => Duration::ZERO,
-        Before::Resigned(Some(age)) => (lease + TAKE_OVER_MARGIN).saturating_sub(age),
-        Before::Gone => lease + TAKE_OVER_MARGIN,
-        Before::Unreached => VERIFIED_FOR + lease + TAKE_OVER_MARGIN,
-    }
-}
-
 /// One engine as far as orders go.
 #[derive(Debug, Clone)]
 struct Ordered {
