--- a/crates/node/src/drafting.rs
+++ b/crates/node/src/drafting.rs
@@ -13,35 +13,31 @@
 use firweir_policy::placement::DraftKey;
 use firweir_policy::placement::EngineState;
 use firweir_policy::placement::ModelKey;
-use firweir_policy::placement::Placement;
-use firweir_policy::step_order::Sample;
-use firweir_policy::step_order::ranks;
 use firweir_policy::work::UpstreamKey;
 use tokio::sync::Notify;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::dialect::StreamEvent;
+use crate::draft_jobs::Assigned;
+use crate::draft_jobs::FleetSeen;
+use crate::draft_jobs::Job;
+use crate::draft_jobs::State;
+use crate::draft_jobs::completed;
+use crate::draft_jobs::is_done;
+use crate::draft_jobs::ranks_of;
 use crate::draft_run::Attempt;
 use crate::draft_run::Reached;
 use crate::draft_run::Run;
 use crate::engines::rollout_engines;
-use crate::fleet::Fleet;
 use crate::mechanisms::Mechanism;
-use crate::model::Config;
-use crate::model::Instance;
-use crate::model::Item;
 use crate::model::ItemResult;
 use crate::model::ItemState;
-use crate::model::ModelVersion;
-use crate::model::Upstream;
 use crate::scoring::Scored;
 use crate::scoring::Scoring;
 use crate::shared::Shared;
 use crate::submission::board::Board;
 use crate::submission::records::Head;
 use crate::submission::records::TextPiece;
-use crate::submission::texts::KeptTexts;
-use crate::submission::texts::Progress;
 use crate::submission::texts::SavedText;
 
 /// Events from which a text is worth saving: shorter ones are made anew within 1.3 s.
@@ -50,82 +46,6 @@
 /// Time between looks at what nothing else wakes up for.
 const LOOK_EVERY: Duration = Duration::from_millis(250);
 
-#[derive(Debug)]
-struct Job {
-    key: DraftKey,
-    board: Arc<Board>,
-    place: usize,
-    /// Lowest first among those that wait.
-    rank: u64,
-    progress: Progress,
-    running: bool,
-    /// When it was first offered, and first started.
-    offered: Instant,
-    first_start: Option<Instant>,
-    /// When its text was whole.
-    drafted: Option<Instant>,
-    /// Runs so far.
-    tries: u32,
-    /// Runs in a row that ended since nothing came.
-    silences: u32,
-    /// Tells the run to leave its engine.
-    leave: Arc<Notify>,
-}
-
-/// An engine for one run of one sample.
-#[derive(Debug)]
-struct Assigned {
-    upstream: Arc<Upstream>,
-    /// How long a next event is waited for.
-    patience: Duration,
-    /// Tells the run to leave its engine.
-    leave: Arc<Notify>,
-}
-
-#[derive(Debug, Default)]
-struct State {
-    placement: Placement,
-    /// Sorted by key.
-    jobs: Vec<Job>,
-    /// Sorted by key.
-    engines: Vec<(UpstreamKey, Arc<Upstream>)>,
-    /// Sorted by instance. Never removed, so that a key names one instance.
-    keys: Vec<(Instance, UpstreamKey)>,
-    /// Sorted by service and model. Never removed either.
-    models: Vec<(String, ModelKey)>,
-    next_draft: u64,
-    /// What the engines were last taken from.
-    seen: Option<FleetSeen>,
-    config_version: u64,
-    kept: KeptTexts,
-}
-
-/// What a node knows of its fleet at one time. Samples end many times a second, and
-/// engines are only taken in again once this has changed.
-#[derive(Debug)]
-struct FleetSeen {
-    config: Arc<Config>,
-    upstreams: Arc<Vec<Arc<Upstream>>>,
-    named: Arc<Vec<ModelVersion>>,
-}
-
-impl FleetSeen {
-    fn of(fleet: &Fleet) -> Self {
-        Self {
-            config: fleet.config(),
-            upstreams: fleet.upstreams(),
-            named: fleet.named(),
-        }
-    }
-
-    /// Nothing was published in between: each of them is replaced whole.
-    fn is_same(&self, other: &Self) -> bool {
-        Arc::ptr_eq(&self.config, &other.config)
-            && Arc::ptr_eq(&self.upstreams, &other.upstreams)
-            && Arc::ptr_eq(&self.named, &other.named)
-    }
-}
-
 /// Drafts items; cheap to clone.
 #[derive(Debug, Clone)]
 pub struct Drafting {
@@ -645,78 +565,3 @@
         state.unwrap_or_else(PoisonError::into_inner)
     }
 }
-
-fn completed(item: &Item, progress: &Progress) -> ItemResult {
-    ItemResult {
-        item: item.id.clone(),
-        state: ItemState::Completed,
-        text: progress.events.join("\n"),
-        versions: progress.versions.clone(),
-        score: progress.score.as_ref().map(|score| score.proof.clone()),
-    }
-}
-
-/// The text is whole, and has the score that this item asks for: an item that comes again
-/// keeps its text, but may ask for another score.
-fn is_done(item: &Item, progress: &Progress) -> bool {
-    let held = progress.score.as_ref().map(|score| &score.call);
-    let scored = item.reward_call.is_none() || held == item.reward_call.as_ref();
-    progress.whole && scored
-}
-
-fn ranks_of(board: &Board, long_first: bool) -> Vec<u64> {
-    if !long_first {
-        return vec![board.head.accepted_ms; board.items.len()];
-    }
-    let mut groups: Vec<&str> = Vec::new();
-    let mut samples = Vec::new();
-    for item in &board.items {
-        // Items of one group stand together, so the last ones are looked at first.
-        let group = groups.iter().rposition(|group| *group == item.group);
-        let group = group.unwrap_or_else(|| {
-            groups.push(&item.group);
-            groups.len() - 1
-        });
-        samples.push(Sample {
-            group,
-            expected_tokens: item.expected_tokens,
-        });
-    }
-    let target = board.head.target_groups as usize;
-    ranks(&samples, target, board.head.accepted_ms)
-}
-
-impl State {
-    fn job_at(&self, key: DraftKey) -> Option<usize> {
-        self.jobs.binary_search_by_key(&key, |job| job.key).ok()
-    }
-
-    fn engine(&self, key: UpstreamKey) -> Option<Arc<Upstream>> {
-        let at = self.engines.binary_search_by_key(&key, |(held, _)| *held);
-        at.ok().map(|at| Arc::clone(&self.engines[at].1))
-    }
-
-    fn key_of(&mut self, instance: &Instance) -> UpstreamKey {
-        let found = self.keys.binary_search_by(|(held, _)| held.cmp(instance));
-        match found {
-            Ok(at) => self.keys[at].1,
-            Err(at) => {
-                let key = UpstreamKey(self.keys.len() as u32);
-                self.keys.insert(at, (instance.clone(), key));
-                key
-            }
-        }
-    }
-
-    fn model_key(&mut self, service: &str, model: &str) -> ModelKey {
-        let name = format!("{service}/{model}");
-        match self.models.binary_search_by(|(held, _)| held.cmp(&name)) {
-            Ok(at) => self.models[at].1,
-            Err(at) => {
-                let key = ModelKey(self.models.len() as u32);
-                self.models.insert(at, (name, key));
-                key
-            }
-        }
-    }
-}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod detour;
 pub mod dialect;
 pub mod disk;
+mod draft_jobs;
 mod draft_run;
 pub mod drafting;
 pub mod duty;
--- a/crates/node/src/scoring.rs
+++ b/crates/node/src/scoring.rs
@@ -231,32 +231,21 @@
                 return Attempt::Unusable;
             }
         };
-        let sending = self.shared.links.send(upstream.address, request);
-        match within(patience, async {
-            match sending.await {
-                Ok(exchange) => Ok(self.read(call, exchange).await),
-                Err(error) => Err(error),
-            }
-        })
-        .await
-        {
-            Some(Ok((attempt, ending, told))) => {
-                permit.finish_told(ending, told);
-                attempt
-            }
-            Some(Err(LinkError::Refused | LinkError::NotSent)) => {
-                permit.finish(Ending::Unreachable, 0);
-                Attempt::NotRun("not-sent")
-            }
-            Some(Err(LinkError::Broken | LinkError::Late)) => {
-                permit.finish(Ending::Failed, 0);
-                Attempt::Broken("no-answer")
-            }
-            None => {
-                permit.finish(Ending::Failed, 0);
-                Attempt::Broken("late")
+        let exchanging = async {
+            let exchange = self.shared.links.send(upstream.address, request).await?;
+            Ok(self.read(call, exchange).await)
+        };
+        let exchanged = within(patience, exchanging).await;
+        let (attempt, ending, told) = match exchanged.unwrap_or(Err(LinkError::Late)) {
+            Ok(read) => read,
+            Err(LinkError::Refused | LinkError::NotSent) => {
+                (Attempt::NotRun("not-sent"), Ending::Unreachable, None)
             }
-        }
+            Err(LinkError::Broken) => (Attempt::Broken("no-answer"), Ending::Failed, None),
+            Err(LinkError::Late) => (Attempt::Broken("late"), Ending::Failed, None),
+        };
+        permit.finish_told(ending, told);
+        attempt
     }
 
     /// Reads an answer to its end: how the attempt ended, what that says of the upstream,
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -128,8 +128,8 @@
 
 /// A sample stays this long before it is moved for speed, so that two estimates that
 /// change places do not send it back and forth, and short ones end where they are: each
-/// move opens a connection. With 0.8 s, 3,300 to 4,000 connections on heavy days of 48
-/// engines, with 1.4 s 2,700 to 3,500, and as many samples in time. It is the time on an
+/// move opens a connection. With 0.8 s, 3,300 to 4,000 connections in a minute of
+/// heavy load on 48 engines, with 1.4 s 2,700 to 3,500, and as many samples in time. It is the time on an
 /// engine that is slower by [`FASTER_FACTOR`]; on one three times slower it is 0.65 s.
 const STAY_AT_LEAST: Duration = Duration::from_millis(1_400);
 
--- a/crates/policy/src/waves.rs
+++ b/crates/policy/src/waves.rs
@@ -40,8 +40,7 @@
 
 /// Part of a model's equal share of the engines that gets each version, in quarters: all
 /// that the next step has at first. With half of it, items waited 2 s on a pool of four;
-/// with all of it, loads take longer than versions take to come. Mean worth of the first
-/// sites' heavy days: 0.61 with half, 0.64 so.
+/// with all of it, loads take longer than versions take to come.
 const VERSION_QUARTERS: usize = 3;
 
 /// Sets of engines that get a model's versions by turns.
