As many loads of weights at once as the weight store serves

Cause: a quarter of the pool loaded at once. Ruled out: a fixed number (the pool of two at a time would be swamped, a large store idle). Change: loads that end tell whether the next may be more or fewer; of a small pool a quarter loads as before.

--- a/crates/node/src/mechanisms.rs
+++ b/crates/node/src/mechanisms.rs
@@ -20,6 +20,8 @@
     Seeds,
     /// Each model has two sets of engines, which get its versions by turns.
     TwoSets,
+    /// Loads of weights at once follow how long loads take.
+    LoadLimit,
     /// Texts that are not listed yet are saved for the next runner.
     SavedTexts,
     /// Results wait for company before they are listed.
--- a/crates/node/src/weights.rs
+++ b/crates/node/src/weights.rs
@@ -25,9 +25,11 @@
 use firweir::connection::client::within;
 use firweir::process::clock::Clock;
 use firweir::process::log::Journal;
+use firweir_policy::load_limit::LoadLimit;
 use firweir_policy::placement::ModelKey;
 use firweir_policy::recurring::pause_after;
 use firweir_policy::waves::EngineWeights;
+use firweir_policy::waves::loads_at_most;
 use firweir_policy::waves::next_loads;
 use firweir_policy::waves::next_loads_of_all;
 use firweir_policy::work::UpstreamKey;
@@ -116,12 +118,19 @@
     accepted: Option<u64>,
     /// An order for this version is on its way.
     ordering: Option<ModelVersion>,
-    /// It accepted an order for this version.
-    loading: Option<ModelVersion>,
+    /// It accepted an order for this version, then.
+    loading: Option<Loading>,
     /// It is left alone until then, or its load has to show by then.
     until: Option<Instant>,
 }
 
+/// A load that an engine has accepted.
+#[derive(Debug, Clone)]
+struct Loading {
+    load: ModelVersion,
+    since: Instant,
+}
+
 /// Gives orders; cheap to clone.
 #[derive(Debug, Clone)]
 pub struct Weights {
@@ -172,6 +181,10 @@
     last_order: Option<Duration>,
     /// Sorted by instance.
     ordered: Vec<Ordered>,
+    /// Loads that may run at once, as far as those that ended tell.
+    limit: LoadLimit,
+    /// As many run as may.
+    full: bool,
     /// Versions at the engines when orders were last seen to be due.
     seen: u64,
     /// Since when orders are due and no engine has changed its weights.
@@ -473,11 +486,14 @@
         }
         let routes = &fleet.config().routes;
         let keep_running = !routes.iter().any(|route| route.single_version);
+        let at_once = self.loads_at_once(engines.len());
         let next = if self.shared.parts.off.leaves(Mechanism::TwoSets) {
-            next_loads(&weighed)
+            next_loads(&weighed, at_once)
         } else {
-            next_loads_of_all(&weighed)
+            next_loads_of_all(&weighed, at_once)
         };
+        let running = weighed.iter().filter(|held| held.loading).count();
+        self.lock().full = running + next.len() >= at_once;
         let due = next.into_iter().map(|place| {
             let (at, load) = &loads[place];
             Due {
@@ -489,9 +505,19 @@
         due.collect()
     }
 
+    fn loads_at_once(&self, engines: usize) -> usize {
+        let most = loads_at_most(engines);
+        if self.shared.parts.off.leaves(Mechanism::LoadLimit) {
+            self.lock().limit.at_once(most)
+        } else {
+            most
+        }
+    }
+
     /// Whether the engine loads this model, and whether it takes no order now.
     fn state_of(&self, upstream: &Upstream, load: &ModelVersion, now: Instant) -> (bool, bool) {
-        let mut state = self.lock();
+        let mut guard = self.lock();
+        let state = &mut *guard;
         let ordered = &mut state.ordered;
         let instance = &upstream.instance;
         let Ok(at) = ordered.binary_search_by(|held| held.instance.cmp(instance)) else {
@@ -502,15 +528,17 @@
             let version = upstream.version_of(&load.model);
             version.is_some_and(|version| version >= load.version)
         };
-        if held.loading.as_ref().is_some_and(has) {
-            held.loading = None;
+        if let Some(loaded) = held.loading.take_if(|loading| has(&loading.load)) {
             held.until = None;
+            let took = now.duration_since(loaded.since);
+            state.limit.ended(now, took, state.full);
         }
         let waits = held.until.is_some_and(|until| until > now);
         if !waits {
             held.loading = None;
         }
-        let loads = held.ordering.as_ref().or(held.loading.as_ref());
+        let loading = held.loading.as_ref().map(|loading| &loading.load);
+        let loads = held.ordering.as_ref().or(loading);
         (
             loads.is_some_and(|held| held.model == load.model),
             waits || loads.is_some(),
@@ -622,7 +650,10 @@
             match answer {
                 Ok(OrderAnswer::Accepted) => {
                     held.accepted = held.accepted.map(|accepted| accepted + 1);
-                    held.loading = Some(due.load.clone());
+                    held.loading = Some(Loading {
+                        load: due.load.clone(),
+                        since: now,
+                    });
                     held.until = Some(now + LOAD_SHOWS);
                 }
                 // The list of upstreams lags behind.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod lane;
 pub mod limit;
 pub mod listing;
+pub mod load_limit;
 pub mod pace;
 
 pub mod placement;
--- a/crates/policy/src/waves.rs
+++ b/crates/policy/src/waves.rs
@@ -22,7 +22,8 @@
 
 /// Engines that load at once, as a part of all: with two of twelve a load takes
 /// 0.9 s, and more slow each other down at the weight store. One more than that keeps
-/// the weight store busy while a load that has ended is not known yet.
+/// the weight store busy while a load that has ended is not known yet. More of a large
+/// pool than the weight store serves is up to [`crate::load_limit`].
 const LOADING_PART: f64 = 1.0 / 4.0;
 
 /// How far one engine is behind the named version of one model.
@@ -123,28 +124,33 @@
     pub unavailable: bool,
 }
 
-/// The loads to order now, as places in `weights`.
+/// Engines that may load at once by the size of the pool alone.
 #[must_use]
-pub fn next_loads(weights: &[EngineWeights]) -> Vec<usize> {
+pub fn loads_at_most(engines: usize) -> usize {
+    ((engines as f64 * LOADING_PART).round() as usize).max(1)
+}
+
+/// The loads to order now, as places in `weights`, so that `at_once` run at the most.
+#[must_use]
+pub fn next_loads(weights: &[EngineWeights], at_once: usize) -> Vec<usize> {
     let engines = distinct(weights.iter().map(|held| held.engine.0));
     let models = distinct(weights.iter().map(|held| held.model.0));
-    loads(weights, engines, engines_a_version(engines, models))
+    loads(weights, at_once, engines_a_version(engines, models))
 }
 
 /// The loads to order now if every engine is to have every version of its models.
 #[must_use]
-pub fn next_loads_of_all(weights: &[EngineWeights]) -> Vec<usize> {
+pub fn next_loads_of_all(weights: &[EngineWeights], at_once: usize) -> Vec<usize> {
     let engines = distinct(weights.iter().map(|held| held.engine.0));
-    loads(weights, engines, engines)
+    loads(weights, at_once, engines)
 }
 
 /// The loads to order now, where `a_version` engines get each version.
 ///
 /// Each model's candidates are sorted once and each load moves its counts by one: with a
 /// look at every other pair for each candidate, 3,000 engines took 10^10 steps a look.
-fn loads(weights: &[EngineWeights], engines: usize, a_version: usize) -> Vec<usize> {
+fn loads(weights: &[EngineWeights], at_once: usize, a_version: usize) -> Vec<usize> {
     let mut plan = Plan::of(weights);
-    let at_once = ((engines as f64 * LOADING_PART).round() as usize).max(1);
     let mut loads = Vec::new();
     while plan.loading < at_once {
         let Some(at) = plan.next(weights, a_version) else {
--- a/crates/policy/tests/waves.rs
+++ b/crates/policy/tests/waves.rs
@@ -8,6 +8,7 @@
 use firweir_policy::waves::EngineWeights;
 use firweir_policy::waves::Lag;
 use firweir_policy::waves::assign;
+use firweir_policy::waves::loads_at_most;
 use firweir_policy::waves::next_loads;
 use firweir_policy::work::UpstreamKey;
 use proptest::prelude::*;
@@ -71,7 +72,7 @@
             unavailable: case.unavailable.contains(&at),
         };
         let engines: Vec<_> = case.versions.into_iter().enumerate().map(engine).collect();
-        let loads = next_loads(&engines);
+        let loads = next_loads(&engines, loads_at_most(12));
         assert_eq!(loads, case.loads, "{}", case.name);
     }
 }
@@ -148,7 +149,7 @@
     }
     let mut loaded = Vec::new();
     loop {
-        let loads = next_loads(&weights);
+        let loads = next_loads(&weights, loads_at_most(6));
         let Some(first) = loads.first() else {
             break;
         };
@@ -181,7 +182,7 @@
         add(engine + 6, 1, 3);
         add(engine + 9, 1, 3);
     }
-    let loads = next_loads(&weights);
+    let loads = next_loads(&weights, loads_at_most(12));
     let models: Vec<u32> = loads.iter().map(|at| weights[*at].model.0).collect();
     assert_eq!(models, [1, 1, 1]);
 }
@@ -292,8 +293,8 @@
         models.sort_unstable();
         models.dedup();
         let share = engines.len().div_ceil(models.len());
-        let at_once = ((engines.len() as f64 / 4.0).round() as usize).max(1);
+        let at_once = loads_at_most(engines.len());
         let expected = loads_by_rule(&weights, at_once, (share * 3).div_ceil(4));
-        prop_assert_eq!(next_loads(&weights), expected);
+        prop_assert_eq!(next_loads(&weights, at_once), expected);
     }
 }
