Settings that change come into force without a restart, or say that they wait for one

Cause: a SIGHUP was logged and nothing else; a change without a signal went unseen until the next restart. A malformed file is refused with file and key, once. The tests failed before, as there was nothing to take a file in.

--- a/crates/firweir/src/process/log.rs
+++ b/crates/firweir/src/process/log.rs
@@ -194,7 +194,6 @@
 
 /// As [`start_logging`], to any writer.
 pub fn start_logging_to(level: &str, writer: impl io::Write + Send + 'static) {
-    let level = LevelFilter::from_str(level).unwrap_or(LevelFilter::Info);
     let config = ConfigBuilder::new()
         .set_time_level(LevelFilter::Off)
         .set_max_level(LevelFilter::Off)
@@ -203,5 +202,16 @@
         .set_location_level(LevelFilter::Off)
         .add_filter_allow_str("firweir")
         .build();
-    drop(simplelog::WriteLogger::init(level, config, writer));
+    // The logger itself takes every event, so that another level can come into force.
+    drop(simplelog::WriteLogger::init(
+        LevelFilter::Trace,
+        config,
+        writer,
+    ));
+    set_log_level(level);
+}
+
+/// Logs from this level on; an unknown one counts as `info`.
+pub fn set_log_level(level: &str) {
+    log::set_max_level(LevelFilter::from_str(level).unwrap_or(LevelFilter::Info));
 }
--- a/crates/node/src/detour.rs
+++ b/crates/node/src/detour.rs
@@ -46,6 +46,7 @@
 
 #[derive(Debug, Default)]
 struct State {
+    nodes: Vec<SocketAddr>,
     /// Calls go through this node until then.
     through: Option<(SocketAddr, Instant)>,
     /// Nodes that are not tried before then.
@@ -57,7 +58,6 @@
 /// Which way calls of the store take; cheap to clone.
 #[derive(Debug, Clone, Default)]
 pub struct Detour {
-    nodes: Arc<[SocketAddr]>,
     state: Arc<Mutex<State>>,
 }
 
@@ -65,10 +65,14 @@
     /// Detours through these nodes.
     #[must_use]
     pub fn new(nodes: Vec<SocketAddr>) -> Self {
-        Self {
-            nodes: nodes.into(),
-            state: Arc::default(),
-        }
+        let detour = Self::default();
+        detour.set_nodes(nodes);
+        detour
+    }
+
+    /// Other nodes from now on.
+    pub fn set_nodes(&self, nodes: Vec<SocketAddr>) {
+        self.lock().nodes = nodes;
     }
 
     /// The node that this call goes through, if any.
@@ -94,11 +98,11 @@
         if let Some(node) = worked.filter(|node| !is_left_alone(node)) {
             return Some(node);
         }
-        let count = self.nodes.len();
+        let count = state.nodes.len();
         let mut places = (1..=count).map(|step| (state.next + step) % count);
-        let place = places.find(|place| !is_left_alone(&self.nodes[*place]))?;
+        let place = places.find(|place| !is_left_alone(&state.nodes[*place]))?;
         state.next = place;
-        Some(self.nodes[place])
+        Some(state.nodes[place])
     }
 
     /// A call through this node was answered.
@@ -119,7 +123,7 @@
         match failure {
             DetourFailure::NoAnswer => state.left_alone.push((node, until)),
             DetourFailure::TurnedAway => {
-                let all = self.nodes.iter().map(|node| (*node, until));
+                let all: Vec<_> = state.nodes.iter().map(|node| (*node, until)).collect();
                 state.left_alone.extend(all);
             }
         }
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use arc_swap::ArcSwap;
 use bytes::Bytes;
 use firweir::process::clock::Clock;
 use firweir::process::log::Journal;
@@ -117,6 +118,40 @@
     }
 }
 
+/// Nodes that pass on what the store shows; cheap to clone.
+#[derive(Debug, Clone, Default)]
+pub struct Seeds {
+    now: Arc<ArcSwap<SeedsNow>>,
+}
+
+/// Seeds as they are now.
+#[derive(Debug, Clone, Default)]
+pub struct SeedsNow {
+    /// Seeds to ask, without this node; none where the store is always asked.
+    pub asked: Vec<SocketAddr>,
+    /// This node is a seed that others ask.
+    pub is_seed: bool,
+}
+
+impl Seeds {
+    /// Other seeds from now on.
+    pub fn set(&self, now: SeedsNow) {
+        self.now.store(Arc::new(now));
+    }
+
+    /// The seeds now.
+    #[must_use]
+    pub fn now(&self) -> Arc<SeedsNow> {
+        self.now.load_full()
+    }
+
+    /// One of the seeds, by turns.
+    fn turn(&self, turn: usize) -> Option<SocketAddr> {
+        let asked = &self.now.load().asked;
+        asked.get(turn.checked_rem(asked.len())?).copied()
+    }
+}
+
 /// Where kinds are followed from; cheap to clone.
 #[derive(Debug, Clone)]
 pub struct Sources {
@@ -124,10 +159,8 @@
     pub store: Store,
     /// Connections to seeds.
     pub links: Links,
-    /// Seeds to ask, without this node; none where the store is always asked.
-    pub seeds: Arc<[SocketAddr]>,
-    /// This node is a seed that others ask.
-    pub is_seed: bool,
+    /// Seeds to ask, and whether others ask this node.
+    pub seeds: Seeds,
     /// What this node passes on.
     pub relay: Arc<Relay>,
     /// What this node wants to know of upstreams.
@@ -177,7 +210,7 @@
     how: impl Fn() -> Following,
     mut take: impl FnMut(Vec<Change>),
 ) {
-    let next_seed = rand::rng().random_range(0..sources.seeds.len().max(1));
+    let next_seed = rand::rng().random_range(0..sources.seeds.now().asked.len().max(1));
     let wanted = sources.interest.wanted();
     let mut follower = Follower {
         wanted,
@@ -218,10 +251,9 @@
     /// The first answer of a seed; waited for for a while.
     async fn await_seeds(&mut self) -> Option<Update> {
         let until = self.sources.clock.now() + SEEDS_START;
-        let name = name_of(self.kind).filter(|_| !self.sources.seeds.is_empty())?;
+        let name = name_of(self.kind)?;
         while self.sources.clock.now() < until {
-            let seeds = &self.sources.seeds;
-            let seed = seeds[self.next_seed % seeds.len()];
+            let seed = self.sources.seeds.turn(self.next_seed)?;
             let passing = self.ask_seed(seed, name).await;
             if self.take_interest() {
                 continue;
@@ -254,9 +286,8 @@
         if self.seeds_after.is_some_and(|after| after > now) {
             return None;
         }
-        for _ in 0..self.sources.seeds.len() {
-            let seeds = &self.sources.seeds;
-            let seed = seeds[self.next_seed % seeds.len()];
+        for _ in 0..self.sources.seeds.now().asked.len() {
+            let seed = self.sources.seeds.turn(self.next_seed)?;
             let passing = self.ask_seed(seed, name).await;
             // What came is the answer to another question.
             if self.take_interest() {
@@ -332,7 +363,7 @@
                 .event("store_regained", &[("kind", &kind)]);
         }
         let now = self.sources.clock.now();
-        if self.sources.is_seed {
+        if self.sources.seeds.now().is_seed {
             let (relay, changes) = (&self.sources.relay, &update.changes);
             let facet_of = |object: &Object| self.facet_of(object);
             relay.keep(now, self.kind, update.revision, changes, facet_of);
@@ -351,8 +382,9 @@
     }
 
     async fn watch(&self, since: u64, how: Following) -> Result<Update, StoreError> {
-        let is_seed = self.sources.is_seed && name_of(self.kind).is_some();
-        let many = !self.sources.seeds.is_empty();
+        let seeds = self.sources.seeds.now();
+        let is_seed = seeds.is_seed && name_of(self.kind).is_some();
+        let many = !seeds.asked.is_empty();
         let pause = if is_seed { how.seed_pause } else { how.pause };
         tokio::time::sleep(pause).await;
         // Others trust what a seed passes on. Homes of models may be old for them too.
--- a/crates/node/src/interest.rs
+++ b/crates/node/src/interest.rs
@@ -34,7 +34,7 @@
 }
 
 /// What one node wants to know; its parts tell what they do.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct Interest {
     state: Mutex<State>,
     changed: Notify,
@@ -44,30 +44,17 @@
 struct State {
     /// When it last drafted.
     drafted: Option<Instant>,
-    always_all: bool,
+    /// It follows the store itself.
+    follows_store: bool,
     /// It may order weights.
     orders: bool,
     /// Sorted.
     services: Vec<u64>,
-    /// One of the two asks for everything.
+    /// One of these asks for everything.
     wants_all: bool,
 }
 
 impl Interest {
-    /// Nothing is wanted yet; everything always is by a node that follows the store itself.
-    #[must_use]
-    pub fn new(always_all: bool) -> Self {
-        let state = State {
-            always_all,
-            wants_all: always_all,
-            ..State::default()
-        };
-        Self {
-            state: Mutex::new(state),
-            changed: Notify::new(),
-        }
-    }
-
     /// What is wanted now.
     #[must_use]
     pub fn wanted(&self) -> Wanted {
@@ -103,6 +90,13 @@
         }
     }
 
+    /// Whether the node follows the store itself, which shows everything.
+    pub fn take_follows_store(&self, now: Instant, follows_store: bool) {
+        let mut state = self.lock();
+        state.follows_store = follows_store;
+        self.settle(now, state);
+    }
+
     /// Whether the node drafts now.
     pub fn take_drafting(&self, now: Instant, drafts: bool) {
         let mut state = self.lock();
@@ -126,7 +120,7 @@
 
     fn settle(&self, now: Instant, mut state: MutexGuard<'_, State>) {
         let drafted = state.drafted.is_some_and(|at| now < at + KEEPS_ALL);
-        let wants_all = state.always_all || drafted || state.orders;
+        let wants_all = state.follows_store || drafted || state.orders;
         if state.wants_all != wants_all {
             state.wants_all = wants_all;
             drop(state);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod node;
 pub mod outage;
 pub mod relay;
+pub mod reload;
 pub mod respond;
 pub mod scoring;
 pub mod settings;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -42,9 +42,10 @@
 use crate::fleet::UpstreamList;
 use crate::follow::Change;
 use crate::follow::Following;
+use crate::follow::Seeds;
+use crate::follow::SeedsNow;
 use crate::follow::Sources;
 use crate::follow::follow;
-use crate::interest::Interest;
 use crate::link::Links;
 use crate::live::Live;
 use crate::mechanisms::Mechanism;
@@ -56,6 +57,9 @@
 use crate::relay::RELAY_PATH;
 use crate::relay::Relay;
 use crate::relay::kind_of;
+use crate::reload;
+use crate::reload::InForce;
+use crate::reload::Reload;
 use crate::respond::Outcome;
 use crate::respond::empty;
 use crate::respond::refusal;
@@ -158,7 +162,10 @@
 /// What both roles of a VM are built from.
 #[derive(Debug, Clone)]
 pub(crate) struct Base {
+    /// Settings of the start.
     pub(crate) settings: NodeSettings,
+    in_force: InForce,
+    detour: Detour,
     dialect: Arc<dyn Dialect>,
     clock: Arc<dyn Clock>,
     pub(crate) journal: Journal,
@@ -179,6 +186,7 @@
         let links = Links::new(Arc::clone(&clock));
         let start_ms = clock.since_epoch().as_millis();
         let writer = format!("{}-{start_ms}-{:08x}", settings.node, rand::random::<u32>());
+        let detour = Detour::new(detour_nodes(&settings));
         let store = Store::new(
             Arc::clone(&dialect),
             links.clone(),
@@ -186,18 +194,30 @@
             Arc::clone(&clock),
             journal.clone(),
             &writer,
-            detour(&settings),
+            detour.clone(),
         );
-        let sources = sources(&settings, &store, &links, &dialect, &clock, &journal);
+        let sources = Sources {
+            store: store.clone(),
+            links: links.clone(),
+            seeds: Seeds::default(),
+            relay: Arc::default(),
+            interest: Arc::default(),
+            dialect: Arc::clone(&dialect),
+            outage: Outage::default(),
+            clock: Arc::clone(&clock),
+            journal: journal.clone(),
+        };
         let off = Off::of(&settings.mechanisms_off);
         if !settings.mechanisms_off.is_empty() {
             let names = format_args!("{:?}", settings.mechanisms_off);
             journal.event("mechanisms_off", &[("names", &names)]);
         }
-        Self {
+        let base = Self {
             off,
             exposition,
             sources,
+            detour,
+            in_force: InForce::new(settings.clone()),
             settings,
             dialect,
             clock,
@@ -206,7 +226,20 @@
             store,
             net: Arc::new(TcpNet),
             tasks: Tasks::new(),
-        }
+        };
+        base.take_seeds();
+        base
+    }
+
+    /// Goes by the seeds of the settings in force.
+    fn take_seeds(&self) {
+        let settings = self.in_force.now();
+        self.detour.set_nodes(detour_nodes(&settings));
+        let seeds = seeds_now(&settings);
+        let follows_store = seeds.asked.is_empty();
+        self.sources.seeds.set(seeds);
+        let interest = &self.sources.interest;
+        interest.take_follows_store(self.clock.now(), follows_store);
     }
 
     pub(crate) fn follow(
@@ -219,14 +252,19 @@
             .spawn(follow(self.sources.clone(), kind, how, take));
     }
 
-    /// Waits for SIGTERM; settings files that change are read again at a restart.
+    /// Waits for SIGTERM, and takes in settings that change meanwhile.
     pub(crate) async fn until_terminated(&self) -> io::Result<()> {
         let mut term = signal(SignalKind::terminate())?;
-        let mut reload = signal(SignalKind::hangup())?;
+        let mut hang_up = signal(SignalKind::hangup())?;
+        let mut reload = Reload::new(self.in_force.clone(), self.journal.clone());
         loop {
             tokio::select! {
                 _ = term.recv() => break,
-                _ = reload.recv() => self.journal.event("settings_signalled", &[]),
+                _ = hang_up.recv() => self.journal.event("settings_signalled", &[]),
+                () = tokio::time::sleep(reload::LOOK_EVERY) => {}
+            }
+            if reload.look() {
+                self.take_seeds();
             }
         }
         self.journal.event("drain_started", &[]);
@@ -235,47 +273,28 @@
     }
 }
 
-/// Seeds, without this node.
-fn detour(settings: &NodeSettings) -> Detour {
+/// Nodes through which calls of the store may go: the seeds without this node.
+fn detour_nodes(settings: &NodeSettings) -> Vec<SocketAddr> {
     let own = settings.peer_listen;
     let is_on = Off::of(&settings.mechanisms_off).leaves(Mechanism::Detour);
     let seeds = settings.seeds.iter().copied().filter(|_| is_on);
-    Detour::new(
-        seeds
-            .filter(|seed| own.is_some_and(|own| own != *seed))
-            .collect(),
-    )
+    seeds
+        .filter(|seed| own.is_some_and(|own| own != *seed))
+        .collect()
 }
 
 /// Where this node follows the store: from seeds only where upstreams that leave may
 /// get requests for as long as a dead seed goes unnoticed.
-fn sources(
-    settings: &NodeSettings,
-    store: &Store,
-    links: &Links,
-    dialect: &Arc<dyn Dialect>,
-    clock: &Arc<dyn Clock>,
-    journal: &Journal,
-) -> Sources {
+fn seeds_now(settings: &NodeSettings) -> SeedsNow {
     let is_on = Off::of(&settings.mechanisms_off).leaves(Mechanism::Seeds);
     let relayed = is_on && settings.leaving() >= RELAY_FROM;
     let own = settings.peer_listen;
     let is_seed = own.is_some_and(|own| settings.seeds.contains(&own));
     let seeds = settings.seeds.iter().copied();
-    let seeds = seeds.filter(|_| relayed && !is_seed && own.is_some());
-    let seeds: Arc<[SocketAddr]> = seeds.collect();
-    let interest = Interest::new(seeds.is_empty());
-    Sources {
-        store: store.clone(),
-        links: links.clone(),
-        seeds,
+    let asked = seeds.filter(|_| relayed && !is_seed && own.is_some());
+    SeedsNow {
+        asked: asked.collect(),
         is_seed: relayed && is_seed,
-        relay: Arc::default(),
-        interest: Arc::new(interest),
-        dialect: Arc::clone(dialect),
-        outage: Outage::default(),
-        clock: Arc::clone(clock),
-        journal: journal.clone(),
     }
 }
 
@@ -376,14 +395,14 @@
         drafting: drafting.clone(),
         homes: homes.clone(),
         outage: base.sources.outage.clone(),
-        keep_results: base.settings.keep_results(),
+        settings: base.in_force.clone(),
         off: base.off,
         clock: Arc::clone(clock),
         journal: journal.clone(),
     });
     let weights = Weights::new(WeightsParts {
         me,
-        lease: base.settings.lease(),
+        settings: base.in_force.clone(),
         fleet: Arc::clone(&fleet),
         interest: Arc::clone(&base.sources.interest),
         store: base.store.clone(),
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -28,8 +28,11 @@
 }
 
 /// Settings of one node.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Deserialize)]
 pub struct NodeSettings {
+    /// The file that they were read from.
+    #[serde(skip)]
+    pub path: PathBuf,
     /// Name of the VM.
     pub node: String,
     /// Its availability zone.
@@ -80,8 +83,44 @@
     pub fn load(path: &Path) -> Result<Self, SettingsError> {
         let text = std::fs::read(path)
             .map_err(|error| SettingsError::Unreadable(path.to_owned(), error))?;
-        serde_json::from_slice(&text)
-            .map_err(|error| SettingsError::Malformed(path.to_owned(), error))
+        let settings: Self = serde_json::from_slice(&text)
+            .map_err(|error| SettingsError::Malformed(path.to_owned(), error))?;
+        Ok(Self {
+            path: path.to_owned(),
+            ..settings
+        })
+    }
+
+    /// The keys whose values differ, in the order in which they stand here.
+    #[must_use]
+    pub fn keys_that_differ(&self, other: &Self) -> Vec<&'static str> {
+        let differ = [
+            ("node", self.node != other.node),
+            ("zone", self.zone != other.zone),
+            ("store", self.store != other.store),
+            ("client_listen", self.client_listen != other.client_listen),
+            ("ready_listen", self.ready_listen != other.ready_listen),
+            ("peer_listen", self.peer_listen != other.peer_listen),
+            ("seeds", self.seeds != other.seeds),
+            ("leaving_ms", self.leaving_ms != other.leaving_ms),
+            ("grace_s", self.grace() != other.grace()),
+            (
+                "keep_results_s",
+                self.keep_results() != other.keep_results(),
+            ),
+            ("lease_ms", self.lease_ms != other.lease_ms),
+            (
+                "metrics_listen",
+                self.metrics_listen != other.metrics_listen,
+            ),
+            (
+                "mechanisms_off",
+                self.mechanisms_off != other.mechanisms_off,
+            ),
+            ("log_level", self.log_level != other.log_level),
+        ];
+        let differ = differ.into_iter().filter(|(_, differs)| *differs);
+        differ.map(|(key, _)| key).collect()
     }
 
     /// Time from SIGTERM to SIGKILL.
--- a/crates/node/src/submission/desk.rs
+++ b/crates/node/src/submission/desk.rs
@@ -34,6 +34,7 @@
 use crate::mechanisms::Mechanism;
 use crate::mechanisms::Off;
 use crate::outage::Outage;
+use crate::reload::InForce;
 use crate::respond::Outcome;
 use crate::respond::empty;
 use crate::respond::reason_of;
@@ -126,7 +127,7 @@
     pub(in crate::submission) links: Links,
     pub(in crate::submission) homes: Homes,
     pub(in crate::submission) heads: Heads,
-    pub(in crate::submission) keep_results: Duration,
+    pub(in crate::submission) settings: InForce,
     pub(in crate::submission) off: Off,
     pub(in crate::submission) clock: Arc<dyn Clock>,
     pub(in crate::submission) journal: Journal,
@@ -156,8 +157,8 @@
     pub homes: Homes,
     /// Whether the store turns this node away.
     pub outage: Outage,
-    /// Results stay readable for this long after a submission was accepted.
-    pub keep_results: Duration,
+    /// Settings, with how long results stay readable.
+    pub settings: InForce,
     /// Mechanisms that are switched off.
     pub off: Off,
     /// The clock.
@@ -181,7 +182,7 @@
             drafting: parts.drafting,
             homes: parts.homes,
             outage: parts.outage,
-            keep_results: parts.keep_results,
+            settings: parts.settings,
             off: parts.off,
             clock: parts.clock,
             journal: parts.journal,
--- a/crates/node/src/submission/removal.rs
+++ b/crates/node/src/submission/removal.rs
@@ -15,7 +15,7 @@
 impl Desk {
     /// Removes a submission from the store once its results need no longer be read.
     pub(in crate::submission) async fn clean_up(self, board: Arc<Board>) {
-        let due = board.started() + self.shared.keep_results;
+        let due = board.started() + self.shared.settings.now().keep_results();
         loop {
             if board.is_given_up() {
                 return;
--- a/crates/node/src/weights.rs
+++ b/crates/node/src/weights.rs
@@ -62,6 +62,7 @@
 use crate::model::ModelVersion;
 use crate::model::Upstream;
 use crate::outage::Outage;
+use crate::reload::InForce;
 use crate::store::Created;
 use crate::store::Store;
 use crate::submission::records::Runner;
@@ -142,8 +143,8 @@
 pub struct WeightsParts {
     /// This node.
     pub me: Runner,
-    /// The engines' lease.
-    pub lease: Duration,
+    /// Settings, with the engines' lease.
+    pub settings: InForce,
     /// What is known of engines and versions.
     pub fleet: Arc<Fleet>,
     /// What this node wants to know of upstreams.
@@ -441,7 +442,7 @@
         if !taken {
             return;
         }
-        let wait = wait_after(before, parts.lease);
+        let wait = wait_after(before, parts.settings.now().lease());
         self.event(
             "orders_taken",
             &[
--- /dev/null
+++ b/crates/node/tests/reload.rs
@@ -0,0 +1,130 @@
+//! Settings that change while a node runs.
+
+use std::path::Path;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+use firweir::process::clock::RuntimeClock;
+use firweir::process::log::Journal;
+use firweir_node::reload::InForce;
+use firweir_node::reload::Reload;
+use firweir_node::settings::NodeSettings;
+
+/// A settings file that is removed with it.
+struct File(PathBuf);
+
+impl Drop for File {
+    fn drop(&mut self) {
+        // A file that is left behind harms nothing.
+        drop(std::fs::remove_file(&self.0));
+    }
+}
+
+impl File {
+    fn new(name: &str) -> Self {
+        let file = format!("firweir-reload-{}-{name}.json", std::process::id());
+        Self(std::env::temp_dir().join(file))
+    }
+
+    fn write(&self, text: &str) -> &Path {
+        std::fs::write(&self.0, text).expect("a settings file can be written");
+        &self.0
+    }
+}
+
+fn text(seed: &str, lease_ms: u64, grace_s: u64) -> String {
+    format!(
+        r#"{{"node": "vm-1", "zone": "z1", "store": "127.0.0.1:1", "leaving_ms": 2000,
+        "grace_s": {grace_s}, "keep_results_s": 120, "lease_ms": {lease_ms},
+        "seeds": ["{seed}"]}}"#
+    )
+}
+
+fn started(file: &File) -> (InForce, Reload) {
+    let settings = NodeSettings::load(file.write(&text("127.0.0.1:2", 3_000, 8)));
+    let in_force = InForce::new(settings.expect("the file is whole"));
+    let clock = Arc::new(RuntimeClock::starting_at(Duration::from_secs(1)));
+    let journal = Journal::new(clock, "vm-1", None).expect("no metrics, no port");
+    (in_force.clone(), Reload::new(in_force, journal))
+}
+
+struct Case {
+    name: &'static str,
+    text: String,
+    /// Something else is in force then.
+    taken: bool,
+    seed: &'static str,
+    lease_ms: u64,
+    grace_s: f64,
+}
+
+/// An operator replaced the seeds and signalled every node. The nodes went on asking seeds
+/// that were gone, each waited out its limits, and the store had the calls of all of them.
+/// A file that is half written, or malformed, changes nothing.
+#[tokio::test]
+async fn what_a_changed_file_puts_in_force() {
+    let cases = [
+        Case {
+            name: "nothing new",
+            text: text("127.0.0.1:2", 3_000, 8),
+            taken: false,
+            seed: "127.0.0.1:2",
+            lease_ms: 3_000,
+            grace_s: 8.0,
+        },
+        Case {
+            name: "another seed",
+            text: text("127.0.0.1:3", 3_000, 8),
+            taken: true,
+            seed: "127.0.0.1:3",
+            lease_ms: 3_000,
+            grace_s: 8.0,
+        },
+        Case {
+            name: "half a file",
+            text: text("127.0.0.1:4", 9_000, 8)[..80].to_owned(),
+            taken: false,
+            seed: "127.0.0.1:3",
+            lease_ms: 3_000,
+            grace_s: 8.0,
+        },
+        Case {
+            name: "a key of the wrong type",
+            text: text("127.0.0.1", 9_000, 8),
+            taken: false,
+            seed: "127.0.0.1:3",
+            lease_ms: 3_000,
+            grace_s: 8.0,
+        },
+        Case {
+            name: "what needs a restart waits for it, the rest does not",
+            text: text("127.0.0.1:3", 9_000, 20),
+            taken: true,
+            seed: "127.0.0.1:3",
+            lease_ms: 9_000,
+            grace_s: 8.0,
+        },
+    ];
+    let file = File::new("cases");
+    let (in_force, mut reload) = started(&file);
+    for case in cases {
+        file.write(&case.text);
+        assert_eq!(reload.look(), case.taken, "{}", case.name);
+        assert!(!reload.look(), "{}: once", case.name);
+        let now = in_force.now();
+        assert_eq!(now.seeds[0].to_string(), case.seed, "{}", case.name);
+        assert_eq!(now.lease_ms, case.lease_ms, "{}", case.name);
+        assert_eq!(now.grace_s, case.grace_s, "{}", case.name);
+    }
+}
+
+#[test]
+fn keys_that_wait_for_a_restart_are_named() {
+    let file = File::new("keys");
+    let (in_force, _) = started(&file);
+    let new = NodeSettings::load(file.write(&text("127.0.0.1:9", 3_000, 20)));
+    let changes = in_force.take(&new.expect("the file is whole"));
+    assert_eq!(changes.in_force, ["seeds"]);
+    assert_eq!(changes.at_restart, ["grace_s"]);
+}
