--- a/crates/bench/src/caller.rs
+++ b/crates/bench/src/caller.rs
@@ -32,9 +32,9 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
-use crate::judge::CallEnd;
-use crate::judge::CallOutcome;
 use crate::judge::Judge;
+use crate::measure::CallEnd;
+use crate::measure::CallOutcome;
 use crate::service::Numbered;
 use crate::stand::Ground;
 use crate::stand::lock;
--- a/crates/bench/src/load_measures.rs
+++ b/crates/bench/src/load_measures.rs
@@ -2,10 +2,10 @@
 
 use hdrhistogram::Histogram;
 
-use crate::judge::CallEnd;
-use crate::judge::CallOutcome;
-use crate::judge::Measure;
-use crate::judge::histogram;
+use crate::measure::CallEnd;
+use crate::measure::CallOutcome;
+use crate::measure::Measure;
+use crate::measure::histogram;
 
 /// Names of the measures of each load, in the trace's order; further loads are
 /// in the sums only.
--- a/crates/bench/src/report.rs
+++ b/crates/bench/src/report.rs
@@ -3,7 +3,7 @@
 use serde::Serialize;
 
 use crate::judge::Counts;
-use crate::judge::Measure;
+use crate::measure::Measure;
 use crate::object_api::Calls;
 use crate::trace::Stated;
 
--- a/crates/bench/tests/judge.rs
+++ b/crates/bench/tests/judge.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
-use firweir_bench::judge::CallEnd;
-use firweir_bench::judge::CallOutcome;
 use firweir_bench::judge::Judge;
+use firweir_bench::measure::CallEnd;
+use firweir_bench::measure::CallOutcome;
 
 struct PercentileCase {
     name: &'static str,
--- a/crates/bench/tests/vault.rs
+++ b/crates/bench/tests/vault.rs
@@ -5,7 +5,7 @@
 
 use firweir::process::lot_store::LotStore;
 use firweir::process::lot_store::StoreError;
-use firweir::request::lot::LotKey;
+use firweir::request::record::LotKey;
 use firweir_bench::memory_storage::DiskTrouble;
 use firweir_bench::memory_storage::MemoryStorage;
 
--- a/crates/firweir/src/process/copies.rs
+++ b/crates/firweir/src/process/copies.rs
@@ -9,11 +9,10 @@
 
 use crate::connection::client::within;
 use crate::connection::peer::Peers;
-use crate::process::holder::RETRY_PAUSE;
 use crate::process::run::Parts;
 use crate::process::vault::write_key;
 use crate::request::lot::Lot;
-use crate::request::lot::LotKey;
+use crate::request::record::LotKey;
 use crate::request::record::LotRecord;
 use crate::version::view::Member;
 use crate::version::view::MemberState;
@@ -23,6 +22,9 @@
 use crate::wire::firweir_capnp::VaultOutcome;
 use crate::wire::firweir_capnp::vault;
 
+/// Pause before a call that failed is made again.
+pub(crate) const RETRY_PAUSE: Duration = Duration::from_millis(500);
+
 /// Copies of a lot: one may be lost with its VM or its zone.
 const COPIES: usize = 2;
 
--- a/crates/firweir/src/process/holder.rs
+++ b/crates/firweir/src/process/holder.rs
@@ -17,6 +17,7 @@
 use crate::connection::object::ObjectError;
 use crate::connection::object::Versioned;
 use crate::process::copies::Fetched;
+use crate::process::copies::RETRY_PAUSE;
 use crate::process::feed::FeedProgram;
 use crate::process::feed::record_key;
 use crate::process::watched::Watched;
@@ -33,9 +34,6 @@
 /// Drafts of one feed that are out at once; more would only wait at the entries.
 const DRAFTS_OUT: usize = 512;
 
-/// Pause before a call that failed is made again.
-pub(crate) const RETRY_PAUSE: Duration = Duration::from_millis(500);
-
 /// A holder that lost track of its last write waits this long between looks.
 const SETTLE_PAUSE: Duration = Duration::from_millis(500);
 
--- a/crates/firweir/src/process/lot_store.rs
+++ b/crates/firweir/src/process/lot_store.rs
@@ -15,7 +15,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::process::storage::Storage;
-use crate::request::lot::LotKey;
+use crate::request::record::LotKey;
 
 /// Largest part; a larger record is damage, not a part.
 pub const PART_LIMIT_BYTES: usize = 4 << 20;
--- a/crates/firweir/src/process/vault.rs
+++ b/crates/firweir/src/process/vault.rs
@@ -17,7 +17,7 @@
 use crate::process::lot_store::StoreError;
 use crate::process::run::Parts;
 use crate::process::storage::Storage;
-use crate::request::lot::LotKey;
+use crate::request::record::LotKey;
 use crate::wire::firweir_capnp::VaultOutcome;
 use crate::wire::firweir_capnp::lot_key;
 use crate::wire::firweir_capnp::vault;
--- a/crates/firweir/src/request/lot.rs
+++ b/crates/firweir/src/request/lot.rs
@@ -5,6 +5,7 @@
 
 use crate::request::chunk::Segment;
 use crate::request::idempotency::hex_digest;
+use crate::request::record::LotKey;
 use crate::request::record::LotRecord;
 
 /// One scored sample.
@@ -29,19 +30,6 @@
     }
 }
 
-/// Names the bytes of one lot: another lot of the same step has another digest.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct LotKey {
-    /// Feed.
-    pub feed: String,
-    /// Step.
-    pub step: u64,
-    /// Generation.
-    pub generation: u64,
-    /// SHA-256 of the samples' JSON.
-    pub digest: String,
-}
-
 /// The whole samples of one step.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Lot {
--- a/crates/firweir/src/request/record.rs
+++ b/crates/firweir/src/request/record.rs
@@ -13,7 +13,19 @@
 use serde::Serialize;
 
 use crate::connection::object::Stamped;
-use crate::request::lot::LotKey;
+
+/// Names the bytes of one lot: another lot of the same step has another digest.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct LotKey {
+    /// Feed.
+    pub feed: String,
+    /// Step.
+    pub step: u64,
+    /// Generation.
+    pub generation: u64,
+    /// SHA-256 of the samples' JSON.
+    pub digest: String,
+}
 
 /// A sealed lot; its samples are kept elsewhere.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
--- a/crates/node/src/disk.rs
+++ b/crates/node/src/disk.rs
@@ -6,10 +6,10 @@
 use firweir::process::log::Journal;
 use rand::Rng;
 
+use crate::change::Change;
 use crate::dialect::Dialect;
 use crate::dialect::Kind;
 use crate::dialect::StoreCall;
-use crate::follow::Change;
 use crate::follow::Following;
 use crate::node::Base;
 use crate::node::NodeError;
--- a/crates/node/src/draft_run.rs
+++ b/crates/node/src/draft_run.rs
@@ -5,7 +5,6 @@
 
 use bytes::Bytes;
 use bytes::BytesMut;
-use firweir_policy::placement::DraftKey;
 use http::StatusCode;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -13,11 +12,11 @@
 
 use crate::dialect::DraftRequest;
 use crate::dialect::StreamEvent;
-use crate::drafting::Drafting;
 use crate::link::Exchange;
 use crate::link::LinkError;
 use crate::model::Item;
 use crate::model::Upstream;
+use crate::shared::Shared;
 use crate::submission::board::Board;
 
 /// A first event may take this much longer than a next one: the prompt is read first, and
@@ -61,8 +60,9 @@
 
 /// One attempt of one item on one engine.
 pub(crate) struct Run<'a> {
-    pub(crate) drafting: &'a Drafting,
-    pub(crate) key: DraftKey,
+    pub(crate) shared: &'a Shared,
+    /// Takes each event as it comes, with the version that made it.
+    pub(crate) take_event: &'a (dyn Fn(StreamEvent, u64) + Send + Sync),
     pub(crate) board: &'a Board,
     pub(crate) item: &'a Item,
     pub(crate) upstream: &'a Upstream,
@@ -91,21 +91,17 @@
             upstream: self.upstream,
             after_event: reached.event,
         };
-        let request = match self.drafting.shared.dialect.draft_request(&draft) {
+        let request = match self.shared.dialect.draft_request(&draft) {
             Ok(request) => request,
             Err(error) => {
-                self.drafting.shared.journal.event(
+                self.shared.journal.event(
                     "item_unusable",
                     &[("item", &self.item.id), ("cause", &error)],
                 );
                 return Attempt::Impossible;
             }
         };
-        let sending = self
-            .drafting
-            .shared
-            .links
-            .send(self.upstream.address, request);
+        let sending = self.shared.links.send(self.upstream.address, request);
         let exchange = match tokio::time::timeout(self.first_patience(), sending).await {
             Ok(Ok(exchange)) => exchange,
             Ok(Err(LinkError::Refused)) => return Attempt::Broken("refused"),
@@ -123,7 +119,7 @@
     async fn read(&mut self, exchange: Exchange, reached: &mut Reached) -> Attempt {
         let Exchange { answer, lease } = exchange;
         let (head, body) = answer.into_parts();
-        let said = self.drafting.shared.dialect.answer_head(&head);
+        let said = self.shared.dialect.answer_head(&head);
         if said.request_id.as_deref() != Some(self.item.id.as_str()) {
             return Attempt::Broken("foreign-answer");
         }
@@ -170,7 +166,7 @@
                 buffer.extend_from_slice(&data);
             }
             while let Some(event) = next_event(&mut buffer) {
-                let event = match self.drafting.shared.dialect.stream_event(&event) {
+                let event = match self.shared.dialect.stream_event(&event) {
                     Ok(event) => event,
                     Err(_malformed) => return Attempt::Broken("malformed-event"),
                 };
@@ -185,7 +181,7 @@
                 }
                 self.started = true;
                 reached.add(event.number, version);
-                self.drafting.take_event(self.key, event, version);
+                (self.take_event)(event, version);
             }
             if buffer.len() > EVENT_LIMIT_BYTES {
                 return Attempt::Broken("long-event");
@@ -202,7 +198,7 @@
             return Err(Attempt::TooOld);
         }
         let head = &self.board.head;
-        let config = self.drafting.shared.fleet.config();
+        let config = self.shared.fleet.config();
         let route = config.route(&head.host, &head.path);
         let single = route.is_some_and(|route| route.single_version);
         if single && reached.versions.iter().any(|held| *held != version) {
--- a/crates/node/src/drafting.rs
+++ b/crates/node/src/drafting.rs
@@ -431,9 +431,10 @@
             leave,
         } = assigned;
         let started = self.shared.clock.now();
+        let take_event = |event, version| self.take_event(key, event, version);
         let mut run = Run {
-            drafting: &self,
-            key,
+            shared: &self.shared,
+            take_event: &take_event,
             board: &board,
             item: &board.items[place],
             upstream: &upstream,
@@ -544,7 +545,7 @@
     }
 
     /// Takes in the next event of a run.
-    pub(crate) fn take_event(&self, key: DraftKey, event: StreamEvent, version: u64) {
+    fn take_event(&self, key: DraftKey, event: StreamEvent, version: u64) {
         let now = self.shared.clock.now();
         let mut state = self.lock();
         state.placement.note_event(now, key);
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -11,10 +11,10 @@
 use firweir::process::log::Journal;
 use tokio::sync::Notify;
 
+use crate::change::Change;
 use crate::dialect::BadMessage;
 use crate::dialect::Dialect;
 use crate::dialect::Object;
-use crate::follow::Change;
 use crate::model::Config;
 use crate::model::ModelVersion;
 use crate::model::Upstream;
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -14,6 +14,7 @@
 use http_body_util::Full;
 use rand::Rng;
 
+use crate::change::Change;
 use crate::dialect::Dialect;
 use crate::dialect::Freshness;
 use crate::dialect::Kind;
@@ -95,29 +96,6 @@
     }
 }
 
-/// What a follower is told.
-#[derive(Debug)]
-pub enum Change {
-    /// All objects of the kind, after a start or a gap.
-    All(Vec<Object>),
-    /// One object appeared or changed.
-    Put(Object),
-    /// The object of this name is gone.
-    Gone(String),
-}
-
-impl Change {
-    /// The objects that it shows to be there.
-    #[must_use]
-    pub fn into_objects(self) -> Vec<Object> {
-        match self {
-            Self::All(objects) => objects,
-            Self::Put(object) => vec![object],
-            Self::Gone(_) => Vec::new(),
-        }
-    }
-}
-
 /// Nodes that pass on what the store shows; cheap to clone.
 #[derive(Debug, Clone, Default)]
 pub struct Seeds {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,6 +5,7 @@
 //! What the platform says is translated by an adapter ([`dialect::Dialect`]); all
 //! decisions, state and recovery are here and in `firweir-policy`.
 
+pub mod change;
 pub mod detour;
 pub mod dialect;
 pub mod disk;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -29,6 +29,7 @@
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 
+use crate::change::Change;
 use crate::detour::Detour;
 use crate::detour::path_for_store;
 use crate::dialect::ClientCall;
@@ -40,7 +41,6 @@
 use crate::duty::SystemBootClock;
 use crate::fleet::Fleet;
 use crate::fleet::UpstreamList;
-use crate::follow::Change;
 use crate::follow::Following;
 use crate::follow::Seeds;
 use crate::follow::SeedsNow;
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -27,9 +27,9 @@
 use tokio::sync::Notify;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::change::Change;
 use crate::dialect::Kind;
 use crate::dialect::Object;
-use crate::follow::Change;
 use crate::model::Upstream;
 
 /// Path at which a seed answers other nodes.
--- a/crates/node/src/submission/board.rs
+++ b/crates/node/src/submission/board.rs
@@ -389,12 +389,13 @@
     /// Waits until there are results to write.
     async fn gather(&self, clock: &dyn Clock, due: Duration, paced: bool) {
         loop {
-            let age = clock.now().saturating_duration_since(self.accepted);
             let write_at = {
                 let state = self.lock();
                 if state.ended || self.is_given_up() {
                     return;
                 }
+                let oldest = state.pending_since.unwrap_or_else(|| clock.now());
+                let age = oldest.saturating_duration_since(self.accepted);
                 let unwritten = state.unwritten(&self.items, self.head.target_groups, age, due);
                 let wait = if paced {
                     unwritten.wait()
--- a/crates/node/src/submission/homes.rs
+++ b/crates/node/src/submission/homes.rs
@@ -15,9 +15,9 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::change::Change;
 use crate::dialect::Kind;
 use crate::dialect::Object;
-use crate::follow::Change;
 use crate::store::Store;
 use crate::submission::records::Runner;
 
--- a/crates/policy/src/listing.rs
+++ b/crates/policy/src/listing.rs
@@ -1,25 +1,25 @@
 //! When samples that are done are written to the log of their step.
 //!
 //! **Load:** the samples of a step end one by one over some seconds, and each write is a
-//! call of the platform's store. **Without it:** each group that becomes whole is written
-//! by itself, 16 to 25 writes a step. **How:** a trainer goes on once it has all groups that it
-//! waits for, so only the last of them is urgent, and whatever ends shortly before the
-//! step is due. All others wait for company. **Thresholds:** beside each constant.
+//! call of the platform's store and an answer to the trainer, which asks every half second
+//! and is kept waiting while there is nothing. **Without it:** each group that becomes
+//! whole is written by itself, 16 to 25 writes a step; and a trainer that has just been
+//! given a sample that makes nothing whole asks again half a second later, while the last
+//! group that it waits for is there. **How:** a trainer goes on once it has all groups that
+//! it waits for. The last of them is written at once, and its question is waiting for it.
+//! All others wait for company, until the step is about to be due. **Gain:** a trainer that
+//! asks as above goes on 0.11 s after the last group of a step is whole instead of 0.60 s
+//! (`a_trainer_has_its_last_group_soon`). **Thresholds:** beside each constant.
 
 use std::time::Duration;
 
-/// Samples wait this long for others where the step is neither nearly whole nor nearly
-/// due. It is also what a crash of the runner costs in samples that were done. A trainer
-/// reads each 500 ms.
-const CALM_WAIT: Duration = Duration::from_secs(1);
+/// Samples wait this long for others. It is also what a crash of the runner costs in
+/// samples that were done; what a sample takes is of the same size.
+const CALM_WAIT: Duration = Duration::from_secs(2);
 
-/// The wait of samples that make no group whole where the step is nearly due.
-const URGENT_WAIT: Duration = Duration::from_millis(300);
-
-/// A step is nearly due this long before its time. A calm wait that began just before
-/// ends 300 ms before that time; a write to a slow store takes 300 ms, a trainer's next
-/// read comes within 500 ms.
-const NEARLY_DUE: Duration = Duration::from_millis(1_300);
+/// Whatever is whole is written this long before the step is due: a write takes some tens
+/// of milliseconds, and is to be readable then.
+const LAST_CALL: Duration = Duration::from_millis(200);
 
 /// What is known of a step's samples that are done and not written.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -30,7 +30,7 @@
     pub whole_groups: usize,
     /// Groups that the trainer waits for.
     pub target_groups: usize,
-    /// Time since the step was submitted.
+    /// Age of the step when the oldest of these samples was done.
     pub age: Duration,
     /// The step is due at this age.
     pub due: Duration,
@@ -41,11 +41,11 @@
     #[must_use]
     pub fn wait(&self) -> Duration {
         let enough = self.whole_groups >= self.target_groups;
-        let urgent = enough || self.age + NEARLY_DUE >= self.due;
-        match (urgent, self.completes_group) {
+        let left = self.due.saturating_sub(LAST_CALL + self.age);
+        match (enough || left.is_zero(), self.completes_group) {
             (true, true) => Duration::ZERO,
-            (true, false) => URGENT_WAIT,
-            (false, _) => CALM_WAIT,
+            (true, false) => CALM_WAIT,
+            (false, _) => CALM_WAIT.min(left),
         }
     }
 }
