--- a/crates/node/src/weights.rs
+++ b/crates/node/src/weights.rs
@@ -251,8 +251,11 @@
         let spread = rand::rng().random_range(0.0..1.0);
         self.take_back().await;
         tokio::time::sleep(PATIENCE.mul_f64(spread)).await;
-        // Whoever comes first takes a duty that no one ever held.
-        if let Ok(None) = self.read_duty().await {
+        // Whoever comes first takes a duty that no one ever held. Nodes that follow seeds
+        // leave it to these: each read costs, and hundreds may start at once.
+        if self.shared.parts.interest.wants_all()
+            && let Ok(None) = self.read_duty().await
+        {
             self.take(None, Before::Nobody).await;
         }
         let patience = PATIENCE.mul_f64(1.0 + spread);
