A runner that starts again looks at the newest head before it sends questions away

A node took the step over, was killed, started again and read in a list of seconds ago that the runner before it ran the step; that one had read that it does not. Each answered other nodes with a conflict. Change: a node that another one takes for the runner reads the newest head first, once a second for each submission.

--- a/crates/node/src/submission/desk.rs
+++ b/crates/node/src/submission/desk.rs
@@ -10,6 +10,7 @@
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::time::Duration;
+use std::time::Instant;
 
 use firweir::connection::server::Body;
 use firweir::connection::server::bytes_response;
@@ -61,6 +62,10 @@
 /// another node lists meanwhile may be missing in an answer for a second.
 const CONFIRMED_FOR: Duration = Duration::from_millis(700);
 
+/// A node that is wrongly taken for the runner looks at the head once in this time: a
+/// client asks twice a second, and each look costs a call.
+const LOOK_AGAIN: Duration = Duration::from_secs(1);
+
 /// Pause before the list of submissions is asked for again at a start.
 const RESUME_PAUSE: Duration = Duration::from_millis(700);
 
@@ -82,6 +87,8 @@
     pub(in crate::submission) boards: Vec<Arc<Board>>,
     /// Submissions that are being accepted.
     starting: Vec<Starting>,
+    /// Submissions whose heads were looked at for other nodes, and when.
+    looked: Vec<(String, Instant)>,
 }
 
 /// How the acceptance of a submission ended.
@@ -358,7 +365,13 @@
                 };
             }
             if asker == Asker::Peer {
-                return empty(StatusCode::CONFLICT);
+                match self.reconsider(&known).await {
+                    Some(now) if now.head.runner == self.shared.me => {
+                        known = now;
+                        continue;
+                    }
+                    _ => return empty(StatusCode::CONFLICT),
+                }
             }
             let runner = known.head.runner.address;
             let (heads, runners) = (&self.shared.heads, &self.shared.runners);
@@ -383,6 +396,37 @@
         refusal(Outcome::NotRun(ASK_AGAIN), "runner-unreached")
     }
 
+    /// The newest head of a submission that another node takes this one to run; `None` if
+    /// it was looked at a moment ago.
+    ///
+    /// **Failure:** a node that has taken a submission over starts again, and reads in a
+    /// list that is seconds old that the runner before it still runs it. That one knows
+    /// better, and the two send each question to each other: the submission cannot be read
+    /// any more. **Guard:** whoever is asked by another node looks before it sends the
+    /// question away. Nodes that ask remember who answered, so that few come to the wrong one.
+    async fn reconsider(&self, known: &Known) -> Option<Known> {
+        let now = self.shared.clock.now();
+        {
+            let mut state = self.lock();
+            let looked = &mut state.looked;
+            looked.retain(|(_, at)| now.duration_since(*at) < LOOK_AGAIN);
+            if looked.iter().any(|(id, _)| *id == known.id) {
+                return None;
+            }
+            looked.push((known.id.clone(), now));
+        }
+        match self.shared.heads.reread(&known.id).await {
+            Ok(newest) => newest,
+            Err(error) => {
+                self.shared.journal.event(
+                    "head_unread",
+                    &[("submission", &known.id), ("cause", &error)],
+                );
+                None
+            }
+        }
+    }
+
     /// Asks the homes of all models, one of which most likely runs the submission.
     ///
     /// While the store is away a node cannot read who runs a submission that it was not
