--- /dev/null
+++ b/crates/policy/benches/placement.rs
@@ -0,0 +1,122 @@
+//! What one decision on samples and loads costs at pools of three sizes.
+//!
+//!     cargo bench -p firweir-policy --bench placement
+
+use std::hint::black_box;
+use std::time::Duration;
+use std::time::Instant;
+
+use criterion::BenchmarkId;
+use criterion::Criterion;
+use criterion::criterion_group;
+use criterion::criterion_main;
+use firweir_policy::placement::Draft;
+use firweir_policy::placement::DraftEnding;
+use firweir_policy::placement::DraftKey;
+use firweir_policy::placement::EngineState;
+use firweir_policy::placement::ModelKey;
+use firweir_policy::placement::Placement;
+use firweir_policy::waves::EngineWeights;
+use firweir_policy::waves::loads_at_most;
+use firweir_policy::waves::next_loads;
+use firweir_policy::work::UpstreamKey;
+
+/// Engines of today, ten times as many, and those that the design is for.
+const POOLS: [u32; 3] = [62, 620, 4_800];
+
+const MODEL: ModelKey = ModelKey(0);
+
+fn engine(key: u32) -> EngineState {
+    EngineState {
+        key: UpstreamKey(key),
+        slots: 6,
+        memory_tokens: 48_000,
+        model: Some(MODEL),
+        versions: vec![(MODEL, 1)],
+    }
+}
+
+fn draft(key: u64) -> Draft {
+    Draft {
+        key: DraftKey(key),
+        group: key / 16,
+        model: MODEL,
+        min_version: 1,
+        tokens: 2_000,
+        rank: key,
+    }
+}
+
+/// A pool in which a step runs and each engine's speed is known.
+fn busy(engines: u32, now: Instant) -> Placement {
+    let mut placement = Placement::default();
+    placement.set_engines((0..engines).map(engine).collect());
+    for key in 0..160 {
+        placement.offer(draft(key));
+    }
+    while placement.next(now).is_some() {}
+    for event in 1..4 {
+        for key in 0..160 {
+            placement.note_event(now + Duration::from_millis(40 * event), DraftKey(key));
+        }
+    }
+    placement
+}
+
+fn events(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("an event");
+    for engines in POOLS {
+        let now = Instant::now();
+        let mut placement = busy(engines, now);
+        let mut at = now + Duration::from_millis(160);
+        group.bench_function(BenchmarkId::from_parameter(engines), |bencher| {
+            bencher.iter(|| {
+                at += Duration::from_micros(250);
+                placement.note_event(black_box(at), DraftKey(7));
+            });
+        });
+    }
+    group.finish();
+}
+
+fn starts(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("a start and its end");
+    for engines in POOLS {
+        let now = Instant::now();
+        let mut placement = busy(engines, now);
+        let mut key = 1_000;
+        group.bench_function(BenchmarkId::from_parameter(engines), |bencher| {
+            bencher.iter(|| {
+                key += 1;
+                placement.offer(draft(key));
+                black_box(placement.next(now));
+                placement.finish(now, DraftKey(key), DraftEnding::Done);
+            });
+        });
+    }
+    group.finish();
+}
+
+fn plans(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("a plan of loads, two models an engine");
+    for engines in POOLS {
+        let weights: Vec<EngineWeights> = (0..engines * 2)
+            .map(|pair| EngineWeights {
+                engine: UpstreamKey(pair / 2),
+                model: ModelKey((pair / 2 + pair % 2) % 3),
+                version: u64::from(pair % 5),
+                named: 5,
+                loading: false,
+                unavailable: false,
+            })
+            .collect();
+        let at_once = loads_at_most(engines as usize).min(16);
+        group.bench_function(BenchmarkId::from_parameter(engines), |bencher| {
+            bencher.iter(|| black_box(next_loads(&weights, at_once)));
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(benches, events, starts, plans);
+criterion_main!(benches);
