Idle connections are bounded in all

Change: beyond 1,024 idle ones the one that was used longest ago is closed; pools of today stay below that. The test fails with the guard taken out (5 connections are open).

--- a/crates/node/src/link.rs
+++ b/crates/node/src/link.rs
@@ -59,6 +59,11 @@
 /// Idle connections kept for one address: more than an engine runs at once.
 const IDLE_MOST: usize = 32;
 
+/// Idle connections kept in all; beyond it the one that was used longest ago is closed. A
+/// small VM has some 4,000 descriptors and 160 MB: a node that ordered weights at 3,000
+/// engines had 3,012 connections and 108 MB. 62 engines of six places need 400.
+const IDLE_MOST_IN_ALL: usize = 1_024;
+
 /// An answer larger than this is refused: the store's values end at a megabyte,
 /// and a list is about as large.
 const ANSWER_LIMIT_BYTES: usize = 16 << 20;
@@ -147,16 +152,25 @@
 #[derive(Debug, Clone)]
 pub struct Links {
     clock: Arc<dyn Clock>,
+    /// The one that was used longest ago first.
     idle: Arc<Mutex<Vec<Idle>>>,
+    idle_most: usize,
 }
 
 impl Links {
     /// No connections yet.
     #[must_use]
     pub fn new(clock: Arc<dyn Clock>) -> Self {
+        Self::with_idle_most(clock, IDLE_MOST_IN_ALL)
+    }
+
+    /// The same, with another number of idle connections that are kept in all.
+    #[must_use]
+    pub fn with_idle_most(clock: Arc<dyn Clock>, idle_most: usize) -> Self {
         Self {
             clock,
             idle: Arc::default(),
+            idle_most,
         }
     }
 
@@ -247,6 +261,9 @@
         if idle.iter().filter(|held| held.to == to).count() < IDLE_MOST {
             idle.push(Idle { to, line, until });
         }
+        if idle.len() > self.idle_most {
+            idle.remove(0);
+        }
     }
 
     fn lock(&self) -> MutexGuard<'_, Vec<Idle>> {
--- /dev/null
+++ b/crates/node/tests/links.rs
@@ -0,0 +1,65 @@
+//! Connections that a node keeps.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use firweir::process::clock::SystemClock;
+use firweir_node::link::Links;
+use http::Request;
+use http_body_util::Full;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+
+const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\nkeep-alive: timeout=60\r\n\r\n";
+
+/// Answers every request until the other side closes.
+async fn answer(mut stream: TcpStream, open: Arc<AtomicUsize>) {
+    let mut request = [0; 1_024];
+    while stream.read(&mut request).await.is_ok_and(|read| read > 0) {
+        if stream.write_all(ANSWER).await.is_err() {
+            break;
+        }
+    }
+    open.fetch_sub(1, Ordering::SeqCst);
+}
+
+/// A server that counts its open connections.
+async fn serve(open: &Arc<AtomicUsize>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("it is bound");
+    let open = Arc::clone(open);
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            open.fetch_add(1, Ordering::SeqCst);
+            tokio::spawn(answer(stream, Arc::clone(&open)));
+        }
+    });
+    address
+}
+
+/// A node that ordered weights at thousands of engines kept a connection to each of them,
+/// ran out of descriptors as the pool grew, and took no more callers.
+#[tokio::test]
+async fn idle_connections_are_bounded_in_all() {
+    let open = Arc::new(AtomicUsize::new(0));
+    let links = Links::with_idle_most(Arc::new(SystemClock), 2);
+    for _ in 0..5 {
+        let to = serve(&open).await;
+        let request = Request::new(Full::new(Bytes::new()));
+        let answer = links.call(to, request, Duration::from_secs(5)).await;
+        assert_eq!(answer.expect("it is answered").status(), 200);
+    }
+    for _ in 0..100 {
+        if open.load(Ordering::SeqCst) == 2 {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    panic!("{} connections are open", open.load(Ordering::SeqCst));
+}
