--- a/crates/node/src/submission/board.rs
+++ b/crates/node/src/submission/board.rs
@@ -94,6 +94,8 @@
     pub head: Head,
     /// Its items, in the trainer's order.
     pub items: Vec<Arc<Item>>,
+    /// Another process may have run it before.
+    had_another_runner: AtomicBool,
     /// When this process began to run it.
     started: Instant,
     /// When it was accepted, as far as this process knows: before `started`, where that
@@ -139,6 +141,7 @@
             id,
             head,
             items: items.into_iter().map(Arc::new).collect(),
+            had_another_runner: AtomicBool::new(false),
             started,
             accepted,
             state: Mutex::new(state),
@@ -173,6 +176,7 @@
             items.extend(part.items);
         }
         let board = Self::new(id.to_owned(), head, items, clock);
+        board.had_another_runner.store(true, Ordering::Relaxed);
         board.catch_up(store).await?;
         if board.is_running() {
             let records: Vec<UnfinishedTexts> =
@@ -198,6 +202,12 @@
         Ok(())
     }
 
+    /// Another process may have run it before, and may list results for a while yet.
+    #[must_use]
+    pub fn had_another_runner(&self) -> bool {
+        self.had_another_runner.load(Ordering::Relaxed)
+    }
+
     /// When this process began to run it.
     ///
     /// What may not happen too soon counts from here: giving items up, removing results.
--- a/crates/node/src/submission/desk.rs
+++ b/crates/node/src/submission/desk.rs
@@ -34,6 +34,7 @@
 use crate::link::Links;
 use crate::mechanisms::Mechanism;
 use crate::mechanisms::Off;
+use crate::model::ItemResult;
 use crate::outage::Outage;
 use crate::reload::InForce;
 use crate::respond::Outcome;
@@ -277,23 +278,50 @@
     /// again, it would show less than a trainer has read. **Guard:** it says that there is
     /// nothing only if a read of the head, sent less than [`CONFIRMED_FOR`] ago, showed it
     /// as the runner. What is listed never changes, so other pages need no such read.
-    async fn nothing_listed(&self, board: &Board, page: &ResultPage<'_>) -> Response<Body> {
+    async fn nothing_listed(&self, board: &Board, after: usize) -> Response<Body> {
         let now = self.shared.clock.now();
         let confirmed = board.confirmed();
         let fresh = confirmed.is_some_and(|sent| now.duration_since(sent) < CONFIRMED_FOR);
-        let certain = fresh || page.next >= page.total;
+        let certain = fresh || after >= board.items.len();
         let mine = if certain {
             Ok(true)
         } else {
-            self.confirm(board).await
+            self.confirm_log(board).await
         };
         match mine {
-            Ok(true) => with_json(StatusCode::OK, self.shared.dialect.result_page(page)),
+            Ok(true) => {
+                let results = board.results(after, Duration::ZERO).await;
+                self.result_page(board, after, &results)
+            }
             Ok(false) => empty(StatusCode::CONFLICT),
             Err(_) => refusal(Outcome::NotRun(ASK_AGAIN), "not-confirmed"),
         }
     }
 
+    /// As [`Desk::confirm`], and takes in what an earlier runner has listed.
+    ///
+    /// **Failure:** a runner that was frozen goes on until it looks at the head again, and
+    /// lists a last few results after another node has read the log. Once the submission has
+    /// ended nothing is written there any more that would meet them: that node shows less
+    /// than the trainer has read, for good. **Guard:** a node that has not accepted the
+    /// submission itself looks for them before it says that there is nothing.
+    async fn confirm_log(&self, board: &Board) -> Result<bool, StoreError> {
+        let mine = self.confirm(board).await?;
+        if mine && board.had_another_runner() {
+            board.catch_up(&self.shared.store).await?;
+        }
+        Ok(mine)
+    }
+
+    fn result_page(&self, board: &Board, after: usize, results: &[ItemResult]) -> Response<Body> {
+        let page = ResultPage {
+            total: board.items.len(),
+            next: after + results.len(),
+            results,
+        };
+        with_json(StatusCode::OK, self.shared.dialect.result_page(&page))
+    }
+
     /// Answers a question about a submission.
     pub async fn ask(
         &self,
@@ -464,15 +492,10 @@
                 if board.is_given_up() {
                     return empty(StatusCode::CONFLICT);
                 }
-                let page = ResultPage {
-                    total: board.items.len(),
-                    next: after + results.len(),
-                    results: &results,
-                };
                 if results.is_empty() {
-                    return self.nothing_listed(board, &page).await;
+                    return self.nothing_listed(board, *after).await;
                 }
-                with_json(StatusCode::OK, self.shared.dialect.result_page(&page))
+                self.result_page(board, *after, &results)
             }
             Question::Item(item) => match board.unlisted(item) {
                 Some(item) => match self.shared.dialect.item_body(&item) {
