A step is ended in the store by whichever node is asked, if its runner cannot

The refused trainer does not come again, and the step stays open. Ruled out: a runner that goes on after an end that it knows (it looks at the head every 1.8 s). Change: an end that the runner does not confirm is written into the head by the node that was asked; nobody has to run the step for that.

--- a/crates/node/src/submission/desk.rs
+++ b/crates/node/src/submission/desk.rs
@@ -404,11 +404,13 @@
             let runner = known.head.runner.address;
             let (heads, runners) = (&self.shared.heads, &self.shared.runners);
             let gone = match runners.pass_on(runner, question, call).await {
-                Ok(answer) if answer.status() != StatusCode::CONFLICT => {
+                Ok(answer) if is_final(question, answer.status()) => {
                     let (head, body) = answer.into_parts();
                     return with_json(head.status, body);
                 }
                 Ok(_) => false,
+                // Nobody has to run a submission for it to be ended.
+                Err(_) if *question == Question::End => break,
                 Err(error) => runners.is_gone(runner, error).await,
             };
             let next = if gone {
@@ -421,6 +423,9 @@
                 _ => break,
             }
         }
+        if asker == Asker::Client && *question == Question::End {
+            return self.end_in_store(id).await;
+        }
         refusal(Outcome::NotRun(ASK_AGAIN), "runner-unreached")
     }
 
@@ -511,8 +516,19 @@
     /// Ends a submission: here at once, and in the store before it is confirmed.
     async fn end(&self, board: &Arc<Board>) -> Response<Body> {
         self.stop(board);
+        self.end_in_store(&board.id).await
+    }
+
+    /// Ends a submission in the store, whoever runs it: its runner hears of it as it looks at
+    /// the head.
+    ///
+    /// **Failure:** a trainer ends its step while the runner reads it anew after a restart,
+    /// which takes a second, or is cut off. Passed on to it alone, the end was refused, the
+    /// trainer left it at that, and engines went on with a step that nobody wanted. **Guard:**
+    /// the end needs the head only, which any node can change.
+    async fn end_in_store(&self, id: &str) -> Response<Body> {
         for _ in 0..HEAD_TRIES {
-            let Ok(Some(known)) = self.shared.heads.reread(&board.id).await else {
+            let Ok(Some(known)) = self.shared.heads.reread(id).await else {
                 break;
             };
             if known.head.ended {
@@ -522,7 +538,7 @@
                 Ok(()) => {
                     self.shared
                         .journal
-                        .event("submission_ended", &[("submission", &board.id)]);
+                        .event("submission_ended", &[("submission", &id)]);
                     return empty(StatusCode::OK);
                 }
                 Err(StoreError::Conflict) => {}
@@ -649,3 +665,11 @@
         state.unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+/// Whether a runner's answer stands; else the question goes on elsewhere.
+fn is_final(question: &Question, status: StatusCode) -> bool {
+    match question {
+        Question::End => status.is_success() || status == StatusCode::NOT_FOUND,
+        Question::Results { .. } | Question::Item(_) => status != StatusCode::CONFLICT,
+    }
+}
