A step that is read looks once more whether it has ended before it is drafted

A node that read a step while another one wrote its end drafted from the head that it had begun with, and looked at the head again after 1.8 s at the earliest. Test first: a_step_that_ends_while_its_runner_reads_it_is_not_drafted failed (engines ran items after the end), passes now; all 10 tests of restarts.rs pass. Cost: one read of the store for each step that is read anew.

--- a/crates/node/src/submission/desk.rs
+++ b/crates/node/src/submission/desk.rs
@@ -566,6 +566,10 @@
                     self.shared
                         .journal
                         .event("submission_ended", &[("submission", &id)]);
+                    // This node may have begun to run it meanwhile.
+                    if let Some(board) = self.board(id) {
+                        self.stop(&board);
+                    }
                     return empty(StatusCode::OK);
                 }
                 Err(StoreError::Conflict) => {}
@@ -589,7 +593,7 @@
             return Ok(board);
         }
         let started = self.shared.clock.now();
-        let loaded = Board::load(&self.shared.store, id, head, &*self.shared.clock).await;
+        let loaded = self.read_step(id, head).await;
         let took_ms = self.shared.clock.now().duration_since(started).as_millis();
         match &loaded {
             Ok(board) => {
@@ -607,6 +611,23 @@
         loaded
     }
 
+    /// Reads a step from the store, and whether it has ended meanwhile.
+    ///
+    /// **Failure:** a trainer ends its step through another node while this one reads it,
+    /// which takes a second; the head that this one began with does not say so, and engines
+    /// draft a step that nobody wants until the next look at the head. **Guard:** the head is
+    /// read again behind the rest, before any of its items starts.
+    async fn read_step(&self, id: &str, head: Head) -> Result<Arc<Board>, StoreError> {
+        let board = Board::load(&self.shared.store, id, head, &*self.shared.clock).await?;
+        if board.is_running() {
+            let newest = self.shared.heads.reread(id).await?;
+            if newest.is_none_or(|known| known.head.ended) {
+                board.end();
+            }
+        }
+        Ok(board)
+    }
+
     pub(in crate::submission) fn start(&self, board: Arc<Board>) {
         let mut state = self.lock();
         let found = state.boards.binary_search_by(|held| held.id.cmp(&board.id));
