--- a/crates/node/src/dialect.rs
+++ b/crates/node/src/dialect.rs
@@ -16,6 +16,7 @@
 use quick_error::quick_error;
 use serde_json::value::RawValue;
 
+use crate::account::ApiKey;
 use crate::model::Config;
 use crate::model::Item;
 use crate::model::ItemResult;
@@ -62,12 +63,25 @@
 pub enum ClientCall {
     /// Whether this node takes requests.
     Ready,
-    /// A question about the submission of this id.
-    Asked(String, Question),
+    /// A question about a submission.
+    Asked(AskedCall),
     /// Anything else goes by the routes.
     Routed(RoutedCall),
 }
 
+/// A client's question about a submission.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AskedCall {
+    /// Id of the submission.
+    pub submission: String,
+    /// What is asked.
+    pub question: Question,
+    /// Host that the client asked.
+    pub host: String,
+    /// The key that came with it.
+    pub key: Option<ApiKey>,
+}
+
 /// What the head of a routed request says.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RoutedCall {
@@ -77,6 +91,8 @@
     pub request_id: String,
     /// How long the client waits.
     pub patience: Option<Duration>,
+    /// The key that came with it.
+    pub key: Option<ApiKey>,
 }
 
 /// A page of results.
@@ -127,6 +143,8 @@
     pub upstream: &'a Upstream,
     /// Number of the last event that is known already; 0 for none.
     pub after_event: u64,
+    /// Account that has submitted the item.
+    pub account: Option<&'a str>,
 }
 
 /// A request for the score of an item's whole text.
@@ -388,10 +406,12 @@
     /// Writes a page of results.
     fn result_page(&self, page: &ResultPage<'_>) -> Bytes;
 
-    /// Headers of a client's request as the upstream is to get them.
+    /// Headers of a client's request as the upstream is to get them, with the account that
+    /// it is for in place of any that the client names.
     fn forwarded_headers(
         &self,
         headers: &HeaderMap,
+        account: Option<&str>,
         upstream: &Upstream,
         remaining: Duration,
     ) -> HeaderMap;
--- a/crates/node/src/disk.rs
+++ b/crates/node/src/disk.rs
@@ -37,8 +37,8 @@
     let store = base.store.clone();
     let journal = base.journal.clone();
     let (asked, mut asking) = tokio::sync::mpsc::unbounded_channel();
-    base.follow(Kind::Evacuations, Following::seconds_late, move |changes| {
-        for object in changes.into_iter().flat_map(Change::into_objects) {
+    base.follow(Kind::Evacuations, Following::seconds_late, move |news| {
+        for object in news.changes.into_iter().flat_map(Change::into_objects) {
             if !object.reported {
                 // The receiver lives as long as the process.
                 drop(asked.send(object));
--- /dev/null
+++ b/crates/node/src/door.rs
@@ -0,0 +1,411 @@
+//! The door of a node: what clients, the balancer and other nodes ask, and who may.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use firweir::connection::client::within;
+use firweir::connection::server::Body;
+use firweir::connection::server::json;
+use firweir::connection::server::read_body;
+use firweir::process::clock::Clock;
+use firweir::process::log::Journal;
+use firweir::process::tasks::Tasks;
+use http::HeaderValue;
+use http::Method;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http::Uri;
+use http::header;
+use http_body_util::Full;
+use hyper::body::Incoming;
+
+use crate::authentication::AgeLimits;
+use crate::authentication::Claim;
+use crate::authentication::Denied;
+use crate::authentication::Purpose;
+use crate::authentication::account_of;
+use crate::detour::path_for_store;
+use crate::dialect::AskedCall;
+use crate::dialect::ClientCall;
+use crate::dialect::Dialect;
+use crate::dialect::RoutedCall;
+use crate::drafting::Drafting;
+use crate::duty::BootClock;
+use crate::fleet::Fleet;
+use crate::link::Links;
+use crate::live::Live;
+use crate::mechanisms::Mechanism;
+use crate::mechanisms::Off;
+use crate::model::Config;
+use crate::model::Route;
+use crate::model::RouteKind;
+use crate::relay::Question;
+use crate::relay::RELAY_PATH;
+use crate::relay::Relay;
+use crate::relay::kind_of;
+use crate::reload::InForce;
+use crate::respond::Outcome;
+use crate::respond::empty;
+use crate::respond::refusal;
+use crate::respond::with_json;
+use crate::scoring::Scoring;
+use crate::submission::accept::Posted;
+use crate::submission::desk::Asker;
+use crate::submission::desk::Desk;
+use crate::submission::homes::Homes;
+use crate::submission::runners::PING_PATH;
+use crate::submission::runners::name_account;
+use crate::submission::runners::named_account;
+use crate::weights::HOLDER_PATH;
+use crate::weights::Weights;
+
+/// Largest body of a store call that is made for another node: the store's values end
+/// at a megabyte.
+const STORE_CALL_LIMIT_BYTES: usize = 2 << 20;
+
+/// Time for such a call, a waiting watch included.
+const STORE_CALL_TIMEOUT: Duration = Duration::from_secs(9);
+
+/// When a caller may come back whose route this node may not know yet: its retry reaches
+/// another node, and a follower that lost its seed finds another one within a second.
+const COME_BACK: Duration = Duration::from_millis(300);
+
+/// How long a request waits for a node's first configuration: a list of the store takes
+/// some 10 ms. A store that is away is away for seconds.
+const CONFIG_WAIT: Duration = Duration::from_millis(200);
+
+/// Most of a client's own patience that this may take.
+const CONFIG_WAIT_PART: f64 = 0.25;
+
+/// Answers clients, the balancer and other nodes with the parts of this node.
+#[derive(Debug)]
+pub(crate) struct Door {
+    pub(crate) dialect: Arc<dyn Dialect>,
+    pub(crate) fleet: Arc<Fleet>,
+    pub(crate) live: Arc<Live>,
+    pub(crate) scoring: Scoring,
+    pub(crate) desk: Desk,
+    pub(crate) drafting: Drafting,
+    pub(crate) homes: Homes,
+    pub(crate) weights: Weights,
+    pub(crate) relay: Arc<Relay>,
+    pub(crate) links: Links,
+    /// Address of the platform's store.
+    pub(crate) store: SocketAddr,
+    pub(crate) clock: Arc<dyn Clock>,
+    pub(crate) boot_clock: Arc<dyn BootClock>,
+    pub(crate) settings: InForce,
+    pub(crate) journal: Journal,
+    pub(crate) tasks: Tasks,
+    pub(crate) off: Off,
+}
+
+impl Door {
+    /// Answers a client, or the balancer.
+    pub(crate) async fn client(self: Arc<Self>, request: Request<Incoming>) -> Response<Body> {
+        let (head, body) = request.into_parts();
+        match self.dialect.client_call(&head) {
+            ClientCall::Ready => self.ready(),
+            ClientCall::Routed(routed) => self.routed(&routed, head, body).await,
+            ClientCall::Asked(asked) => self.asked(&asked, head).await,
+        }
+    }
+
+    /// Answers a client's question about a submission.
+    async fn asked(&self, asked: &AskedCall, mut head: http::request::Parts) -> Response<Body> {
+        let Some(config) = self.first_config(None).await else {
+            return self.asked_by_nobody(asked, head).await;
+        };
+        let claim = Claim {
+            key: asked.key.as_ref(),
+            is_public: config.has_public_rollouts(&asked.host),
+            purpose: Purpose::Manage,
+        };
+        let account = match self.account_of(&config, claim, &asked.submission) {
+            Ok(account) => account,
+            Err(denied) => return denial(denied),
+        };
+        name_account(&mut head.headers, account);
+        self.desk.ask(Asker::Client, account, asked, &head).await
+    }
+
+    /// Answers a question while no configuration tells whose key came with it: what
+    /// belongs to no account can be read by all, and of the rest nothing is said yet.
+    async fn asked_by_nobody(
+        &self,
+        asked: &AskedCall,
+        mut head: http::request::Parts,
+    ) -> Response<Body> {
+        name_account(&mut head.headers, None);
+        let answer = self.desk.ask(Asker::Client, None, asked, &head).await;
+        if answer.status() == StatusCode::NOT_FOUND {
+            return Live::not_ready();
+        }
+        answer
+    }
+
+    /// Name of the account that a call is for.
+    fn account_of<'a>(
+        &self,
+        config: &'a Config,
+        claim: Claim<'_>,
+        call: &str,
+    ) -> Result<Option<&'a str>, Denied> {
+        let age = self.fleet.config_age();
+        let account = account_of(config, claim, age, &self.age_limits());
+        if let Err(denied) = account {
+            self.note_denied(denied, config.version, age, call);
+        }
+        account
+    }
+
+    fn age_limits(&self) -> AgeLimits {
+        let settings = self.settings.now();
+        AgeLimits::new(settings.config_apply(), settings.revocation())
+    }
+
+    fn note_denied(&self, denied: Denied, version: u64, age: Option<Duration>, call: &str) {
+        let reason = reason_of_denial(denied);
+        self.journal.count(match denied {
+            Denied::NoKey => "door.no_key",
+            Denied::UnknownKey => "door.unknown_key",
+            Denied::Unsure => "door.unsure",
+        });
+        let age_ms = age.map_or(-1, |age| age.as_millis() as i64);
+        self.journal.event(
+            "call_denied",
+            &[
+                ("request", &call),
+                ("reason", &reason),
+                ("version", &version),
+                ("age_ms", &age_ms),
+            ],
+        );
+    }
+
+    /// Answers another node.
+    pub(crate) async fn peer(self: Arc<Self>, request: Request<Incoming>) -> Response<Body> {
+        let (head, body) = request.into_parts();
+        if head.uri.path() == PING_PATH {
+            return empty(StatusCode::OK);
+        }
+        if head.uri.path() == HOLDER_PATH {
+            return json(StatusCode::OK, &self.weights.answer_holder().await);
+        }
+        if let Some(uri) = path_for_store(&head.uri) {
+            return self.call_store(uri, &head, body).await;
+        }
+        if let Some(name) = head.uri.path().strip_prefix(RELAY_PATH) {
+            return self.pass_on(name, head.uri.query()).await;
+        }
+        let account = named_account(&head.headers);
+        match self.dialect.client_call(&head) {
+            ClientCall::Asked(asked) => {
+                let account = account.as_deref();
+                self.desk.ask(Asker::Peer, account, &asked, &head).await
+            }
+            ClientCall::Routed(routed) if !self.tasks.is_draining() => {
+                let submitted = Submitted {
+                    asker: Asker::Peer,
+                    routed: &routed,
+                    account: account.as_deref(),
+                    head: &head,
+                    limit_bytes: self.fleet.config().max_body_bytes,
+                };
+                self.submitted(submitted, body).await
+            }
+            ClientCall::Routed(_) => empty(StatusCode::SERVICE_UNAVAILABLE),
+            ClientCall::Ready => empty(StatusCode::NOT_FOUND),
+        }
+    }
+
+    /// Makes a call of the store for a node that it turns away.
+    async fn call_store(
+        &self,
+        uri: Uri,
+        head: &http::request::Parts,
+        body: Incoming,
+    ) -> Response<Body> {
+        let Some(body) = read_body(body, STORE_CALL_LIMIT_BYTES).await else {
+            return empty(StatusCode::PAYLOAD_TOO_LARGE);
+        };
+        let mut request = Request::new(Full::new(body));
+        *request.method_mut() = head.method.clone();
+        *request.uri_mut() = uri;
+        match self
+            .links
+            .call(self.store, request, STORE_CALL_TIMEOUT)
+            .await
+        {
+            Ok(answer) => {
+                let (head, body) = answer.into_parts();
+                with_json(head.status, body)
+            }
+            Err(error) if error.is_not_sent() => empty(StatusCode::SERVICE_UNAVAILABLE),
+            // It may have been carried out.
+            Err(_) => empty(StatusCode::GATEWAY_TIMEOUT),
+        }
+    }
+
+    /// Passes on what the store shows to a node that takes this one for a seed.
+    async fn pass_on(&self, name: &str, query: Option<&str>) -> Response<Body> {
+        let question = query.and_then(Question::of_query);
+        let (Some(kind), Some(question)) = (kind_of(name), question) else {
+            return empty(StatusCode::NOT_FOUND);
+        };
+        let now = || self.clock.now();
+        let arrived = self.boot_clock.since_boot();
+        let answer = self.relay.answer(kind, &question, now).await;
+        json(StatusCode::OK, &answer.since_question(arrived))
+    }
+
+    /// Not ready before a configuration is known, while it may be too old for calls with a
+    /// key, or once a drain has begun.
+    fn ready(&self) -> Response<Body> {
+        let config = self.fleet.config();
+        let serves_keys = || self.age_limits().may_serve(self.fleet.config_age());
+        let knows_enough = config.accounts.is_empty() || serves_keys();
+        let ready = config.version > 0 && knows_enough && !self.tasks.is_draining();
+        empty(if ready {
+            StatusCode::OK
+        } else {
+            StatusCode::SERVICE_UNAVAILABLE
+        })
+    }
+
+    async fn routed(
+        &self,
+        routed: &RoutedCall,
+        mut head: http::request::Parts,
+        body: Incoming,
+    ) -> Response<Body> {
+        let Some(config) = self.first_config(routed.patience).await else {
+            return Live::not_ready();
+        };
+        let Some(route) = config.route(&routed.host, head.uri.path()) else {
+            return self.no_route();
+        };
+        let claim = claim_of(route, routed);
+        let account = match self.account_of(&config, claim, &routed.request_id) {
+            Ok(account) => account,
+            Err(denied) => return denial(denied),
+        };
+        if !config.accounts.is_empty() {
+            head.headers.remove(header::AUTHORIZATION);
+        }
+        if route.kind != RouteKind::Rollout || head.method != Method::POST {
+            let live = &self.live;
+            return live.answer(routed, account, route, &head, body).await;
+        }
+        name_account(&mut head.headers, account);
+        let submitted = Submitted {
+            asker: Asker::Client,
+            routed,
+            account,
+            head: &head,
+            limit_bytes: config.max_body_bytes,
+        };
+        self.submitted(submitted, body).await
+    }
+
+    fn no_route(&self) -> Response<Body> {
+        if self.fleet.is_config_young() {
+            refusal(Outcome::BadRequest(StatusCode::NOT_FOUND), "no-route")
+        } else {
+            refusal(Outcome::NotRun(COME_BACK), "configuration-old")
+        }
+    }
+
+    /// The configuration; waited for a while by a node that has just started.
+    ///
+    /// **Failure:** after a loss of power clients reach a node some 20 ms before it has
+    /// read its configuration, since the balancer goes on with all nodes where none is
+    /// ready. Refused, they come back after 0.3 s and are late. **Gain:** most of them are
+    /// answered in time.
+    async fn first_config(&self, patience: Option<Duration>) -> Option<Arc<Config>> {
+        if !self.off.leaves(Mechanism::FirstConfig) {
+            let config = self.fleet.config();
+            return (config.version > 0).then_some(config);
+        }
+        let patience = patience.unwrap_or(CONFIG_WAIT);
+        let wait = CONFIG_WAIT.min(patience.mul_f64(CONFIG_WAIT_PART));
+        // Late or not, the look below tells.
+        _ = within(wait, self.fleet.configured()).await;
+        let config = self.fleet.config();
+        (config.version > 0).then_some(config)
+    }
+
+    async fn submitted(&self, submitted: Submitted<'_>, body: Incoming) -> Response<Body> {
+        let Submitted { routed, head, .. } = submitted;
+        let Some(body) = read_body(body, submitted.limit_bytes).await else {
+            let status = StatusCode::PAYLOAD_TOO_LARGE;
+            return refusal(Outcome::BadRequest(status), "body-too-large");
+        };
+        let submission = match self.dialect.submission(&routed.request_id, &body) {
+            Ok(submission) => submission,
+            Err(error) => {
+                self.journal.event(
+                    "submission_malformed",
+                    &[("submission", &routed.request_id), ("cause", &error)],
+                );
+                let status = StatusCode::BAD_REQUEST;
+                return refusal(Outcome::BadRequest(status), "malformed-submission");
+            }
+        };
+        let posted = Posted {
+            host: &routed.host,
+            head,
+            body: &body,
+            account: submitted.account,
+        };
+        match submitted.asker {
+            Asker::Client => {
+                let draining = self.tasks.is_draining();
+                self.desk.submit(&posted, submission, draining).await
+            }
+            Asker::Peer => self.desk.accept(&posted, submission).await,
+        }
+    }
+}
+
+/// A submission as it arrives, before its body is read.
+#[derive(Debug, Clone, Copy)]
+struct Submitted<'a> {
+    asker: Asker,
+    routed: &'a RoutedCall,
+    account: Option<&'a str>,
+    head: &'a http::request::Parts,
+    limit_bytes: usize,
+}
+
+const fn claim_of<'a>(route: &Route, routed: &'a RoutedCall) -> Claim<'a> {
+    Claim {
+        key: routed.key.as_ref(),
+        is_public: route.public,
+        purpose: Purpose::Run,
+    }
+}
+
+const fn reason_of_denial(denied: Denied) -> &'static str {
+    match denied {
+        Denied::NoKey => "no-key",
+        Denied::UnknownKey => "unknown-key",
+        Denied::Unsure => "keys-may-be-old",
+    }
+}
+
+/// The answer to a call that is not let in.
+fn denial(denied: Denied) -> Response<Body> {
+    let reason = reason_of_denial(denied);
+    if denied == Denied::Unsure {
+        return refusal(Outcome::NotRun(COME_BACK), reason);
+    }
+    let mut answer = refusal(Outcome::BadRequest(StatusCode::UNAUTHORIZED), reason);
+    let scheme = HeaderValue::from_static("Bearer");
+    answer
+        .headers_mut()
+        .insert(header::WWW_AUTHENTICATE, scheme);
+    answer
+}
--- a/crates/node/src/draft_run.rs
+++ b/crates/node/src/draft_run.rs
@@ -90,6 +90,7 @@
             host: &self.board.head.host,
             upstream: self.upstream,
             after_event: reached.event,
+            account: self.board.head.account.as_deref(),
         };
         let request = match self.shared.dialect.draft_request(&draft) {
             Ok(request) => request,
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -3,6 +3,8 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -16,6 +18,7 @@
 use crate::dialect::BadMessage;
 use crate::dialect::Dialect;
 use crate::dialect::Object;
+use crate::duty::BootClock;
 use crate::model::Config;
 use crate::model::ModelVersion;
 use crate::model::Upstream;
@@ -40,6 +43,19 @@
     drop_at: Option<Instant>,
 }
 
+/// What a fleet works with.
+#[derive(Debug)]
+pub struct FleetParts {
+    /// The clock.
+    pub clock: Arc<dyn Clock>,
+    /// The clock that counts suspended time.
+    pub boot_clock: Arc<dyn BootClock>,
+    /// Events.
+    pub journal: Journal,
+    /// Reads what the platform's objects say.
+    pub dialect: Arc<dyn Dialect>,
+}
+
 /// Shared state of a node.
 #[derive(Debug)]
 pub struct Fleet {
@@ -49,6 +65,10 @@
     config: ArcSwap<Config>,
     /// When its follower was last told that it is the newest.
     config_heard: ArcSwapOption<Instant>,
+    boot_clock: Arc<dyn BootClock>,
+    /// When the configuration was the store's newest, in milliseconds since the system
+    /// started; 0 if it never was.
+    config_as_of_ms: AtomicU64,
     /// Sorted by instance.
     upstreams: ArcSwap<Vec<Arc<Upstream>>>,
     /// Sorted by model.
@@ -166,13 +186,15 @@
 impl Fleet {
     /// Nothing is known yet.
     #[must_use]
-    pub fn new(clock: Arc<dyn Clock>, journal: Journal, dialect: Arc<dyn Dialect>) -> Arc<Self> {
+    pub fn new(parts: FleetParts) -> Arc<Self> {
         Arc::new(Self {
-            clock,
-            journal,
-            dialect,
+            clock: parts.clock,
+            journal: parts.journal,
+            dialect: parts.dialect,
             config: ArcSwap::default(),
             config_heard: ArcSwapOption::empty(),
+            boot_clock: parts.boot_clock,
+            config_as_of_ms: AtomicU64::new(0),
             upstreams: ArcSwap::default(),
             named: ArcSwap::default(),
             changed: Notify::new(),
@@ -185,9 +207,24 @@
         self.config.load_full()
     }
 
-    /// The follower of the configuration was told all there is of it.
-    pub fn hear_of_config(&self) {
+    /// The follower of the configuration was told all there was of it then.
+    pub fn hear_of_config(&self, as_of: Option<Duration>) {
         self.config_heard.store(Some(Arc::new(self.clock.now())));
+        let as_of_ms = as_of.map_or(0, |as_of| as_of.as_millis() as u64);
+        self.config_as_of_ms.fetch_max(as_of_ms, Ordering::AcqRel);
+    }
+
+    /// Time for which the store may have had a newer configuration, a suspended VM's time
+    /// included; `None` if this one was never known to be the newest.
+    #[must_use]
+    pub fn config_age(&self) -> Option<Duration> {
+        let as_of_ms = self.config_as_of_ms.load(Ordering::Acquire);
+        let age = || {
+            self.boot_clock
+                .since_boot()
+                .saturating_sub(Duration::from_millis(as_of_ms))
+        };
+        (as_of_ms > 0).then(age)
     }
 
     /// The configuration was the newest one moments ago.
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -22,6 +22,7 @@
 use crate::dialect::StoreAnswer;
 use crate::dialect::StoreCall;
 use crate::dialect::StoreError;
+use crate::duty::BootClock;
 use crate::interest::Interest;
 use crate::interest::Wanted;
 use crate::link::Links;
@@ -72,6 +73,8 @@
     pub pause: Duration,
     /// The same on a seed.
     pub seed_pause: Duration,
+    /// Longest wait of a watch, where answers have to come more often than usual.
+    pub watch_most: Option<Duration>,
 }
 
 impl Following {
@@ -82,6 +85,7 @@
             freshness: Freshness::Newest,
             pause: Duration::ZERO,
             seed_pause: Duration::ZERO,
+            watch_most: None,
         }
     }
 
@@ -92,6 +96,7 @@
             freshness: Freshness::Seconds,
             pause: Duration::ZERO,
             seed_pause: Duration::ZERO,
+            watch_most: None,
         }
     }
 }
@@ -149,10 +154,23 @@
     pub outage: Outage,
     /// The clock.
     pub clock: Arc<dyn Clock>,
+    /// The clock that counts suspended time.
+    pub boot_clock: Arc<dyn BootClock>,
     /// Events.
     pub journal: Journal,
 }
 
+/// What a follower tells of its kind.
+#[derive(Debug)]
+pub struct News {
+    /// What has changed, in order.
+    pub changes: Vec<Change>,
+    /// With these changes all that the store had then is known, on the clock that counts
+    /// suspended time. A watch counts from when it was sent: one that waits may hear nothing
+    /// while the store drops its history. `None` if the answer may be old.
+    pub as_of: Option<Duration>,
+}
+
 /// One kind as its follower knows it.
 struct Follower {
     sources: Sources,
@@ -178,7 +196,7 @@
 /// Changes up to a revision.
 struct Update {
     revision: u64,
-    changes: Vec<Change>,
+    news: News,
 }
 
 /// Follows a kind and tells `take` of its changes, as they come together. Never ends.
@@ -186,7 +204,7 @@
     sources: Sources,
     kind: Kind,
     how: impl Fn() -> Following,
-    mut take: impl FnMut(Vec<Change>),
+    mut take: impl FnMut(News),
 ) {
     let next_seed = rand::rng().random_range(0..sources.seeds.now().asked.len().max(1));
     let wanted = sources.interest.wanted();
@@ -221,7 +239,7 @@
         follower.sources.outage.answered();
         follower.newest = follower.newest.max(update.revision);
         follower.since = Some(follower.newest);
-        take(update.changes);
+        take(update.news);
     }
 }
 
@@ -232,11 +250,11 @@
         let name = name_of(self.kind)?;
         while self.sources.clock.now() < until {
             let seed = self.sources.seeds.turn(self.next_seed)?;
-            let passing = self.ask_seed(seed, name).await;
+            let update = self.ask_seed(seed, name).await;
             if self.take_interest() {
                 continue;
             }
-            if let Some(update) = passing.and_then(|passing| self.update_of(passing)) {
+            if let Some(update) = update {
                 return Some(update);
             }
             self.next_seed += 1;
@@ -266,12 +284,12 @@
         }
         for _ in 0..self.sources.seeds.now().asked.len() {
             let seed = self.sources.seeds.turn(self.next_seed)?;
-            let passing = self.ask_seed(seed, name).await;
+            let update = self.ask_seed(seed, name).await;
             // What came is the answer to another question.
             if self.take_interest() {
                 continue;
             }
-            if let Some(update) = passing.and_then(|passing| self.update_of(passing)) {
+            if let Some(update) = update {
                 return Some(update);
             }
             self.next_seed += 1;
@@ -280,16 +298,20 @@
         None
     }
 
-    /// What a seed passes on, unless it knows too little.
-    fn update_of(&self, passing: Passing) -> Option<Update> {
+    /// What a seed passes on that was asked then, unless it knows too little.
+    fn update_of(&self, passing: Passing, sent: Duration) -> Option<Update> {
         let is_young = passing.age_ms <= age_most_ms();
         (is_young && passing.revision >= self.newest).then(|| Update {
             revision: passing.revision,
-            changes: passing.into_changes(),
+            news: News {
+                as_of: passing.as_of_for(sent),
+                changes: passing.into_changes(),
+            },
         })
     }
 
-    async fn ask_seed(&self, seed: SocketAddr, name: &str) -> Option<Passing> {
+    async fn ask_seed(&self, seed: SocketAddr, name: &str) -> Option<Update> {
+        let sent = self.sources.boot_clock.since_boot();
         let query = self.question().to_query();
         let mut request = Request::new(Full::new(Bytes::new()));
         *request.uri_mut() = format!("{RELAY_PATH}{name}?{query}").parse().ok()?;
@@ -299,7 +321,8 @@
             // The seed may hold its answer for long, and more is wanted at once.
             () = interest.changed(), if self.kind == Kind::Upstreams => return None,
         };
-        serde_json::from_slice(answer.body()).ok()
+        let passing = serde_json::from_slice(answer.body()).ok()?;
+        self.update_of(passing, sent)
     }
 
     fn question(&self) -> Question {
@@ -323,12 +346,16 @@
             // The newest list: while the store drops its history, the revision of a
             // stale one is already gone, and no watch could start from it.
             None => {
+                let sent = self.sources.boot_clock.since_boot();
                 let (objects, revision) =
                     list(&self.sources.store, self.kind, Freshness::Newest).await?;
                 self.listed = Some(self.sources.clock.now());
                 Update {
                     revision,
-                    changes: vec![Change::All(objects)],
+                    news: News {
+                        changes: vec![Change::All(objects)],
+                        as_of: Some(sent),
+                    },
                 }
             }
             Some(since) => self.watch(since, how).await?,
@@ -342,9 +369,10 @@
         }
         let now = self.sources.clock.now();
         if self.sources.seeds.now().is_seed {
-            let (relay, changes) = (&self.sources.relay, &update.changes);
+            let (relay, changes) = (&self.sources.relay, &update.news.changes);
             let whereabouts_of = |object: &Object| self.whereabouts_of(object);
             relay.keep(now, self.kind, update.revision, changes, whereabouts_of);
+            relay.note_as_of(self.kind, update.news.as_of);
         }
         Ok(update)
     }
@@ -378,12 +406,14 @@
             Freshness::Newest => WATCH_WAIT,
             Freshness::Seconds => STALE_WATCH_WAIT,
         };
+        let wait = how.watch_most.map_or(wait, |most| wait.min(most));
         let watch = StoreCall::Watch {
             kind: self.kind,
             since,
             wait,
             freshness,
         };
+        let sent = self.sources.boot_clock.since_boot();
         match self.sources.store.call(&watch).await? {
             StoreAnswer::Changes {
                 changes, revision, ..
@@ -397,7 +427,10 @@
                 });
                 Ok(Update {
                     revision,
-                    changes: changes.collect(),
+                    news: News {
+                        changes: changes.collect(),
+                        as_of: (freshness == Freshness::Newest).then_some(sent),
+                    },
                 })
             }
             _ => Err(StoreError::Unknown),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,10 +5,13 @@
 //! What the platform says is translated by an adapter ([`dialect::Dialect`]); all
 //! decisions, state and recovery are here and in `firweir-policy`.
 
+pub mod account;
+pub mod authentication;
 pub mod change;
 pub mod detour;
 pub mod dialect;
 pub mod disk;
+mod door;
 mod draft_jobs;
 mod draft_run;
 pub mod drafting;
--- a/crates/node/src/live.rs
+++ b/crates/node/src/live.rs
@@ -100,6 +100,7 @@
 struct Call<'a> {
     route: &'a Route,
     routed: &'a RoutedCall,
+    account: Option<&'a str>,
     head: &'a request::Parts,
     body: Bytes,
     deadline: Instant,
@@ -132,10 +133,11 @@
         self.gates.tick();
     }
 
-    /// Answers one call.
+    /// Answers one call, which is for this account.
     pub async fn answer(
         self: &Arc<Self>,
         routed: &RoutedCall,
+        account: Option<&str>,
         route: &Route,
         head: &request::Parts,
         body: Incoming,
@@ -154,6 +156,7 @@
         let call = Call {
             route,
             routed,
+            account,
             head,
             body,
             deadline: started + patience,
@@ -173,6 +176,7 @@
             &[
                 ("request", &routed.request_id),
                 ("route", &route.name),
+                ("account", &account.unwrap_or("none")),
                 ("status", &answer.status().as_u16()),
                 ("reason", &reason_of(&answer)),
                 ("took_ms", &took_ms),
@@ -285,10 +289,10 @@
         *request.method_mut() = call.head.method.clone();
         *request.uri_mut() = call.head.uri.clone();
         let headers = &call.head.headers;
-        *request.headers_mut() = self
-            .shared
-            .dialect
-            .forwarded_headers(headers, upstream, remaining);
+        *request.headers_mut() =
+            self.shared
+                .dialect
+                .forwarded_headers(headers, call.account, upstream, remaining);
         request
     }
 
@@ -384,7 +388,8 @@
     fn ask(&self, prefix: u64, avoid: &[UpstreamKey]) -> Ask {
         Ask {
             class: Class::Live,
-            caller: 0,
+            // One account's burst does not hold up the others.
+            caller: xxh3_64(self.account.unwrap_or_default().as_bytes()),
             prefix,
             cost_tokens: 1,
             deadline: self.deadline,
--- a/crates/node/src/model.rs
+++ b/crates/node/src/model.rs
@@ -9,6 +9,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::account::Accounts;
+
 /// How often a request of a route may run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RouteKind {
@@ -57,6 +59,8 @@
     pub queue_ttl_ms: u64,
     /// A sample may not mix versions of weights.
     pub single_version: bool,
+    /// Its calls need no key.
+    pub public: bool,
 }
 
 impl Route {
@@ -87,6 +91,8 @@
     pub services: Vec<Service>,
     /// Longest body that a client may send.
     pub max_body_bytes: usize,
+    /// Who may call, where that is limited.
+    pub accounts: Accounts,
 }
 
 impl Config {
@@ -109,6 +115,13 @@
             .find(|route| path.starts_with(&route.path_prefix))
     }
 
+    /// Steps of trainers at this host may be submitted, and so be read, without a key.
+    #[must_use]
+    pub fn has_public_rollouts(&self, host: &str) -> bool {
+        let mut routes = self.routes.iter();
+        routes.any(|route| route.host == host && route.kind == RouteKind::Rollout && route.public)
+    }
+
     /// A service by its name.
     #[must_use]
     pub fn service(&self, name: &str) -> Option<&Service> {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -5,43 +5,36 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use firweir::connection::client::within;
 use firweir::connection::net::SharedNet;
 use firweir::connection::net::TcpNet;
 use firweir::connection::server;
 use firweir::connection::server::Body;
 use firweir::connection::server::bytes_response;
-use firweir::connection::server::json;
-use firweir::connection::server::read_body;
 use firweir::process::clock::Clock;
 use firweir::process::clock::SystemClock;
 use firweir::process::log::Journal;
 use firweir::process::metrics::Exposition;
 use firweir::process::tasks::Tasks;
-use http::Method;
 use http::Request;
 use http::Response;
 use http::StatusCode;
-use http::Uri;
-use http_body_util::Full;
 use hyper::body::Incoming;
 use quick_error::quick_error;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 
-use crate::change::Change;
 use crate::detour::Detour;
-use crate::detour::path_for_store;
-use crate::dialect::ClientCall;
 use crate::dialect::Dialect;
 use crate::dialect::Freshness;
 use crate::dialect::Kind;
-use crate::dialect::RoutedCall;
+use crate::door::Door;
 use crate::drafting::Drafting;
 use crate::duty::SystemBootClock;
 use crate::fleet::Fleet;
+use crate::fleet::FleetParts;
 use crate::fleet::UpstreamList;
 use crate::follow::Following;
+use crate::follow::News;
 use crate::follow::Seeds;
 use crate::follow::SeedsNow;
 use crate::follow::Sources;
@@ -50,32 +43,18 @@
 use crate::live::Live;
 use crate::mechanisms::Mechanism;
 use crate::mechanisms::Off;
-use crate::model::Config;
-use crate::model::RouteKind;
 use crate::outage::Outage;
-use crate::relay::Question;
-use crate::relay::RELAY_PATH;
-use crate::relay::Relay;
-use crate::relay::kind_of;
 use crate::reload;
 use crate::reload::InForce;
 use crate::reload::Reload;
-use crate::respond::Outcome;
-use crate::respond::empty;
-use crate::respond::refusal;
-use crate::respond::with_json;
 use crate::scoring::Scoring;
 use crate::settings::NodeSettings;
 use crate::shared::Shared;
 use crate::store::Store;
-use crate::submission::accept::Posted;
-use crate::submission::desk::Asker;
 use crate::submission::desk::Desk;
 use crate::submission::desk::DeskParts;
 use crate::submission::homes::Homes;
 use crate::submission::records::Runner;
-use crate::submission::runners::PING_PATH;
-use crate::weights::HOLDER_PATH;
 use crate::weights::Weights;
 use crate::weights::WeightsParts;
 
@@ -100,28 +79,10 @@
 /// this much later at most, where a load takes 0.9 s.
 const SEED_PAUSE: Duration = Duration::from_millis(200);
 
-/// Largest body of a store call that is made for another node: the store's values end
-/// at a megabyte.
-const STORE_CALL_LIMIT_BYTES: usize = 2 << 20;
-
-/// Time for such a call, a waiting watch included.
-const STORE_CALL_TIMEOUT: Duration = Duration::from_secs(9);
-
 /// Nodes follow seeds where upstreams that leave may get requests for this long: a
 /// node notices a dead seed 2.6 s late, as `relay` works out.
 const RELAY_FROM: Duration = Duration::from_millis(2_800);
 
-/// When a caller may come back whose route this node may not know yet: its retry reaches
-/// another node, and a follower that lost its seed finds another one within a second.
-const COME_BACK: Duration = Duration::from_millis(300);
-
-/// How long a request waits for a node's first configuration: a list of the store takes
-/// some 10 ms. A store that is away is away for seconds.
-const CONFIG_WAIT: Duration = Duration::from_millis(200);
-
-/// Most of a client's own patience that this may take.
-const CONFIG_WAIT_PART: f64 = 0.25;
-
 /// Time between looks at time-bound decisions of live calls.
 const TICK_EVERY: Duration = Duration::from_millis(100);
 
@@ -142,27 +103,6 @@
     }
 }
 
-/// What the parts of a node share.
-#[derive(Debug)]
-struct Node {
-    dialect: Arc<dyn Dialect>,
-    fleet: Arc<Fleet>,
-    live: Arc<Live>,
-    scoring: Scoring,
-    desk: Desk,
-    drafting: Drafting,
-    homes: Homes,
-    weights: Weights,
-    relay: Arc<Relay>,
-    links: Links,
-    /// Address of the platform's store.
-    store: SocketAddr,
-    clock: Arc<dyn Clock>,
-    journal: Journal,
-    tasks: Tasks,
-    off: Off,
-}
-
 /// What both roles of a VM are built from.
 #[derive(Debug, Clone)]
 pub(crate) struct Base {
@@ -209,6 +149,7 @@
             dialect: Arc::clone(&dialect),
             outage: Outage::default(),
             clock: Arc::clone(&clock),
+            boot_clock: Arc::new(SystemBootClock),
             journal: journal.clone(),
         };
         let off = Off::of(&settings.mechanisms_off);
@@ -242,6 +183,8 @@
         let seeds = seeds_now(&settings);
         let follows_store = seeds.asked.is_empty();
         self.sources.seeds.set(seeds);
+        let hold = settings.news_limits().map(|limits| limits.hold);
+        self.sources.relay.hold_at_most(Kind::Configuration, hold);
         let interest = &self.sources.interest;
         interest.take_follows_store(self.clock.now(), follows_store);
     }
@@ -250,7 +193,7 @@
         &self,
         kind: Kind,
         how: impl Fn() -> Following + Send + Sync + 'static,
-        take: impl FnMut(Vec<Change>) + Send + 'static,
+        take: impl FnMut(News) + Send + 'static,
     ) {
         self.tasks
             .spawn(follow(self.sources.clone(), kind, how, take));
@@ -323,9 +266,9 @@
     start_followers(&base, &node);
     let outlive = settings.grace().saturating_sub(END_BEFORE_KILL);
     let linger = outlive.saturating_sub(FINISH_CLIENTS);
-    let clients = serve(&base, &node, client_listen, linger, Node::client).await?;
-    let ready = serve(&base, &node, ready_listen, outlive, Node::client).await?;
-    let peers = serve(&base, &node, peer_listen, outlive, Node::peer).await?;
+    let clients = serve(&base, &node, client_listen, linger, Door::client).await?;
+    let ready = serve(&base, &node, ready_listen, outlive, Door::client).await?;
+    let peers = serve(&base, &node, peer_listen, outlive, Door::peer).await?;
     serve_metrics(&base).await?;
     base.tasks.spawn(ready);
     base.tasks.spawn(peers);
@@ -365,14 +308,19 @@
     Ok(())
 }
 
-fn build(base: &Base, peer_listen: SocketAddr) -> Arc<Node> {
+fn build(base: &Base, peer_listen: SocketAddr) -> Arc<Door> {
     let me = Runner {
         node: base.settings.node.clone(),
         address: peer_listen,
     };
     let (clock, journal) = (&base.clock, &base.journal);
     let dialect = &base.dialect;
-    let fleet = Fleet::new(Arc::clone(clock), journal.clone(), Arc::clone(dialect));
+    let fleet = Fleet::new(FleetParts {
+        clock: Arc::clone(clock),
+        boot_clock: Arc::clone(&base.sources.boot_clock),
+        journal: journal.clone(),
+        dialect: Arc::clone(dialect),
+    });
     let shared = Shared {
         fleet: Arc::clone(&fleet),
         interest: Arc::clone(&base.sources.interest),
@@ -414,12 +362,12 @@
         links: base.links.clone(),
         dialect: Arc::clone(dialect),
         clock: Arc::clone(clock),
-        boot_clock: Arc::new(SystemBootClock),
+        boot_clock: Arc::clone(&base.sources.boot_clock),
         off: base.off,
         journal: journal.clone(),
     });
     base.tasks.spawn(weights.clone().run());
-    Arc::new(Node {
+    Arc::new(Door {
         dialect: Arc::clone(dialect),
         fleet,
         live,
@@ -432,21 +380,28 @@
         links: base.links.clone(),
         store: base.settings.store,
         clock: Arc::clone(clock),
+        boot_clock: Arc::clone(&base.sources.boot_clock),
+        settings: base.in_force.clone(),
         journal: journal.clone(),
         tasks: base.tasks.clone(),
         off: base.off,
     })
 }
 
-fn start_followers(base: &Base, node: &Arc<Node>) {
+fn start_followers(base: &Base, node: &Arc<Door>) {
     let (fleet, live) = (Arc::clone(&node.fleet), Arc::clone(&node.live));
     let scoring = node.scoring.clone();
     let interest = Arc::clone(&base.sources.interest);
-    base.follow(Kind::Configuration, Following::at_once, move |changes| {
-        for change in changes {
+    let settings = base.in_force.clone();
+    let how = move || Following {
+        watch_most: settings.now().news_limits().map(|limits| limits.watch),
+        ..Following::at_once()
+    };
+    base.follow(Kind::Configuration, how, move |news| {
+        for change in news.changes {
             fleet.take_config(change);
         }
-        fleet.hear_of_config();
+        fleet.hear_of_config(news.as_of);
         interest.take_config(&fleet.config());
         live.take_fleet();
         scoring.take_fleet();
@@ -466,11 +421,11 @@
         seed_pause: SEED_PAUSE,
         ..Following::at_once()
     };
-    base.follow(Kind::Upstreams, how, move |changes| {
+    base.follow(Kind::Upstreams, how, move |news| {
         let mut list = followed
             .lock()
             .unwrap_or_else(std::sync::PoisonError::into_inner);
-        let taken = fleet.take_upstreams(&mut list, changes);
+        let taken = fleet.take_upstreams(&mut list, news.changes);
         for address in taken.restarted {
             links.forget(address);
         }
@@ -490,15 +445,15 @@
         },
         ..Following::at_once()
     };
-    base.follow(Kind::WeightVersions, how, move |changes| {
-        for change in changes {
+    base.follow(Kind::WeightVersions, how, move |news| {
+        for change in news.changes {
             fleet.take_version(change);
         }
     });
     let homes = node.homes.clone();
     let how = Following::seconds_late;
-    base.follow(Kind::Duties, how, move |changes| {
-        for change in changes {
+    base.follow(Kind::Duties, how, move |news| {
+        for change in news.changes {
             homes.take(change);
         }
     });
@@ -526,13 +481,13 @@
 
 async fn serve<F, A>(
     base: &Base,
-    node: &Arc<Node>,
+    node: &Arc<Door>,
     at: SocketAddr,
     linger: Duration,
     answer: F,
 ) -> io::Result<impl Future<Output = ()> + Send + use<F, A>>
 where
-    F: Fn(Arc<Node>, Request<Incoming>) -> A + Copy + Send + Sync + 'static,
+    F: Fn(Arc<Door>, Request<Incoming>) -> A + Copy + Send + Sync + 'static,
     A: Future<Output = Response<Body>> + Send + 'static,
 {
     let node = Arc::clone(node);
@@ -540,178 +495,3 @@
     let (_, serving) = server::serve(&base.net, &base.tasks, at, linger, handler).await?;
     Ok(serving)
 }
-
-impl Node {
-    /// Answers a client, or the balancer.
-    async fn client(self: Arc<Self>, request: Request<Incoming>) -> Response<Body> {
-        let (head, body) = request.into_parts();
-        let (id, question) = match self.dialect.client_call(&head) {
-            ClientCall::Ready => return self.ready(),
-            ClientCall::Routed(routed) => return self.routed(&routed, &head, body).await,
-            ClientCall::Asked(id, question) => (id, question),
-        };
-        self.desk.ask(Asker::Client, &id, &question, &head).await
-    }
-
-    /// Answers another node.
-    async fn peer(self: Arc<Self>, request: Request<Incoming>) -> Response<Body> {
-        let (head, body) = request.into_parts();
-        if head.uri.path() == PING_PATH {
-            return empty(StatusCode::OK);
-        }
-        if head.uri.path() == HOLDER_PATH {
-            return json(StatusCode::OK, &self.weights.answer_holder().await);
-        }
-        if let Some(uri) = path_for_store(&head.uri) {
-            return self.call_store(uri, &head, body).await;
-        }
-        if let Some(name) = head.uri.path().strip_prefix(RELAY_PATH) {
-            return self.pass_on(name, head.uri.query()).await;
-        }
-        let (id, question) = match self.dialect.client_call(&head) {
-            ClientCall::Asked(id, question) => (id, question),
-            ClientCall::Routed(routed) if !self.tasks.is_draining() => {
-                let limit = self.fleet.config().max_body_bytes;
-                return self
-                    .submitted(Asker::Peer, &routed, &head, body, limit)
-                    .await;
-            }
-            ClientCall::Routed(_) => return empty(StatusCode::SERVICE_UNAVAILABLE),
-            ClientCall::Ready => return empty(StatusCode::NOT_FOUND),
-        };
-        self.desk.ask(Asker::Peer, &id, &question, &head).await
-    }
-
-    /// Makes a call of the store for a node that it turns away.
-    async fn call_store(
-        &self,
-        uri: Uri,
-        head: &http::request::Parts,
-        body: Incoming,
-    ) -> Response<Body> {
-        let Some(body) = read_body(body, STORE_CALL_LIMIT_BYTES).await else {
-            return empty(StatusCode::PAYLOAD_TOO_LARGE);
-        };
-        let mut request = Request::new(Full::new(body));
-        *request.method_mut() = head.method.clone();
-        *request.uri_mut() = uri;
-        match self
-            .links
-            .call(self.store, request, STORE_CALL_TIMEOUT)
-            .await
-        {
-            Ok(answer) => {
-                let (head, body) = answer.into_parts();
-                with_json(head.status, body)
-            }
-            Err(error) if error.is_not_sent() => empty(StatusCode::SERVICE_UNAVAILABLE),
-            // It may have been carried out.
-            Err(_) => empty(StatusCode::GATEWAY_TIMEOUT),
-        }
-    }
-
-    /// Passes on what the store shows to a node that takes this one for a seed.
-    async fn pass_on(&self, name: &str, query: Option<&str>) -> Response<Body> {
-        let question = query.and_then(Question::of_query);
-        let (Some(kind), Some(question)) = (kind_of(name), question) else {
-            return empty(StatusCode::NOT_FOUND);
-        };
-        let now = || self.clock.now();
-        let answer = self.relay.answer(kind, &question, now).await;
-        json(StatusCode::OK, &answer)
-    }
-
-    /// Not ready before a configuration is known, or once a drain has begun.
-    fn ready(&self) -> Response<Body> {
-        let ready = self.fleet.config().version > 0 && !self.tasks.is_draining();
-        empty(if ready {
-            StatusCode::OK
-        } else {
-            StatusCode::SERVICE_UNAVAILABLE
-        })
-    }
-
-    async fn routed(
-        &self,
-        routed: &RoutedCall,
-        head: &http::request::Parts,
-        body: Incoming,
-    ) -> Response<Body> {
-        let Some(config) = self.first_config(routed).await else {
-            return Live::not_ready();
-        };
-        let Some(route) = config.route(&routed.host, head.uri.path()) else {
-            return self.no_route();
-        };
-        if route.kind != RouteKind::Rollout || head.method != Method::POST {
-            return self.live.answer(routed, route, head, body).await;
-        }
-        let limit = config.max_body_bytes;
-        self.submitted(Asker::Client, routed, head, body, limit)
-            .await
-    }
-
-    fn no_route(&self) -> Response<Body> {
-        if self.fleet.is_config_young() {
-            refusal(Outcome::BadRequest(StatusCode::NOT_FOUND), "no-route")
-        } else {
-            refusal(Outcome::NotRun(COME_BACK), "configuration-old")
-        }
-    }
-
-    /// The configuration; waited for a while by a node that has just started.
-    ///
-    /// **Failure:** after a loss of power clients reach a node some 20 ms before it has
-    /// read its configuration, since the balancer goes on with all nodes where none is
-    /// ready. Refused, they come back after 0.3 s and are late. **Gain:** most of them are
-    /// answered in time.
-    async fn first_config(&self, routed: &RoutedCall) -> Option<Arc<Config>> {
-        if !self.off.leaves(Mechanism::FirstConfig) {
-            let config = self.fleet.config();
-            return (config.version > 0).then_some(config);
-        }
-        let patience = routed.patience.unwrap_or(CONFIG_WAIT);
-        let wait = CONFIG_WAIT.min(patience.mul_f64(CONFIG_WAIT_PART));
-        // Late or not, the look below tells.
-        _ = within(wait, self.fleet.configured()).await;
-        let config = self.fleet.config();
-        (config.version > 0).then_some(config)
-    }
-
-    async fn submitted(
-        &self,
-        asker: Asker,
-        routed: &RoutedCall,
-        head: &http::request::Parts,
-        body: Incoming,
-        limit_bytes: usize,
-    ) -> Response<Body> {
-        let Some(body) = read_body(body, limit_bytes).await else {
-            let status = StatusCode::PAYLOAD_TOO_LARGE;
-            return refusal(Outcome::BadRequest(status), "body-too-large");
-        };
-        let submission = match self.dialect.submission(&routed.request_id, &body) {
-            Ok(submission) => submission,
-            Err(error) => {
-                self.journal.event(
-                    "submission_malformed",
-                    &[("submission", &routed.request_id), ("cause", &error)],
-                );
-                let status = StatusCode::BAD_REQUEST;
-                return refusal(Outcome::BadRequest(status), "malformed-submission");
-            }
-        };
-        let posted = Posted {
-            host: &routed.host,
-            head,
-            body: &body,
-        };
-        match asker {
-            Asker::Client => {
-                let draining = self.tasks.is_draining();
-                self.desk.submit(&posted, submission, draining).await
-            }
-            Asker::Peer => self.desk.accept(&posted, submission).await,
-        }
-    }
-}
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -21,6 +21,8 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -79,6 +81,12 @@
     pub revision: u64,
     /// Time since the seed last heard from the store.
     pub age_ms: u64,
+    /// When this was all that the store had, from the arrival of the question on.
+    #[serde(default)]
+    pub as_of_ms: Option<i64>,
+    /// The same on the seed's own clock.
+    #[serde(skip)]
+    pub as_of: Option<Duration>,
     /// All objects, not only what changed.
     pub whole: bool,
     /// Objects in the order of their changes.
@@ -86,6 +94,24 @@
 }
 
 impl Passing {
+    /// The same for a node whose question arrived then: clocks of two VMs have nothing in
+    /// common but how fast they go.
+    #[must_use]
+    pub fn since_question(mut self, arrived: Duration) -> Self {
+        let millis = |time: Duration| time.as_millis() as i64;
+        self.as_of_ms = self.as_of.map(|as_of| millis(as_of) - millis(arrived));
+        self
+    }
+
+    /// When this was all that the store had, on the clock of a node that sent its question
+    /// then: at the latest when the seed got it.
+    #[must_use]
+    pub fn as_of_for(&self, sent: Duration) -> Option<Duration> {
+        let sent_ms = sent.as_millis() as i64;
+        let as_of_ms = u64::try_from(sent_ms.checked_add(self.as_of_ms?)?);
+        as_of_ms.ok().map(Duration::from_millis)
+    }
+
     /// What a node is to take in.
     #[must_use]
     pub fn into_changes(self) -> Vec<Change> {
@@ -208,6 +234,8 @@
     last_moved: u64,
     revision: u64,
     heard: Option<Instant>,
+    /// When this was all that the store had, on the clock that counts suspended time.
+    as_of: Option<Duration>,
 }
 
 /// What one node holds of one kind that seeds pass on.
@@ -215,6 +243,8 @@
 struct Held {
     mirror: Mutex<Mirror>,
     changed: Notify,
+    /// Questions are held for less than usual; 0 if not.
+    hold_most_ms: AtomicU64,
 }
 
 /// What one node holds of the kinds that seeds pass on.
@@ -262,6 +292,22 @@
         }
     }
 
+    /// Holds questions of a kind for so long at most.
+    pub fn hold_at_most(&self, kind: Kind, most: Option<Duration>) {
+        if let Some(held) = self.held(kind) {
+            let most_ms = most.map_or(0, |most| most.as_millis() as u64);
+            held.hold_most_ms.store(most_ms, Ordering::Relaxed);
+        }
+    }
+
+    /// Notes that what is kept was all that the store had then.
+    pub fn note_as_of(&self, kind: Kind, as_of: Option<Duration>) {
+        if let Some(held) = self.held(kind) {
+            let mut mirror = held.lock();
+            mirror.as_of = mirror.as_of.max(as_of);
+        }
+    }
+
     /// What came after a revision; held back while there is nothing.
     pub async fn answer(
         &self,
@@ -272,7 +318,7 @@
         let Some(held) = self.held(kind) else {
             return Mirror::default().passing(question, now());
         };
-        let until = tokio::time::Instant::now() + HOLD;
+        let until = tokio::time::Instant::now() + held.hold();
         loop {
             let changed = held.changed.notified();
             tokio::pin!(changed);
@@ -295,6 +341,13 @@
 }
 
 impl Held {
+    fn hold(&self) -> Duration {
+        match self.hold_most_ms.load(Ordering::Relaxed) {
+            0 => HOLD,
+            most_ms => HOLD.min(Duration::from_millis(most_ms)),
+        }
+    }
+
     fn lock(&self) -> MutexGuard<'_, Mirror> {
         self.mirror.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -319,6 +372,8 @@
         Passing {
             revision: self.revision,
             age_ms: age.map_or(u64::MAX, |age| age.as_millis() as u64),
+            as_of_ms: None,
+            as_of: self.as_of,
             whole,
             objects,
         }
--- a/crates/node/src/reload.rs
+++ b/crates/node/src/reload.rs
@@ -57,6 +57,8 @@
         let mut taken = NodeSettings::clone(&held);
         taken.seeds.clone_from(&new.seeds);
         taken.lease_ms = new.lease_ms;
+        taken.config_apply_ms = new.config_apply_ms;
+        taken.revoke_ms = new.revoke_ms;
         taken.keep_results_s = new.keep_results_s;
         taken.log_level.clone_from(&new.log_level);
         let in_force = held.keys_that_differ(&taken);
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -8,6 +8,7 @@
 use quick_error::quick_error;
 use serde::Deserialize;
 
+use crate::authentication::NewsLimits;
 use crate::mechanisms::Mechanism;
 
 quick_error! {
@@ -59,6 +60,13 @@
     pub keep_results_s: f64,
     /// Engines may hear from another holder of the orders only after this long.
     pub lease_ms: u64,
+    /// A configuration is in force everywhere within this time.
+    #[serde(default = "default_config_apply_ms")]
+    pub config_apply_ms: u64,
+    /// No call that is sent this long after its key was taken away may run, whatever befalls
+    /// a node; absent where only nodes in touch have to know.
+    #[serde(default)]
+    pub revoke_ms: Option<u64>,
     /// Where counters and latencies are served as text.
     #[serde(default)]
     pub metrics_listen: Option<SocketAddr>,
@@ -70,6 +78,10 @@
     pub log_level: String,
 }
 
+const fn default_config_apply_ms() -> u64 {
+    2_000
+}
+
 fn default_log_level() -> String {
     "info".to_owned()
 }
@@ -109,6 +121,11 @@
                 self.keep_results() != other.keep_results(),
             ),
             ("lease_ms", self.lease_ms != other.lease_ms),
+            (
+                "config_apply_ms",
+                self.config_apply_ms != other.config_apply_ms,
+            ),
+            ("revoke_ms", self.revoke_ms != other.revoke_ms),
             (
                 "metrics_listen",
                 self.metrics_listen != other.metrics_listen,
@@ -141,6 +158,24 @@
         Duration::from_secs_f64(self.keep_results_s.max(0.0))
     }
 
+    /// A configuration is in force everywhere within this time.
+    #[must_use]
+    pub const fn config_apply(&self) -> Duration {
+        Duration::from_millis(self.config_apply_ms)
+    }
+
+    /// How long a key that was taken away may be served, where that is bounded for all nodes.
+    #[must_use]
+    pub fn revocation(&self) -> Option<Duration> {
+        self.revoke_ms.map(Duration::from_millis)
+    }
+
+    /// How often the configuration has to be heard of for that.
+    #[must_use]
+    pub fn news_limits(&self) -> Option<NewsLimits> {
+        self.revocation().map(NewsLimits::new)
+    }
+
     /// Engines may hear from another holder of the orders only after this long.
     #[must_use]
     pub const fn lease(&self) -> Duration {
--- a/crates/node/src/submission/accept.rs
+++ b/crates/node/src/submission/accept.rs
@@ -54,6 +54,8 @@
     pub head: &'a request::Parts,
     /// Its body.
     pub body: &'a Bytes,
+    /// Account that it is for.
+    pub account: Option<&'a str>,
 }
 
 impl Desk {
@@ -160,6 +162,7 @@
                 let accepting = self.clone().accept_to_end(
                     posted.host.to_owned(),
                     posted.head.uri.path().to_owned(),
+                    posted.account.map(str::to_owned),
                     submission,
                     decided,
                 );
@@ -183,11 +186,15 @@
         self,
         host: String,
         path: String,
+        account: Option<String>,
         submission: Submission,
         decided: watch::Sender<Option<Acceptance>>,
     ) {
         let id = submission.id.clone();
-        let acceptance = match self.write_submission(host, path, &submission).await {
+        let acceptance = match self
+            .write_submission(host, path, account, &submission)
+            .await
+        {
             Ok(head) => {
                 if let Some((head, sent)) = head {
                     self.journal_accepted(&submission);
@@ -231,6 +238,7 @@
         &self,
         host: String,
         path: String,
+        account: Option<String>,
         submission: &Submission,
     ) -> Result<Option<(Head, Instant)>, StoreError> {
         let until = self.shared.clock.now() + ACCEPT_PATIENCE;
@@ -264,6 +272,7 @@
             accepted_ms: self.shared.clock.since_epoch().as_millis() as u64,
             runner: self.shared.me.clone(),
             ended: false,
+            account,
         };
         let sent = self.shared.clock.now();
         let created = store
--- a/crates/node/src/submission/desk.rs
+++ b/crates/node/src/submission/desk.rs
@@ -23,6 +23,7 @@
 use http::request;
 use tokio::sync::watch;
 
+use crate::dialect::AskedCall;
 use crate::dialect::Dialect;
 use crate::dialect::Freshness;
 use crate::dialect::Kind;
@@ -323,15 +324,16 @@
         with_json(StatusCode::OK, self.shared.dialect.result_page(&page))
     }
 
-    /// Answers a question about a submission.
+    /// Answers a question about a submission, on behalf of an account.
     pub async fn ask(
         &self,
         asker: Asker,
-        id: &str,
-        question: &Question,
-        call: &request::Parts,
+        account: Option<&str>,
+        call: &AskedCall,
+        head: &request::Parts,
     ) -> Response<Body> {
-        let answer = self.answer_or_pass_on(asker, id, question, call).await;
+        let (id, question) = (call.submission.as_str(), &call.question);
+        let answer = self.answer_or_pass_on(asker, account, call, head).await;
         if !answer.status().is_success() {
             self.shared.journal.event(
                 "question_refused",
@@ -350,12 +352,16 @@
     async fn answer_or_pass_on(
         &self,
         asker: Asker,
-        id: &str,
-        question: &Question,
-        call: &request::Parts,
+        account: Option<&str>,
+        call: &AskedCall,
+        head: &request::Parts,
     ) -> Response<Body> {
+        let (id, question) = (call.submission.as_str(), &call.question);
         // Its own head is looked at while it runs; a question need not wait for the store.
         if let Some(board) = self.board(id) {
+            if !board.head.is_for(account) {
+                return no_such_submission();
+            }
             let answer = self.answer(&board, question).await;
             // It was let go meanwhile: its new runner answers a client.
             if asker == Asker::Peer || answer.status() != StatusCode::CONFLICT {
@@ -365,27 +371,25 @@
         let away = asker == Asker::Client && self.shared.outage.is_on();
         if away
             && !self.is_known(id)
-            && let Some(answer) = self.ask_homes(question, call).await
+            && let Some(answer) = self.ask_homes(question, head).await
         {
             return answer;
         }
         let mut known = match self.shared.heads.known(id).await {
             Ok(Some(known)) => known,
-            Ok(None) => {
-                return refusal(
-                    Outcome::BadRequest(StatusCode::NOT_FOUND),
-                    "no-such-submission",
-                );
-            }
+            Ok(None) => return no_such_submission(),
             Err(_) => {
                 let answer = match asker {
-                    Asker::Client if !away => self.ask_homes(question, call).await,
+                    Asker::Client if !away => self.ask_homes(question, head).await,
                     Asker::Client | Asker::Peer => None,
                 };
                 let refused = || refusal(Outcome::NotRun(ASK_AGAIN), "store-unavailable");
                 return answer.unwrap_or_else(refused);
             }
         };
+        if !known.head.is_for(account) {
+            return no_such_submission();
+        }
         for _ in 0..HEAD_TRIES {
             if known.head.runner == self.shared.me {
                 return match self.own(id, known.head).await {
@@ -404,7 +408,7 @@
             }
             let runner = known.head.runner.address;
             let runners = &self.shared.runners;
-            match runners.pass_on(runner, question, call).await {
+            match runners.pass_on(runner, question, head).await {
                 Ok(answer) if is_final(question, answer.status()) => {
                     let (head, body) = answer.into_parts();
                     return with_json(head.status, body);
@@ -714,6 +718,12 @@
     }
 }
 
+/// The answer for a submission that is not there, or is another account's.
+fn no_such_submission() -> Response<Body> {
+    let outcome = Outcome::BadRequest(StatusCode::NOT_FOUND);
+    refusal(outcome, "no-such-submission")
+}
+
 /// Whether a runner's answer stands; else the question goes on elsewhere.
 fn is_final(question: &Question, status: StatusCode) -> bool {
     match question {
--- a/crates/node/src/submission/records.rs
+++ b/crates/node/src/submission/records.rs
@@ -46,6 +46,18 @@
     pub runner: Runner,
     /// No more of it is wanted.
     pub ended: bool,
+    /// Account that submitted it, where calls need a key.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub account: Option<String>,
+}
+
+impl Head {
+    /// Whether whoever asks for this account may know of the submission. One that was
+    /// submitted for none may be asked about by all.
+    #[must_use]
+    pub fn is_for(&self, account: Option<&str>) -> bool {
+        self.account.is_none() || self.account.as_deref() == account
+    }
 }
 
 /// Some items of a submission.
--- a/crates/node/src/submission/runners.rs
+++ b/crates/node/src/submission/runners.rs
@@ -11,8 +11,12 @@
 
 use bytes::Bytes;
 use firweir::process::clock::Clock;
+use http::HeaderMap;
+use http::HeaderName;
+use http::HeaderValue;
 use http::Request;
 use http::Response;
+use http::header;
 use http::request;
 use http_body_util::Full;
 
@@ -31,6 +35,10 @@
 /// A question that a runner answers at once.
 pub const PING_PATH: &str = "/peer/ping";
 
+/// Account that a question or a step is for, between nodes: who has the key was looked up
+/// where the client asked, and its key goes no further.
+const ACCOUNT: HeaderName = HeaderName::from_static("x-firweir-account");
+
 /// Least time for its answer.
 const PING_PATIENCE: Duration = Duration::from_millis(200);
 
@@ -171,6 +179,23 @@
     }
 }
 
+/// Names the account of a client's call for other nodes, in place of its key.
+pub fn name_account(headers: &mut HeaderMap, account: Option<&str>) {
+    headers.remove(header::AUTHORIZATION);
+    headers.remove(ACCOUNT);
+    let value = account.map(|account| HeaderValue::from_bytes(account.as_bytes()));
+    if let Some(Ok(value)) = value {
+        headers.insert(ACCOUNT, value);
+    }
+}
+
+/// The account that another node has named.
+#[must_use]
+pub fn named_account(headers: &HeaderMap) -> Option<String> {
+    let name = headers.get(ACCOUNT)?.as_bytes();
+    Some(String::from_utf8_lossy(name).into_owned())
+}
+
 /// What a call brings, unless `other` ends first.
 async fn unless<T>(call: impl Future<Output = T>, other: impl Future<Output = ()>) -> Option<T> {
     tokio::select! {
@@ -181,12 +206,12 @@
 }
 
 /// Takes out what describes how the body came, which the next connection sets anew.
-pub fn strip_framing(headers: &mut http::HeaderMap) {
+pub fn strip_framing(headers: &mut HeaderMap) {
     let framing = [
-        http::header::CONNECTION,
-        http::header::CONTENT_LENGTH,
-        http::header::TRANSFER_ENCODING,
-        http::header::EXPECT,
+        header::CONNECTION,
+        header::CONTENT_LENGTH,
+        header::TRANSFER_ENCODING,
+        header::EXPECT,
     ];
     for name in framing {
         headers.remove(name);
--- /dev/null
+++ b/crates/node/tests/authentication.rs
@@ -0,0 +1,201 @@
+//! Which account a call is for, by its key and by how old the configuration may be.
+
+use std::time::Duration;
+
+use firweir_node::account::Accounts;
+use firweir_node::account::ApiKey;
+use firweir_node::account::Declared;
+use firweir_node::authentication::AgeLimits;
+use firweir_node::authentication::Claim;
+use firweir_node::authentication::Denied;
+use firweir_node::authentication::NewsLimits;
+use firweir_node::authentication::Purpose;
+use firweir_node::authentication::account_of;
+use firweir_node::model::Config;
+
+const APPLY: Duration = Duration::from_secs(3);
+const REVOCATION: Duration = Duration::from_secs(5);
+
+fn declared(name: &str, keys: &[&str]) -> Declared {
+    let keys = keys.iter().map(|key| ApiKey::new(key.as_bytes()));
+    Declared {
+        name: name.to_owned(),
+        keys: keys.collect(),
+    }
+}
+
+fn config(accounts: Vec<Declared>) -> Config {
+    Config {
+        version: 1,
+        accounts: Accounts::new(accounts),
+        ..Config::default()
+    }
+}
+
+fn two_accounts() -> Config {
+    config(vec![
+        declared("kudu", &["k1", "k2", "both"]),
+        declared("oryx", &["o1", "both"]),
+        declared("none left", &[]),
+    ])
+}
+
+struct Case {
+    name: &'static str,
+    key: Option<&'static str>,
+    is_public: bool,
+    purpose: Purpose,
+    age_ms: Option<u64>,
+    expected: Result<Option<&'static str>, Denied>,
+}
+
+const PLAIN: Case = Case {
+    name: "",
+    key: Some("k2"),
+    is_public: false,
+    purpose: Purpose::Run,
+    age_ms: Some(0),
+    expected: Ok(Some("kudu")),
+};
+
+const CASES: [Case; 14] = [
+    Case {
+        name: "a known key",
+        ..PLAIN
+    },
+    Case {
+        name: "a known key, as old as may be",
+        age_ms: Some(3_750),
+        ..PLAIN
+    },
+    Case {
+        name: "it may have been taken away meanwhile",
+        age_ms: Some(3_751),
+        expected: Err(Denied::Unsure),
+        ..PLAIN
+    },
+    Case {
+        name: "it was never known how old the configuration is",
+        age_ms: None,
+        expected: Err(Denied::Unsure),
+        ..PLAIN
+    },
+    Case {
+        name: "a trainer reads on while the store is away",
+        purpose: Purpose::Manage,
+        age_ms: Some(60_000),
+        ..PLAIN
+    },
+    Case {
+        name: "an unknown key",
+        key: Some("k3"),
+        expected: Err(Denied::UnknownKey),
+        ..PLAIN
+    },
+    Case {
+        name: "an unknown key may be new",
+        key: Some("k3"),
+        age_ms: Some(3_001),
+        expected: Err(Denied::Unsure),
+        ..PLAIN
+    },
+    Case {
+        name: "an unknown key, to read",
+        key: Some("k3"),
+        purpose: Purpose::Manage,
+        expected: Err(Denied::UnknownKey),
+        ..PLAIN
+    },
+    Case {
+        name: "no key",
+        key: None,
+        expected: Err(Denied::NoKey),
+        ..PLAIN
+    },
+    Case {
+        name: "no key, and the route may have been opened to all",
+        key: None,
+        age_ms: None,
+        expected: Err(Denied::Unsure),
+        ..PLAIN
+    },
+    Case {
+        name: "no key where none is needed",
+        key: None,
+        is_public: true,
+        age_ms: None,
+        expected: Ok(None),
+        ..PLAIN
+    },
+    Case {
+        name: "an unknown key where none is needed",
+        key: Some("k3"),
+        is_public: true,
+        expected: Ok(None),
+        ..PLAIN
+    },
+    Case {
+        name: "a known key where none is needed",
+        is_public: true,
+        ..PLAIN
+    },
+    Case {
+        name: "a key that two accounts have names neither",
+        key: Some("both"),
+        expected: Err(Denied::UnknownKey),
+        ..PLAIN
+    },
+];
+
+#[test]
+fn whom_a_call_is_for() {
+    let config = two_accounts();
+    let limits = AgeLimits::new(APPLY, Some(REVOCATION));
+    for case in CASES {
+        let key = case.key.map(|key| ApiKey::new(key.as_bytes()));
+        let claim = Claim {
+            key: key.as_ref(),
+            is_public: case.is_public,
+            purpose: case.purpose,
+        };
+        let age = case.age_ms.map(Duration::from_millis);
+        let account = account_of(&config, claim, age, &limits);
+        assert_eq!(account, case.expected, "{}", case.name);
+    }
+}
+
+#[test]
+fn without_accounts_or_a_bound_age_does_not_count() {
+    let key = ApiKey::new(b"k1");
+    let claim = Claim {
+        key: Some(&key),
+        is_public: false,
+        purpose: Purpose::Run,
+    };
+    let limits = AgeLimits::new(APPLY, Some(REVOCATION));
+    let nobody = config(Vec::new());
+    assert_eq!(account_of(&nobody, claim, None, &limits), Ok(None));
+    let limits = AgeLimits::new(APPLY, None);
+    let config = two_accounts();
+    assert_eq!(account_of(&config, claim, None, &limits), Ok(Some("kudu")));
+}
+
+/// A node that hears as often as it asks would refuse calls in turn if its answers
+/// were older than it may serve by.
+#[test]
+fn a_node_that_hears_as_planned_always_serves() {
+    for revocation in [REVOCATION / 5, REVOCATION, REVOCATION * 5] {
+        let limits = AgeLimits::new(APPLY, Some(revocation));
+        let news = NewsLimits::new(revocation);
+        let oldest = news.watch * 2 + news.hold;
+        assert!(limits.may_serve(Some(oldest)), "{revocation:?}");
+    }
+}
+
+#[test]
+fn a_key_is_never_shown() {
+    let shown = format!("{:?}", ApiKey::new(b"secret"));
+    assert!(!shown.contains("secret"), "{shown}");
+    let config = config(vec![declared("kudu", &["secret"])]);
+    assert!(!format!("{config:?}").contains("secret"));
+}
--- a/crates/node/tests/interest.rs
+++ b/crates/node/tests/interest.rs
@@ -26,6 +26,7 @@
         due_ms: 0,
         queue_ttl_ms: 0,
         single_version: false,
+        public: false,
     }
 }
 
