Usage of accounts is reported once for each window, by the one node that holds the duty

Change: each node counts by window of true time what it hands to upstreams, and tells the holder of the duty (in full, so that messages may be lost or doubled) and a seed; the holder writes what it will report of a window to the store before it sends it, so that a successor sends the same. True time is the median of what nodes believed as they started, carried on by a clock that does not jump. One duty for weights and usage: not measured against two. One object for each window costs a create and later a read and a delete (not measured apart). Ruled out, by reasoning only: counts in the store by each node (a write for each node and window).

--- a/crates/node/src/authentication.rs
+++ b/crates/node/src/authentication.rs
@@ -18,13 +18,16 @@
 /// its watches for a second before that; the rest is for it.
 const REVOCATION_PART: f64 = 0.75;
 
-/// How often the configuration is asked for, as a part of that time. At a seed it gets two
-/// waits of its watch old, and at a node that asks a seed older by one hold of its question:
-/// together well below [`REVOCATION_PART`].
-const WATCH_PART: f64 = 0.2;
-const HOLD_PART: f64 = 0.18;
+/// How often the configuration is asked for, as parts of the time within which it has to be in
+/// force, and of that within which a key may still be served. At a seed it gets two waits of its
+/// watch old, and at a node that asks a seed older by one hold of its question: together
+/// that stays below the time in which a node may deny a key, and serve one.
+const WATCH_OF_APPLY: f64 = 0.3;
+const HOLD_OF_APPLY: f64 = 0.28;
+const WATCH_OF_REVOCATION: f64 = 0.2;
+const HOLD_OF_REVOCATION: f64 = 0.18;
 
-/// How often a node has to hear of its configuration.
+/// How often a node has to hear of its configuration where calls need keys.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct NewsLimits {
     /// Longest wait of a watch of the store.
@@ -34,12 +37,16 @@
 }
 
 impl NewsLimits {
-    /// Limits with which a node's configuration stays young enough for calls with a key.
+    /// Limits for the times that an operator sets.
     #[must_use]
-    pub fn new(revocation: Duration) -> Self {
+    pub fn new(apply: Duration, revocation: Option<Duration>) -> Self {
+        let part = |of_apply, of_revocation| {
+            let most = revocation.map_or(Duration::MAX, |most| most.mul_f64(of_revocation));
+            apply.mul_f64(of_apply).min(most)
+        };
         Self {
-            watch: revocation.mul_f64(WATCH_PART),
-            hold: revocation.mul_f64(HOLD_PART),
+            watch: part(WATCH_OF_APPLY, WATCH_OF_REVOCATION),
+            hold: part(HOLD_OF_APPLY, HOLD_OF_REVOCATION),
         }
     }
 }
--- a/crates/node/src/dialect.rs
+++ b/crates/node/src/dialect.rs
@@ -24,6 +24,8 @@
 use crate::model::RewardCall;
 use crate::model::Submission;
 use crate::model::Upstream;
+use crate::usage::tally::AccountCount;
+use crate::usage::tally::Window;
 
 quick_error! {
     /// A message that is not what the protocol says.
@@ -188,6 +190,28 @@
     Refused,
 }
 
+/// A report of the usage of accounts.
+#[derive(Debug)]
+pub struct UsageReport<'a> {
+    /// The window.
+    pub window: Window,
+    /// Requests of the accounts that had any.
+    pub counts: &'a [AccountCount],
+    /// Who reports.
+    pub holder: &'a str,
+    /// Grows with each change of the holder.
+    pub epoch: u64,
+}
+
+/// What the platform says to a call that one node at a time makes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum DutyAnswer {
+    /// It has taken it in.
+    Done,
+    /// It cannot be done now.
+    Later,
+}
+
 /// What an upstream reports of itself.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct EngineReport {
@@ -222,6 +246,8 @@
     UnfinishedTexts,
     /// Who holds a duty that one VM at a time has.
     Duties,
+    /// What is reported of the usage of accounts, by window.
+    UsageReports,
 }
 
 /// An object of the platform's store.
@@ -459,6 +485,12 @@
     /// Reads the answer to an order.
     fn order_answer(&self, status: StatusCode) -> OrderAnswer;
 
+    /// Writes a report of usage.
+    fn usage_report(&self, report: &UsageReport<'_>) -> Request<Full<Bytes>>;
+
+    /// Reads the platform's answer to a call that one node at a time makes.
+    fn duty_answer(&self, status: StatusCode) -> DutyAnswer;
+
     /// Writes the question for an upstream's report.
     fn report_request(&self, upstream: &Upstream) -> Request<Full<Bytes>>;
 
--- a/crates/node/src/door.rs
+++ b/crates/node/src/door.rs
@@ -34,6 +34,8 @@
 use crate::drafting::Drafting;
 use crate::duty::BootClock;
 use crate::fleet::Fleet;
+use crate::holder::HOLDER_PATH;
+use crate::holder::Holder;
 use crate::link::Links;
 use crate::live::Live;
 use crate::mechanisms::Mechanism;
@@ -58,13 +60,16 @@
 use crate::submission::runners::PING_PATH;
 use crate::submission::runners::name_account;
 use crate::submission::runners::named_account;
-use crate::weights::HOLDER_PATH;
-use crate::weights::Weights;
+use crate::usage::counting::Counting;
+use crate::usage::counting::USAGE_PATH;
 
 /// Largest body of a store call that is made for another node: the store's values end
 /// at a megabyte.
 const STORE_CALL_LIMIT_BYTES: usize = 2 << 20;
 
+/// Largest body of counts: some windows of all accounts.
+const USAGE_LIMIT_BYTES: usize = 1 << 20;
+
 /// Time for such a call, a waiting watch included.
 const STORE_CALL_TIMEOUT: Duration = Duration::from_secs(9);
 
@@ -89,7 +94,8 @@
     pub(crate) desk: Desk,
     pub(crate) drafting: Drafting,
     pub(crate) homes: Homes,
-    pub(crate) weights: Weights,
+    pub(crate) holder: Holder,
+    pub(crate) counting: Counting,
     pub(crate) relay: Arc<Relay>,
     pub(crate) links: Links,
     /// Address of the platform's store.
@@ -192,7 +198,10 @@
             return empty(StatusCode::OK);
         }
         if head.uri.path() == HOLDER_PATH {
-            return json(StatusCode::OK, &self.weights.answer_holder().await);
+            return json(StatusCode::OK, &self.holder.answer().await);
+        }
+        if head.uri.path() == USAGE_PATH {
+            return self.usage(&head, body).await;
         }
         if let Some(uri) = path_for_store(&head.uri) {
             return self.call_store(uri, &head, body).await;
@@ -221,6 +230,20 @@
         }
     }
 
+    /// Takes in what another node has counted, or tells what this one was told.
+    async fn usage(&self, head: &http::request::Parts, body: Incoming) -> Response<Body> {
+        if head.method == Method::GET {
+            return with_json(StatusCode::OK, self.counting.copies());
+        }
+        let Some(body) = read_body(body, USAGE_LIMIT_BYTES).await else {
+            return empty(StatusCode::PAYLOAD_TOO_LARGE);
+        };
+        match self.counting.answer(&body) {
+            Some(answer) => with_json(StatusCode::OK, answer),
+            None => empty(StatusCode::BAD_REQUEST),
+        }
+    }
+
     /// Makes a call of the store for a node that it turns away.
     async fn call_store(
         &self,
--- a/crates/node/src/live.rs
+++ b/crates/node/src/live.rs
@@ -46,6 +46,7 @@
 use crate::respond::reason_of;
 use crate::respond::refusal;
 use crate::shared::Shared;
+use crate::usage::counting::Handed;
 
 /// How long a client is kept waiting that does not say how long it waits.
 const PATIENCE: Duration = Duration::from_secs(30);
@@ -271,7 +272,8 @@
             remaining.mul_f64(TRY_PART).max(TRY_LEAST).min(remaining)
         };
         let request = self.upstream_request(call, &upstream, remaining);
-        let sending = self.exchange(call, &upstream, request, permit);
+        let handed = self.shared.counting.hand(call.account);
+        let sending = self.exchange(call, &upstream, request, permit, handed);
         let Some(outcome) = within(patience, sending).await else {
             self.note_try(call, &upstream, "late");
             return Try::Unknown;
@@ -302,6 +304,7 @@
         upstream: &Upstream,
         request: Request<Full<Bytes>>,
         permit: Permit,
+        handed: Handed,
     ) -> Try {
         let exchange = match self.shared.links.send(upstream.address, request).await {
             Ok(exchange) => exchange,
@@ -309,6 +312,7 @@
                 self.note_try(call, upstream, "no-answer");
                 return match error {
                     LinkError::Refused | LinkError::NotSent => {
+                        handed.did_not_run();
                         permit.finish(Ending::Unreachable, 0);
                         Try::NotSent
                     }
@@ -323,6 +327,7 @@
         let said = self.shared.dialect.answer_head(&head);
         let own = said.request_id.as_deref().unwrap_or_default() == call.routed.request_id;
         if said.not_run {
+            handed.did_not_run();
             if body.collect().await.is_ok() {
                 exchange.lease.keep();
             }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -39,6 +39,8 @@
 use crate::follow::SeedsNow;
 use crate::follow::Sources;
 use crate::follow::follow;
+use crate::holder::Holder;
+use crate::holder::HolderParts;
 use crate::link::Links;
 use crate::live::Live;
 use crate::mechanisms::Mechanism;
@@ -55,6 +57,10 @@
 use crate::submission::desk::DeskParts;
 use crate::submission::homes::Homes;
 use crate::submission::records::Runner;
+use crate::usage::counting::Counting;
+use crate::usage::counting::CountingParts;
+use crate::usage::report::Reporter;
+use crate::usage::report::ReporterParts;
 use crate::weights::Weights;
 use crate::weights::WeightsParts;
 
@@ -183,8 +189,6 @@
         let seeds = seeds_now(&settings);
         let follows_store = seeds.asked.is_empty();
         self.sources.seeds.set(seeds);
-        let hold = settings.news_limits().map(|limits| limits.hold);
-        self.sources.relay.hold_at_most(Kind::Configuration, hold);
         let interest = &self.sources.interest;
         interest.take_follows_store(self.clock.now(), follows_store);
     }
@@ -321,7 +325,15 @@
         journal: journal.clone(),
         dialect: Arc::clone(dialect),
     });
+    let counting = Counting::new(CountingParts {
+        process: base.store.writer().to_owned(),
+        settings: base.in_force.clone(),
+        links: base.links.clone(),
+        clock: Arc::clone(clock),
+        boot_clock: Arc::clone(&base.sources.boot_clock),
+    });
     let shared = Shared {
+        counting: counting.clone(),
         fleet: Arc::clone(&fleet),
         interest: Arc::clone(&base.sources.interest),
         dialect: Arc::clone(dialect),
@@ -352,17 +364,35 @@
         clock: Arc::clone(clock),
         journal: journal.clone(),
     });
-    let weights = Weights::new(WeightsParts {
+    let holder = Holder::new(HolderParts {
         me,
         settings: base.in_force.clone(),
-        fleet: Arc::clone(&fleet),
-        interest: Arc::clone(&base.sources.interest),
         store: base.store.clone(),
         outage: base.sources.outage.clone(),
         links: base.links.clone(),
-        dialect: Arc::clone(dialect),
         clock: Arc::clone(clock),
         boot_clock: Arc::clone(&base.sources.boot_clock),
+        journal: journal.clone(),
+    });
+    base.tasks.spawn(counting.clone().run(holder.clone()));
+    let reporter = Reporter::new(ReporterParts {
+        counting: counting.clone(),
+        holder: holder.clone(),
+        store: base.store.clone(),
+        links: base.links.clone(),
+        dialect: Arc::clone(dialect),
+        settings: base.in_force.clone(),
+        clock: Arc::clone(clock),
+        journal: journal.clone(),
+    });
+    base.tasks.spawn(reporter.run());
+    let weights = Weights::new(WeightsParts {
+        holder: holder.clone(),
+        fleet: Arc::clone(&fleet),
+        interest: Arc::clone(&base.sources.interest),
+        links: base.links.clone(),
+        dialect: Arc::clone(dialect),
+        clock: Arc::clone(clock),
         off: base.off,
         journal: journal.clone(),
     });
@@ -375,7 +405,8 @@
         desk,
         drafting,
         homes,
-        weights,
+        holder,
+        counting,
         relay: Arc::clone(&base.sources.relay),
         links: base.links.clone(),
         store: base.settings.store,
@@ -393,9 +424,15 @@
     let scoring = node.scoring.clone();
     let interest = Arc::clone(&base.sources.interest);
     let settings = base.in_force.clone();
-    let how = move || Following {
-        watch_most: settings.now().news_limits().map(|limits| limits.watch),
-        ..Following::at_once()
+    let (relay, configured) = (Arc::clone(&base.sources.relay), Arc::clone(&fleet));
+    let how = move || {
+        let has_accounts = !configured.config().accounts.is_empty();
+        let limits = has_accounts.then(|| settings.now().news_limits());
+        relay.hold_at_most(Kind::Configuration, limits.map(|limits| limits.hold));
+        Following {
+            watch_most: limits.map(|limits| limits.watch),
+            ..Following::at_once()
+        }
     };
     base.follow(Kind::Configuration, how, move |news| {
         for change in news.changes {
@@ -436,9 +473,9 @@
         }
     });
     let fleet = Arc::clone(&node.fleet);
-    let weights = node.weights.clone();
+    let holder = node.holder.clone();
     let how = move || Following {
-        freshness: if weights.is_holder() {
+        freshness: if holder.is_held() {
             Freshness::Newest
         } else {
             Freshness::Seconds
@@ -450,10 +487,11 @@
             fleet.take_version(change);
         }
     });
-    let homes = node.homes.clone();
+    let (homes, holder) = (node.homes.clone(), node.holder.clone());
     let how = Following::seconds_late;
     base.follow(Kind::Duties, how, move |news| {
         for change in news.changes {
+            holder.take_change(&change);
             homes.take(change);
         }
     });
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -67,6 +67,9 @@
     /// a node; absent where only nodes in touch have to know.
     #[serde(default)]
     pub revoke_ms: Option<u64>,
+    /// How the usage of accounts is reported; absent where it is not.
+    #[serde(default)]
+    pub usage: Option<UsageSettings>,
     /// Where counters and latencies are served as text.
     #[serde(default)]
     pub metrics_listen: Option<SocketAddr>,
@@ -78,6 +81,9 @@
     pub log_level: String,
 }
 
+/// A shorter window would be over before its counts are in.
+const WINDOW_LEAST_S: f64 = 1.0;
+
 const fn default_config_apply_ms() -> u64 {
     2_000
 }
@@ -86,6 +92,31 @@
     "info".to_owned()
 }
 
+/// How the usage of accounts is reported.
+#[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
+pub struct UsageSettings {
+    /// Where reports go.
+    pub report_to: SocketAddr,
+    /// Length of the windows.
+    pub window_s: f64,
+    /// A report is due this long after its window's end.
+    pub late_s: f64,
+}
+
+impl UsageSettings {
+    /// Length of the windows.
+    #[must_use]
+    pub fn window(&self) -> Duration {
+        Duration::from_secs_f64(self.window_s.max(WINDOW_LEAST_S))
+    }
+
+    /// A report is due this long after its window's end.
+    #[must_use]
+    pub fn late(&self) -> Duration {
+        Duration::from_secs_f64(self.late_s.max(0.0))
+    }
+}
+
 impl NodeSettings {
     /// Reads a settings file.
     ///
@@ -126,6 +157,7 @@
                 self.config_apply_ms != other.config_apply_ms,
             ),
             ("revoke_ms", self.revoke_ms != other.revoke_ms),
+            ("usage", self.usage != other.usage),
             (
                 "metrics_listen",
                 self.metrics_listen != other.metrics_listen,
@@ -170,10 +202,10 @@
         self.revoke_ms.map(Duration::from_millis)
     }
 
-    /// How often the configuration has to be heard of for that.
+    /// How often the configuration has to be heard of for that, where calls need keys.
     #[must_use]
-    pub fn news_limits(&self) -> Option<NewsLimits> {
-        self.revocation().map(NewsLimits::new)
+    pub fn news_limits(&self) -> NewsLimits {
+        NewsLimits::new(self.config_apply(), self.revocation())
     }
 
     /// Engines may hear from another holder of the orders only after this long.
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -10,6 +10,7 @@
 use crate::interest::Interest;
 use crate::link::Links;
 use crate::mechanisms::Off;
+use crate::usage::counting::Counting;
 
 /// Cheap to clone.
 #[derive(Debug, Clone)]
@@ -26,6 +27,8 @@
     pub clock: Arc<dyn Clock>,
     /// Events and metrics.
     pub journal: Journal,
+    /// Counts requests of accounts.
+    pub counting: Counting,
     /// Mechanisms that are switched off.
     pub off: Off,
 }
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -87,6 +87,12 @@
         }
     }
 
+    /// Names this process: no other one has it.
+    #[must_use]
+    pub fn writer(&self) -> &str {
+        &self.writer
+    }
+
     /// A name for the next write.
     #[must_use]
     pub fn write_id(&self) -> String {
--- /dev/null
+++ b/crates/node/src/usage/counting.rs
@@ -0,0 +1,366 @@
+//! What this node counts, and how it reaches the node that reports it.
+//!
+//! Each node counts for itself and tells the holder of the duty all that was not reported yet,
+//! soon after something changes. A holder that is new gets it all again; what nodes had counted
+//! that are gone since lies at a second node too, a seed.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use bytes::Bytes;
+use firweir::process::clock::Clock;
+use http::Method;
+use http::Request;
+use http_body_util::Full;
+use serde::Deserialize;
+use serde::Serialize;
+use tokio::sync::Notify;
+
+use crate::duty::BootClock;
+use crate::holder::Holder;
+use crate::link::LinkError;
+use crate::link::Links;
+use crate::reload::InForce;
+use crate::usage::collect::Collected;
+use crate::usage::collect::Told;
+use crate::usage::tally::Tally;
+use crate::usage::tally::Window;
+use crate::usage::time::Offset;
+
+/// Path at which a node is told what others have counted, and tells what it was told.
+pub const USAGE_PATH: &str = "/peer/usage";
+
+/// What has changed is told this much later, with what changes until then. A node that dies
+/// takes it along.
+const TELL_AFTER: Duration = Duration::from_millis(300);
+
+/// What was not reported yet is told again after this: the holder may have started anew.
+const TELL_AGAIN: Duration = Duration::from_secs(2);
+
+/// A node with nothing to tell tells its time this often. Seeds do so as often as if they
+/// had something, so that a holder that is gone is found out where nobody calls.
+const TELL_TIME: Duration = Duration::from_secs(10);
+
+/// A holder that did not answer is told again after this.
+const TELL_FAILED: Duration = Duration::from_millis(800);
+
+/// A node is told for at most this long.
+const TELL_TIMEOUT: Duration = Duration::from_millis(700);
+
+/// What a node says that was told.
+#[derive(Debug, Serialize, Deserialize)]
+struct Heard {
+    /// True time as all nodes together know it, in milliseconds since 1970.
+    true_time_ms: u64,
+    /// Windows up to this one are reported.
+    reported: Option<Window>,
+}
+
+#[derive(Debug)]
+struct State {
+    own: Tally,
+    /// True time as this node alone knows it.
+    own_offset: Offset,
+    /// The same as the holder told it.
+    told_offset: Option<Offset>,
+    /// What others told this node.
+    collected: Collected,
+    /// Windows up to this one are reported.
+    reported: Option<Window>,
+    /// Something was counted since it was last told.
+    is_new: bool,
+}
+
+#[derive(Debug)]
+struct Inner {
+    process: String,
+    settings: InForce,
+    links: Links,
+    boot_clock: Arc<dyn BootClock>,
+    state: Mutex<State>,
+    counted: Notify,
+}
+
+/// What a counting works with.
+#[derive(Debug)]
+pub struct CountingParts {
+    /// Names this process.
+    pub process: String,
+    /// Settings, with the length of windows, and seeds.
+    pub settings: InForce,
+    /// Connections to other nodes.
+    pub links: Links,
+    /// The clock with the time of day.
+    pub clock: Arc<dyn Clock>,
+    /// The clock that counts suspended time.
+    pub boot_clock: Arc<dyn BootClock>,
+}
+
+/// Counts requests of accounts; cheap to clone.
+#[derive(Debug, Clone)]
+pub struct Counting {
+    inner: Arc<Inner>,
+}
+
+/// A request that was handed to an upstream. It counts as begun, whatever becomes of its
+/// answer or its client, unless the upstream says that it did not run it.
+#[derive(Debug)]
+pub struct Handed {
+    counting: Counting,
+    account: Option<String>,
+    at: Duration,
+}
+
+impl Handed {
+    /// The upstream did not run it.
+    pub fn did_not_run(mut self) {
+        self.account = None;
+    }
+}
+
+impl Drop for Handed {
+    fn drop(&mut self) {
+        if let Some(account) = &self.account {
+            self.counting.count(self.at, account);
+        }
+    }
+}
+
+impl Counting {
+    /// Nothing was counted yet.
+    #[must_use]
+    pub fn new(parts: CountingParts) -> Self {
+        let own_offset = Offset::between(parts.clock.since_epoch(), parts.boot_clock.since_boot());
+        let state = State {
+            own: Tally::default(),
+            own_offset,
+            told_offset: None,
+            collected: Collected::default(),
+            reported: None,
+            is_new: false,
+        };
+        let inner = Inner {
+            process: parts.process,
+            settings: parts.settings,
+            links: parts.links,
+            boot_clock: parts.boot_clock,
+            state: Mutex::new(state),
+            counted: Notify::new(),
+        };
+        Self {
+            inner: Arc::new(inner),
+        }
+    }
+
+    /// A request of an account is about to be handed to an upstream.
+    #[must_use]
+    pub fn hand(&self, account: Option<&str>) -> Handed {
+        Handed {
+            counting: self.clone(),
+            account: account.map(str::to_owned),
+            at: self.inner.boot_clock.since_boot(),
+        }
+    }
+
+    fn count(&self, at: Duration, account: &str) {
+        let settings = self.inner.settings.now();
+        let Some(usage) = &settings.usage else {
+            return;
+        };
+        let mut state = self.lock();
+        let window = Window::of(state.offset().true_time(at), usage.window());
+        // What is reported is not reported again.
+        if state.reported.is_some_and(|reported| window <= reported) {
+            return;
+        }
+        state.own.count(window, account);
+        state.is_new = true;
+        drop(state);
+        self.inner.counted.notify_one();
+    }
+
+    /// True time since 1970, as well as this node knows it.
+    #[must_use]
+    pub fn true_time(&self) -> Duration {
+        let now = self.inner.boot_clock.since_boot();
+        self.lock().offset().true_time(now)
+    }
+
+    /// Tells the holder and a seed what this node counts, for as long as the process lives.
+    pub async fn run(self, holder: Holder) {
+        loop {
+            if self.inner.settings.now().usage.is_none() {
+                tokio::time::sleep(TELL_TIME).await;
+                continue;
+            }
+            let pause = match self.tell(&holder).await {
+                Ok(()) if self.has_more() => TELL_AGAIN,
+                Ok(()) => TELL_TIME,
+                Err(_) => TELL_FAILED,
+            };
+            let counted = self.inner.counted.notified();
+            // Late or not, all is told.
+            if tokio::time::timeout(pause, counted).await.is_ok() {
+                tokio::time::sleep(TELL_AFTER).await;
+            }
+        }
+    }
+
+    /// This node has something to tell again, or looks after the holder.
+    fn has_more(&self) -> bool {
+        let settings = self.inner.settings.now();
+        let is_seed = settings
+            .peer_listen
+            .is_some_and(|me| settings.seeds.contains(&me));
+        is_seed || self.lock().own.first().is_some()
+    }
+
+    /// Tells the holder, if one is known.
+    async fn tell(&self, duty: &Holder) -> Result<(), LinkError> {
+        let (told, is_new) = {
+            let mut state = self.lock();
+            let is_new = std::mem::take(&mut state.is_new);
+            (self.told(&state), is_new)
+        };
+        let holder = duty.address();
+        let me = self.inner.settings.now().peer_listen;
+        if let Some(copy_at) = self.copy_at(holder, me).filter(|_| is_new) {
+            let (counting, told) = (self.clone(), told.clone());
+            drop(tokio::spawn(async move {
+                // The holder has it too; a copy that is lost comes with the next count.
+                drop(counting.tell_to(copy_at, &told).await);
+            }));
+        }
+        if duty.is_held() {
+            self.take(told);
+            self.take_own_median();
+            return Ok(());
+        }
+        let Some(holder) = holder else {
+            return Ok(());
+        };
+        let heard = self.tell_to(holder, &told).await;
+        duty.note_answered(heard.is_ok());
+        self.hear(&heard?);
+        Ok(())
+    }
+
+    fn told(&self, state: &State) -> Told {
+        let now = self.inner.boot_clock.since_boot();
+        Told {
+            process: self.inner.process.clone(),
+            own_time_ms: state.own_offset.true_time(now).as_millis() as u64,
+            tally: state.own.clone(),
+        }
+    }
+
+    /// The seed that keeps a copy.
+    fn copy_at(&self, holder: Option<SocketAddr>, me: Option<SocketAddr>) -> Option<SocketAddr> {
+        let settings = self.inner.settings.now();
+        let seeds = settings.seeds.iter().copied();
+        let mut others = seeds.filter(|seed| Some(*seed) != holder && Some(*seed) != me);
+        others.next()
+    }
+
+    async fn tell_to(&self, node: SocketAddr, told: &Told) -> Result<Heard, LinkError> {
+        // Strings and numbers only: writing them to memory cannot fail.
+        let body = serde_json::to_vec(told).unwrap_or_default();
+        let mut request = Request::new(Full::new(Bytes::from(body)));
+        *request.method_mut() = Method::POST;
+        *request.uri_mut() = http::Uri::from_static(USAGE_PATH);
+        let answer = self.inner.links.call(node, request, TELL_TIMEOUT).await?;
+        serde_json::from_slice(answer.body()).map_err(|_malformed| LinkError::Broken)
+    }
+
+    fn hear(&self, heard: &Heard) {
+        let now = self.inner.boot_clock.since_boot();
+        let true_time = Duration::from_millis(heard.true_time_ms);
+        let mut state = self.lock();
+        state.told_offset = Some(Offset::between(true_time, now));
+        state.note_reported(heard.reported);
+    }
+
+    /// Takes in what another node tells; `None` if it is malformed.
+    pub fn answer(&self, body: &[u8]) -> Option<Bytes> {
+        let told: Told = serde_json::from_slice(body).ok()?;
+        self.take(told);
+        let state = self.lock();
+        let now = self.inner.boot_clock.since_boot();
+        let offset = state.collected.offset().unwrap_or(state.own_offset);
+        let heard = Heard {
+            true_time_ms: offset.true_time(now).as_millis() as u64,
+            reported: state.reported,
+        };
+        serde_json::to_vec(&heard).ok().map(Bytes::from)
+    }
+
+    /// All that this node was told, for one that begins to collect.
+    #[must_use]
+    pub fn copies(&self) -> Bytes {
+        let now = self.inner.boot_clock.since_boot();
+        let copies = self.lock().collected.copies(now);
+        // Strings and numbers only: writing them to memory cannot fail.
+        serde_json::to_vec(&copies).unwrap_or_default().into()
+    }
+
+    fn take(&self, told: Told) {
+        let now = self.inner.boot_clock.since_boot();
+        self.lock().collected.take(told, now);
+    }
+
+    fn take_own_median(&self) {
+        let mut state = self.lock();
+        state.told_offset = state.collected.offset();
+    }
+
+    /// Gets what the seeds were told, for a node that begins to collect.
+    pub async fn fetch_copies(&self) {
+        let settings = self.inner.settings.now();
+        let seeds = settings.seeds.iter().copied();
+        for seed in seeds.filter(|seed| Some(*seed) != settings.peer_listen) {
+            let mut request = Request::new(Full::new(Bytes::new()));
+            *request.uri_mut() = http::Uri::from_static(USAGE_PATH);
+            let Ok(answer) = self.inner.links.call(seed, request, TELL_TIMEOUT).await else {
+                continue;
+            };
+            let copies: Result<Vec<Told>, _> = serde_json::from_slice(answer.body());
+            copies
+                .unwrap_or_default()
+                .into_iter()
+                .for_each(|told| self.take(told));
+        }
+    }
+
+    /// What was collected of a window, and the first window that was counted in.
+    pub(crate) fn with_collected<T>(&self, look: impl FnOnce(&mut Collected) -> T) -> T {
+        look(&mut self.lock().collected)
+    }
+
+    /// Notes that windows up to this one are reported.
+    pub(crate) fn note_reported(&self, window: Window) {
+        self.lock().note_reported(Some(window));
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        let state = self.inner.state.lock();
+        state.unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    fn offset(&self) -> Offset {
+        self.told_offset.unwrap_or(self.own_offset)
+    }
+
+    fn note_reported(&mut self, window: Option<Window>) {
+        if let Some(window) = window.filter(|window| Some(*window) > self.reported) {
+            self.reported = Some(window);
+            self.own.forget_through(window);
+            self.collected.forget_through(window);
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/usage/report.rs
@@ -0,0 +1,304 @@
+//! Reports usage to the platform, each window once.
+//!
+//! **Failure:** a holder reports a window and dies; its successor has heard a little more or
+//! less, and the platform gets two reports of one window that differ. **Guard:** what is reported
+//! of a window is written to the store before it is first sent, under the window's number.
+//! Whoever comes second finds it there and sends the same.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use firweir::process::clock::Clock;
+use firweir::process::log::Journal;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::dialect::Dialect;
+use crate::dialect::DutyAnswer;
+use crate::dialect::Freshness;
+use crate::dialect::Kind;
+use crate::dialect::Object;
+use crate::dialect::StoreError;
+use crate::dialect::UsageReport;
+use crate::follow::list;
+use crate::holder::Holder;
+use crate::link::Links;
+use crate::reload::InForce;
+use crate::settings::UsageSettings;
+use crate::store::Created;
+use crate::store::Store;
+use crate::usage::counting::Counting;
+use crate::usage::tally::AccountCount;
+use crate::usage::tally::Window;
+
+/// Time between looks at whether a window is due.
+const LOOK_EVERY: Duration = Duration::from_millis(250);
+
+/// Part of the time that a report may take after its window's end at which its counts are
+/// fixed: requests in flight and nodes that answer late are in by then, and the rest is for
+/// a store or platform that is away.
+const SETTLE_PART: f64 = 0.3;
+
+/// A holder that is new fixes nothing before the others have told it what they counted: they
+/// hear of it within a second, and tell it all again.
+const GATHER: Duration = Duration::from_millis(2_500);
+
+/// A store that is silent is tried for so long before the loop looks anew.
+const FIX_FOR: Duration = Duration::from_secs(1);
+
+/// The platform answers a report in milliseconds.
+const SEND_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Pause after a report that was not taken.
+const SEND_AGAIN: Duration = Duration::from_millis(500);
+
+/// Reports that stay in the store: a successor sends the newest ones again.
+const REPORTS_KEPT: u64 = 12;
+
+/// What is reported of one window, as it stands in the store.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct Fixed {
+    /// Names the write that made this value.
+    write: String,
+    window: Window,
+    /// Sorted by account.
+    counts: Vec<AccountCount>,
+}
+
+/// What a reporter works with.
+#[derive(Debug)]
+pub struct ReporterParts {
+    /// What all nodes count.
+    pub counting: Counting,
+    /// The duty of reporting.
+    pub holder: Holder,
+    /// The platform's store.
+    pub store: Store,
+    /// Connections to the platform.
+    pub links: Links,
+    /// Writes reports.
+    pub dialect: Arc<dyn Dialect>,
+    /// Settings, with where reports go.
+    pub settings: InForce,
+    /// The clock.
+    pub clock: Arc<dyn Clock>,
+    /// Events.
+    pub journal: Journal,
+}
+
+/// Reports usage while this node holds the duty.
+#[derive(Debug)]
+pub struct Reporter {
+    parts: ReporterParts,
+    /// True time as this process started.
+    started: Duration,
+}
+
+/// Where a holder stands.
+#[derive(Debug)]
+struct Progress {
+    /// The first window whose counts are not fixed yet.
+    next: Window,
+    /// Reports to send, oldest first.
+    unsent: Vec<Fixed>,
+    /// The oldest window whose report may be in the store.
+    oldest: Window,
+    /// Nothing is fixed before this time.
+    gathered: Instant,
+}
+
+impl Reporter {
+    /// Nothing is reported yet.
+    #[must_use]
+    pub fn new(parts: ReporterParts) -> Self {
+        let started = parts.counting.true_time();
+        Self { parts, started }
+    }
+
+    /// Reports for as long as the process lives, whenever it holds the duty.
+    pub async fn run(self) {
+        let mut progress = None;
+        loop {
+            tokio::time::sleep(LOOK_EVERY).await;
+            let settings = self.parts.settings.now();
+            let Some(usage) = &settings.usage else {
+                continue;
+            };
+            if !self.parts.holder.is_held() {
+                progress = None;
+                continue;
+            }
+            let outcome = match &mut progress {
+                None => self.begin(usage).await.map(|begun| progress = Some(begun)),
+                Some(progress) => self.go_on(progress, usage).await,
+            };
+            if let Err(error) = outcome {
+                self.parts
+                    .journal
+                    .event("usage_not_fixed", &[("cause", &error)]);
+                tokio::time::sleep(SEND_AGAIN).await;
+            }
+        }
+    }
+
+    /// Finds out what earlier holders have reported.
+    async fn begin(&self, usage: &UsageSettings) -> Result<Progress, StoreError> {
+        let parts = &self.parts;
+        let (objects, _) = list(&parts.store, Kind::UsageReports, Freshness::Newest).await?;
+        parts.counting.fetch_copies().await;
+        let mut fixed: Vec<Fixed> = objects
+            .iter()
+            .filter_map(|object| self.decode(object))
+            .collect();
+        fixed.sort_by_key(|fixed| fixed.window);
+        let now = parts.counting.true_time();
+        let first = match fixed.last() {
+            Some(last) => last.window.next(),
+            None => self.first_ever(usage),
+        };
+        let too_late = now.saturating_sub(usage.late() + usage.window());
+        let oldest = fixed.first().map_or(first, |fixed| fixed.window);
+        // An earlier holder may not have come to send the newest ones.
+        fixed.retain(|fixed| fixed.window.end(usage.window()) > too_late);
+        Ok(Progress {
+            next: first.max(Window::of(too_late, usage.window())),
+            unsent: fixed,
+            oldest,
+            gathered: parts.clock.now() + GATHER,
+        })
+    }
+
+    /// The window to begin with where none was ever reported.
+    fn first_ever(&self, usage: &UsageSettings) -> Window {
+        let counting = &self.parts.counting;
+        let counted = counting.with_collected(|collected| collected.first());
+        let started = Window::of(self.started, usage.window());
+        counted.map_or(started, |counted| counted.min(started))
+    }
+
+    async fn go_on(
+        &self,
+        progress: &mut Progress,
+        usage: &UsageSettings,
+    ) -> Result<(), StoreError> {
+        while self.is_due(progress, usage) {
+            let fixed = self.fix(progress.next).await?;
+            self.parts.counting.note_reported(progress.next);
+            progress.next = progress.next.next();
+            progress.unsent.push(fixed);
+        }
+        while let Some(first) = progress.unsent.first() {
+            if !self.send(first, usage).await {
+                return Ok(());
+            }
+            progress.unsent.remove(0);
+        }
+        while progress.oldest.0 + REPORTS_KEPT < progress.next.0 {
+            let name = name_of(progress.oldest);
+            self.parts.store.remove(Kind::UsageReports, &name).await?;
+            progress.oldest = progress.oldest.next();
+        }
+        Ok(())
+    }
+
+    fn is_due(&self, progress: &Progress, usage: &UsageSettings) -> bool {
+        let settle = usage.late().mul_f64(SETTLE_PART);
+        let fix_at = progress.next.end(usage.window()) + settle;
+        let parts = &self.parts;
+        parts.clock.now() >= progress.gathered && parts.counting.true_time() >= fix_at
+    }
+
+    /// Fixes what is reported of a window: by this node, or as an earlier holder has.
+    async fn fix(&self, window: Window) -> Result<Fixed, StoreError> {
+        let store = &self.parts.store;
+        let counts = self
+            .parts
+            .counting
+            .with_collected(|collected| collected.sum(window));
+        let fixed = Fixed {
+            write: store.write_id(),
+            window,
+            counts,
+        };
+        let (kind, name) = (Kind::UsageReports, name_of(window));
+        let until = self.parts.clock.now() + FIX_FOR;
+        match store
+            .create(kind, &name, &fixed, &fixed.write, until)
+            .await?
+        {
+            Created::Now => Ok(fixed),
+            Created::Before => {
+                let object = store.read(kind, &name).await?.ok_or(StoreError::Missing)?;
+                self.decode(&object).ok_or(StoreError::Conflict)
+            }
+        }
+    }
+
+    fn decode(&self, object: &Object) -> Option<Fixed> {
+        let fixed = serde_json::from_str(object.value.get());
+        if let Err(error) = &fixed {
+            let store = &self.parts.store;
+            store.note_unreadable(Kind::UsageReports, &object.name, error);
+        }
+        fixed.ok()
+    }
+
+    /// Whether the platform has taken a report.
+    async fn send(&self, fixed: &Fixed, usage: &UsageSettings) -> bool {
+        let parts = &self.parts;
+        let Some(epoch) = parts.holder.verified_epoch().await else {
+            return false;
+        };
+        let report = UsageReport {
+            window: fixed.window,
+            counts: &fixed.counts,
+            holder: parts.holder.name(),
+            epoch,
+        };
+        let request = parts.dialect.usage_report(&report);
+        if !parts.holder.may_act(epoch) {
+            return false;
+        }
+        let answer = parts
+            .links
+            .call(usage.report_to, request, SEND_TIMEOUT)
+            .await;
+        let taken = answer
+            .as_ref()
+            .is_ok_and(|answer| parts.dialect.duty_answer(answer.status()) == DutyAnswer::Done);
+        self.note_sent(fixed, epoch, taken, usage);
+        if !taken {
+            tokio::time::sleep(SEND_AGAIN).await;
+        }
+        taken
+    }
+
+    fn note_sent(&self, fixed: &Fixed, epoch: u64, taken: bool, usage: &UsageSettings) {
+        let now = self.parts.counting.true_time();
+        let late = now.saturating_sub(fixed.window.end(usage.window()));
+        let requests: u64 = fixed.counts.iter().map(|count| count.requests).sum();
+        let journal = &self.parts.journal;
+        journal.count(match (taken, late > usage.late()) {
+            (false, _) => "usage.not_taken",
+            (true, false) => "usage.reported",
+            (true, true) => "usage.reported_late",
+        });
+        journal.event(
+            "usage_sent",
+            &[
+                ("window", &fixed.window.0),
+                ("accounts", &fixed.counts.len()),
+                ("requests", &requests),
+                ("epoch", &epoch),
+                ("after_ms", &late.as_millis()),
+                ("taken", &taken),
+            ],
+        );
+    }
+}
+
+/// Name of a window's report, in the order of their numbers.
+fn name_of(window: Window) -> String {
+    format!("{:012}", window.0)
+}
--- /dev/null
+++ b/crates/node/src/usage/tally.rs
@@ -0,0 +1,131 @@
+//! Counts of requests by window and account.
+
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Windows that are kept at most: what is older can be reported no more.
+const WINDOWS_KEPT: usize = 64;
+
+/// Number of a window: how many of its length fit between 1970 and its start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Window(pub u64);
+
+impl Window {
+    /// The window that a time since 1970 lies in.
+    #[must_use]
+    pub fn of(since_epoch: Duration, length: Duration) -> Self {
+        Self((since_epoch.as_millis() / length.as_millis().max(1)) as u64)
+    }
+
+    /// Its end, since 1970.
+    #[must_use]
+    pub fn end(self, length: Duration) -> Duration {
+        Duration::from_millis((self.0 + 1) * length.as_millis() as u64)
+    }
+
+    /// The window after this one.
+    #[must_use]
+    pub const fn next(self) -> Self {
+        Self(self.0 + 1)
+    }
+}
+
+/// Requests of one account.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AccountCount {
+    /// Name of the account.
+    pub account: String,
+    /// Its requests that an upstream began.
+    pub requests: u64,
+}
+
+/// Requests of one window.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WindowCounts {
+    /// The window.
+    pub window: Window,
+    /// Sorted by account.
+    pub counts: Vec<AccountCount>,
+}
+
+/// Requests by window; its counts only grow.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Tally {
+    /// Sorted by window.
+    windows: Vec<WindowCounts>,
+}
+
+impl Tally {
+    /// Counts a request of an account.
+    pub fn count(&mut self, window: Window, account: &str) {
+        let counts = self.of_mut(window);
+        *requests_of(counts, account) += 1;
+        let surplus = self.windows.len().saturating_sub(WINDOWS_KEPT);
+        self.windows.drain(..surplus);
+    }
+
+    /// Takes in a later state of the same counts, which may have been overtaken on its way.
+    pub fn take_later(&mut self, later: &Self) {
+        for held in &later.windows {
+            let counts = self.of_mut(held.window);
+            for count in &held.counts {
+                let requests = requests_of(counts, &count.account);
+                *requests = count.requests.max(*requests);
+            }
+        }
+    }
+
+    /// Adds the counts of one window to `sum`, which is sorted by account.
+    pub fn add_to(&self, window: Window, sum: &mut Vec<AccountCount>) {
+        let found = self
+            .windows
+            .binary_search_by_key(&window, |held| held.window);
+        let Ok(at) = found else {
+            return;
+        };
+        for count in &self.windows[at].counts {
+            *requests_of(sum, &count.account) += count.requests;
+        }
+    }
+
+    /// Forgets windows up to this one.
+    pub fn forget_through(&mut self, window: Window) {
+        self.windows.retain(|held| held.window > window);
+    }
+
+    /// The first window with a count.
+    #[must_use]
+    pub fn first(&self) -> Option<Window> {
+        self.windows.first().map(|held| held.window)
+    }
+
+    fn of_mut(&mut self, window: Window) -> &mut Vec<AccountCount> {
+        let found = self
+            .windows
+            .binary_search_by_key(&window, |held| held.window);
+        let at = found.unwrap_or_else(|at| {
+            let counts = Vec::new();
+            self.windows.insert(at, WindowCounts { window, counts });
+            at
+        });
+        &mut self.windows[at].counts
+    }
+}
+
+fn requests_of<'a>(counts: &'a mut Vec<AccountCount>, account: &str) -> &'a mut u64 {
+    let found = counts.binary_search_by(|held| held.account.as_str().cmp(account));
+    let at = found.unwrap_or_else(|at| {
+        let account = account.to_owned();
+        counts.insert(
+            at,
+            AccountCount {
+                account,
+                requests: 0,
+            },
+        );
+        at
+    });
+    &mut counts[at].requests
+}
--- a/crates/node/tests/authentication.rs
+++ b/crates/node/tests/authentication.rs
@@ -181,14 +181,22 @@
 }
 
 /// A node that hears as often as it asks would refuse calls in turn if its answers
-/// were older than it may serve by.
+/// were older than it may serve or deny by.
 #[test]
 fn a_node_that_hears_as_planned_always_serves() {
-    for revocation in [REVOCATION / 5, REVOCATION, REVOCATION * 5] {
-        let limits = AgeLimits::new(APPLY, Some(revocation));
-        let news = NewsLimits::new(revocation);
-        let oldest = news.watch * 2 + news.hold;
-        assert!(limits.may_serve(Some(oldest)), "{revocation:?}");
+    for apply in [APPLY / 5, APPLY, APPLY * 5] {
+        for revocation in [
+            None,
+            Some(REVOCATION / 5),
+            Some(REVOCATION),
+            Some(REVOCATION * 5),
+        ] {
+            let limits = AgeLimits::new(apply, revocation);
+            let news = NewsLimits::new(apply, revocation);
+            let oldest = news.watch * 2 + news.hold;
+            assert!(limits.may_serve(Some(oldest)), "{apply:?} {revocation:?}");
+            assert!(oldest < limits.denying, "{apply:?} {revocation:?}");
+        }
     }
 }
 
