A trainer's question waits for the last group that its trainer waits for

Answered with a sample that makes nothing whole, it reads the last group up to 0.5 s after that is listed, and ends the step 0.5 s later still. Change: the runner holds a question (85% of the wait that it names) until the last group that is waited for is listed; from the step's due time on it answers at once, as before. Test: crates/policy/tests/answering.rs plays a trainer: what lies between the last group and its going on is under half of what it was.

--- a/crates/node/src/mechanisms.rs
+++ b/crates/node/src/mechanisms.rs
@@ -32,6 +32,8 @@
     Outliers,
     /// Reward calls are paced by the slack of their step, and leave room for callers.
     PacedRewards,
+    /// A trainer's question waits for the last group that it waits for.
+    HeldAnswers,
     /// Requests wait for a node's first configuration.
     FirstConfig,
 }
--- a/crates/node/src/submission/board.rs
+++ b/crates/node/src/submission/board.rs
@@ -19,6 +19,7 @@
 
 use firweir::process::clock::Clock;
 use firweir::process::log::Journal;
+use firweir_policy::answering::Asked;
 use firweir_policy::listing::Unwritten;
 use serde::de::DeserializeOwned;
 use tokio::sync::Notify;
@@ -363,6 +364,54 @@
         }
     }
 
+    /// As [`Board::results`] for a step that is due at this age; held for the last group that
+    /// its trainer waits for.
+    pub async fn results_held(
+        &self,
+        after: usize,
+        wait: Duration,
+        due: Duration,
+        clock: &dyn Clock,
+    ) -> Vec<ItemResult> {
+        let asked = clock.now();
+        loop {
+            let listed = self.listed.notified();
+            tokio::pin!(listed);
+            // Before the look, so that a result listed in between is not missed.
+            listed.as_mut().enable();
+            let now = clock.now();
+            let waited = now.duration_since(asked);
+            let page = self.page(after);
+            let is_over = self.is_given_up() || waited >= wait;
+            let hold = if page.is_empty() {
+                wait.saturating_sub(waited)
+            } else {
+                self.hold(waited, wait, now.duration_since(self.accepted), due)
+            };
+            if is_over || hold.is_zero() {
+                return page;
+            }
+            // Late or not, the loop looks again.
+            drop(tokio::time::timeout(hold, listed).await);
+        }
+    }
+
+    fn hold(&self, waited: Duration, may_wait: Duration, age: Duration, due: Duration) -> Duration {
+        let state = self.lock();
+        if state.ended {
+            return Duration::ZERO;
+        }
+        let asked = Asked {
+            waited,
+            may_wait,
+            whole_groups: state.listed_groups(&self.items),
+            target_groups: self.head.target_groups as usize,
+            age,
+            due,
+        };
+        asked.hold()
+    }
+
     /// An item that has no result yet.
     #[must_use]
     pub fn unlisted(&self, item: &str) -> Option<Arc<Item>> {
@@ -569,12 +618,7 @@
         age: Duration,
         due: Duration,
     ) -> Unwritten {
-        let mut groups: Vec<(&str, Standing)> = items
-            .iter()
-            .zip(&self.standings)
-            .map(|(item, standing)| (item.group.as_str(), *standing))
-            .collect();
-        groups.sort_unstable_by_key(|(group, _)| *group);
+        let groups = self.by_group(items);
         let groups = groups.chunk_by(|a, b| a.0 == b.0);
         let has = |group: &[(&str, Standing)], wanted| group.iter().any(|held| held.1 == wanted);
         let whole: Vec<_> = groups.filter(|group| !has(group, Standing::Open)).collect();
@@ -587,6 +631,27 @@
         }
     }
 
+    /// Where each item stands, those of one group beside each other.
+    fn by_group<'a>(&self, items: &'a [Arc<Item>]) -> Vec<(&'a str, Standing)> {
+        let standings = items.iter().zip(&self.standings);
+        let mut groups: Vec<(&str, Standing)> = standings
+            .map(|(item, standing)| (item.group.as_str(), *standing))
+            .collect();
+        groups.sort_unstable_by_key(|(group, _)| *group);
+        groups
+    }
+
+    /// Groups of which every item is listed.
+    fn listed_groups(&self, items: &[Arc<Item>]) -> usize {
+        let groups = self.by_group(items);
+        let groups = groups.chunk_by(|a, b| a.0 == b.0);
+        let is_listed = |group: &&[(&str, Standing)]| {
+            let mut standings = group.iter().map(|(_, standing)| *standing);
+            standings.all(|standing| standing == Standing::Listed)
+        };
+        groups.filter(is_listed).count()
+    }
+
     /// The pending results that fit one chunk.
     fn take_batch(&mut self) -> Vec<ItemResult> {
         let mut batches = cut(std::mem::take(&mut self.pending), result_bytes);
--- a/crates/node/src/submission/desk.rs
+++ b/crates/node/src/submission/desk.rs
@@ -524,7 +524,7 @@
     async fn answer(&self, board: &Arc<Board>, question: &Question) -> Response<Body> {
         match question {
             Question::Results { after, wait } => {
-                let results = board.results(*after, *wait).await;
+                let results = self.results(board, *after, *wait).await;
                 if board.is_given_up() {
                     return empty(StatusCode::CONFLICT);
                 }
@@ -544,6 +544,15 @@
         }
     }
 
+    async fn results(&self, board: &Board, after: usize, wait: Duration) -> Vec<ItemResult> {
+        if !self.shared.off.leaves(Mechanism::HeldAnswers) {
+            return board.results(after, wait).await;
+        }
+        let due = self.shared.drafting.due_of(&board.head);
+        let clock = &*self.shared.clock;
+        board.results_held(after, wait, due, clock).await
+    }
+
     /// Ends a submission: here at once, and in the store before it is confirmed.
     async fn end(&self, board: &Arc<Board>) -> Response<Body> {
         self.stop(board);
--- /dev/null
+++ b/crates/policy/src/answering.rs
@@ -0,0 +1,47 @@
+//! When a trainer's question for results is answered.
+//!
+//! **Load:** a trainer goes on once it has all groups that it waits for. It asks twice a
+//! second, and lets its question wait for a second while there is nothing. **Without it:** a
+//! question is answered with the first sample that is there, which makes nothing whole. The last
+//! group comes just after, and waits for the next question; and the trainer goes on
+//! when the one after that would have been due. **How:** a question waits, as long as the
+//! trainer lets it, until the last group that is waited for is there. It gets all that came
+//! meanwhile, so that nothing is read later than by a trainer that asks less often. From the
+//! moment at which the step is due each sample is told at once. **Gain:** what lies between the last group
+//! and the trainer's going on (`a_trainer_goes_on_soon`). **Thresholds:** beside the constant.
+
+use std::time::Duration;
+
+/// Part of the time that a question may wait for which it is held: the rest is for its way
+/// back through the node that was asked.
+const HELD_PART: f64 = 0.85;
+
+/// What is known of a question for results of which there are some.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Asked {
+    /// How long it has waited.
+    pub waited: Duration,
+    /// How long it may.
+    pub may_wait: Duration,
+    /// Groups of which every sample is listed.
+    pub whole_groups: usize,
+    /// Groups that the trainer waits for.
+    pub target_groups: usize,
+    /// Age of the step.
+    pub age: Duration,
+    /// The step is due at this age.
+    pub due: Duration,
+}
+
+impl Asked {
+    /// How much longer it is held; zero if it is to be answered.
+    #[must_use]
+    pub fn hold(&self) -> Duration {
+        if self.whole_groups >= self.target_groups {
+            return Duration::ZERO;
+        }
+        let held = self.may_wait.mul_f64(HELD_PART);
+        let before_due = self.due.saturating_sub(self.age);
+        held.saturating_sub(self.waited).min(before_due)
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,6 +5,7 @@
 //! passes in the time and what happened, and carries out what comes back, so
 //! every decision can be read and tested without a network.
 
+pub mod answering;
 pub mod background;
 pub mod dispatch;
 pub mod estimate;
--- /dev/null
+++ b/crates/policy/tests/answering.rs
@@ -0,0 +1,146 @@
+//! When a trainer's questions are answered, and when it goes on.
+
+use std::time::Duration;
+
+use firweir_policy::answering::Asked;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+struct Case {
+    name: &'static str,
+    waited_ms: u64,
+    may_wait_ms: u64,
+    whole_groups: usize,
+    age_ms: u64,
+    hold_ms: u64,
+}
+
+const PLAIN: Case = Case {
+    name: "",
+    waited_ms: 0,
+    may_wait_ms: 1_000,
+    whole_groups: 12,
+    age_ms: 3_000,
+    hold_ms: 850,
+};
+
+#[test]
+fn how_long_a_question_is_held() {
+    let cases = [
+        Case {
+            name: "some of the step",
+            ..PLAIN
+        },
+        Case {
+            name: "for what is left of it",
+            waited_ms: 600,
+            hold_ms: 250,
+            ..PLAIN
+        },
+        Case {
+            name: "it has waited long enough",
+            waited_ms: 900,
+            hold_ms: 0,
+            ..PLAIN
+        },
+        Case {
+            name: "all that is waited for",
+            whole_groups: 13,
+            hold_ms: 0,
+            ..PLAIN
+        },
+        Case {
+            name: "whoever does not wait",
+            may_wait_ms: 0,
+            hold_ms: 0,
+            ..PLAIN
+        },
+        Case {
+            name: "until the step is due",
+            age_ms: 7_200,
+            hold_ms: 300,
+            ..PLAIN
+        },
+        Case {
+            name: "a step that is overdue",
+            age_ms: 8_000,
+            hold_ms: 0,
+            ..PLAIN
+        },
+    ];
+    for case in cases {
+        let asked = Asked {
+            waited: Duration::from_millis(case.waited_ms),
+            may_wait: Duration::from_millis(case.may_wait_ms),
+            whole_groups: case.whole_groups,
+            target_groups: 13,
+            age: Duration::from_millis(case.age_ms),
+            due: Duration::from_millis(7_500),
+        };
+        let hold = Duration::from_millis(case.hold_ms);
+        assert_eq!(asked.hold(), hold, "{}", case.name);
+    }
+}
+
+/// A trainer asks this long after its last question at the earliest, and goes on then.
+const ASKS_EVERY: Duration = Duration::from_millis(500);
+
+const LOOK_EVERY: Duration = Duration::from_millis(10);
+
+/// How long after `whole`, when its last group is listed, a trainer goes on that asked first
+/// at `began`; other samples are listed every 150 ms.
+fn goes_on_after(began: Duration, whole: Duration, is_held: bool) -> Duration {
+    let mut asked_at = began;
+    let mut read_until = Duration::ZERO;
+    loop {
+        let mut now = asked_at;
+        loop {
+            let news = now.as_millis() / 150 > read_until.as_millis() / 150 || now >= whole;
+            let asked = Asked {
+                waited: now - asked_at,
+                may_wait: SECOND,
+                whole_groups: if now >= whole { 13 } else { 12 },
+                target_groups: 13,
+                age: now,
+                due: Duration::from_millis(7_500),
+            };
+            let waits = if is_held {
+                asked.hold()
+            } else {
+                Duration::ZERO
+            };
+            if (news && waits.is_zero()) || now - asked_at >= SECOND {
+                break;
+            }
+            now += LOOK_EVERY;
+        }
+        read_until = now;
+        let next = now.max(asked_at + ASKS_EVERY);
+        if now >= whole {
+            return next.saturating_sub(whole);
+        }
+        asked_at = next;
+    }
+}
+
+/// Trainers whose longest samples take nearly all of the time that a step may take fell behind
+/// by half a second a step: the last group was listed, and its trainer went on half a
+/// second later. It had asked just before, and been given a sample that made nothing whole.
+#[test]
+fn a_trainer_goes_on_soon() {
+    let mean_of = |is_held| {
+        let steps = (0..40_u32).map(|step| {
+            let began = LOOK_EVERY * (step * 7 % 50);
+            goes_on_after(
+                began,
+                Duration::from_millis(6_000) + LOOK_EVERY * step,
+                is_held,
+            )
+        });
+        steps.sum::<Duration>() / 40
+    };
+    let (at_once, held) = (mean_of(false), mean_of(true));
+    // A question that is always there finds the last group, half of the time early enough.
+    assert!(held <= ASKS_EVERY / 2, "{held:?}");
+    assert!(held < at_once / 2, "{held:?} instead of {at_once:?}");
+}
