--- a/crates/policy/src/waves.rs
+++ b/crates/policy/src/waves.rs
@@ -39,18 +39,10 @@
     pub behind: u64,
 }
 
-/// Part of a model's equal share of the engines that gets each version. The two sets
-/// together then serve a step with all of the share; a larger part spends the weight store
-/// on engines that the step does not fill.
-const VERSION_PART: f64 = 1.0 / 2.0;
-
-/// Engines that get each version at the least, as far as [`VERSION_PART_MOST`] of the share
-/// allows: one of a few may crash or be slow, and a step has no others at first.
-const VERSION_LEAST: usize = 6;
-
-/// Largest part of a model's equal share that gets each version: with all of it, loads
-/// take longer than versions take to come.
-const VERSION_PART_MOST: f64 = 3.0 / 4.0;
+/// Part of a model's equal share of the engines that gets each version, in quarters: all
+/// that the next step has at first. With half of it, items waited 2 s on a pool of four;
+/// with all of it, loads take longer than versions take to come.
+const VERSION_QUARTERS: usize = 3;
 
 /// Sets of engines that get a model's versions by turns.
 const SETS: usize = 2;
@@ -60,10 +52,8 @@
 
 /// Engines that get each version of one of `models` models.
 fn engines_a_version(engines: usize, models: usize) -> usize {
-    let share = engines.div_ceil(models.max(1)) as f64;
-    let most = (share * VERSION_PART_MOST).ceil() as usize;
-    let part = (share * VERSION_PART).ceil() as usize;
-    part.max(VERSION_LEAST.min(most))
+    let share = engines.div_ceil(models.max(1));
+    (share * VERSION_QUARTERS).div_ceil(4)
 }
 
 /// The models that each of `engines` engines is to serve, its own one first: equal parts
