--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -131,8 +131,7 @@
 }
 
 impl UpstreamList {
-    /// One pass over the list: with a pass for each of its entries, a list of 3,000 took
-    /// 45 ms for each change of one.
+    /// One pass over the list: its cost does not grow with the square of the entries.
     fn services(&self) -> Vec<ServiceEntries<'_>> {
         let mut services: Vec<ServiceEntries<'_>> = Vec::new();
         for held in &self.listed {
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -49,8 +49,7 @@
 
 /// Pause after a failed call, up to half of it more at random: the store's
 /// outages take seconds, each call costs, and all nodes would come at once. A store
-/// that drops its history answers at once, for seconds: without the pause 73 nodes
-/// got 48,947 such answers in a day.
+/// that drops its history answers at once, for seconds.
 const RETRY_PAUSE: Duration = Duration::from_millis(600);
 
 /// Seeds that did not help are left alone this long; meanwhile the store is asked.
--- a/crates/node/src/live.rs
+++ b/crates/node/src/live.rs
@@ -78,8 +78,7 @@
     shared: Shared,
     /// Hash of this node. Its calls of a service go to the same upstream while that is
     /// no fuller than others, so that its connections are used again: with many nodes each
-    /// has few calls, and a connection idles out between two of them. A quiet day of 66
-    /// nodes took 1,432 connections to upstreams without it, 1,078 with it.
+    /// has few calls, and a connection idles out between two of them.
     affinity: u64,
     gates: Gates,
 }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -65,9 +65,8 @@
 use crate::weights::WeightsParts;
 
 /// Clients are taken until this long before a node that drains ends: an answer takes
-/// 1.5 s at most. The balancer asks once a second and stops after two misses, but it
-/// goes on with nodes that drain where few others are left in a zone: with an end after
-/// 2.5 s, three lookups in a minute found nobody listening.
+/// 1.5 s at most. The balancer stops after two misses, but it goes on with nodes that
+/// drain where few others are left in a zone: they must find somebody listening.
 const FINISH_CLIENTS: Duration = Duration::from_millis(1_500);
 
 /// The process ends this long before it would be killed.
@@ -75,9 +74,8 @@
 
 /// Pause between two watches of the list of upstreams on a node that drafts nothing, as a
 /// part of the time for which an upstream that leaves may get requests. Each load of weights
-/// changes an entry, and each answer to a watch costs a call: 168 loads at 66 nodes are
-/// 11,000 calls, worked out, of 12,654 that were counted. The rest of that time is for the
-/// watch and for a request that is on its way.
+/// changes an entry, and each answer to a watch costs every node a call. The rest of that
+/// time is for the watch and for a request that is on its way.
 const IDLE_PAUSE_PART: f64 = 0.6;
 
 /// Pause between two watches of the list of upstreams on a seed: what changes meanwhile
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -7,8 +7,8 @@
 //! each object with the revision by which it changed. All other nodes ask a seed for what
 //! changed after the revision that they know, and the seed answers when there is something.
 //! A node that only sends live calls names the services that these go to, and is told of
-//! their upstreams' whereabouts alone: with 1,000 engines that load weights, a small VM that
-//! took in every change had 77% of its processor busy, and 1% so. Revisions are the store's,
+//! their upstreams' whereabouts alone: a small VM that took in each load of weights of
+//! hundreds of engines had no time for callers. Revisions are the store's,
 //! so a node can change from one seed to another, or to the store, and nothing goes
 //! back. A seed says how old its knowledge is; if that is too old, or no seed answers,
 //! a node asks the store itself.
--- a/crates/node/src/submission/mod.rs
+++ b/crates/node/src/submission/mod.rs
@@ -8,12 +8,14 @@
 //! - [`saver`]: texts of unfinished samples in the store, for the next runner.
 //! - [`heads`]: who runs what, as the store has it.
 //! - [`runners`]: other nodes that run submissions.
-//! - [`desk`]: running, reading, ending, taking over.
+//! - [`desk`]: running, reading, ending.
+//! - [`elsewhere`]: questions whose answers lie at other nodes; taking over.
 //! - [`accept`], [`removal`]: how a submission comes and goes.
 
 pub mod accept;
 pub mod board;
 pub mod desk;
+mod elsewhere;
 pub mod heads;
 pub mod homes;
 pub mod records;
--- a/crates/policy/tests/answering.rs
+++ b/crates/policy/tests/answering.rs
@@ -97,7 +97,7 @@
         loop {
             let news = now.as_millis() / 150 > read_until.as_millis() / 150 || now >= whole;
             let asked = Asked {
-                waited: now - asked_at,
+                waited: now.saturating_sub(asked_at),
                 may_wait: SECOND,
                 whole_groups: if now >= whole { 13 } else { 12 },
                 target_groups: 13,
@@ -109,7 +109,7 @@
             } else {
                 Duration::ZERO
             };
-            if (news && waits.is_zero()) || now - asked_at >= SECOND {
+            if (news && waits.is_zero()) || now.saturating_sub(asked_at) >= SECOND {
                 break;
             }
             now += LOOK_EVERY;
@@ -131,11 +131,7 @@
     let mean_of = |is_held| {
         let steps = (0..40_u32).map(|step| {
             let began = LOOK_EVERY * (step * 7 % 50);
-            goes_on_after(
-                began,
-                Duration::from_millis(6_000) + LOOK_EVERY * step,
-                is_held,
-            )
+            goes_on_after(began, SECOND * 6 + LOOK_EVERY * step, is_held)
         });
         steps.sum::<Duration>() / 40
     };
