Homes of models go to VMs that can bear them, named by seeds

Cause: a home was whichever node a model's first step came to.

Change: a node tells seeds what its VM can bear (settings: cores, memory, link) and whether it takes steps, with a question that it asks anyway. A node that gets a step without a home, or whose home does not answer, asks a seed; the model goes where it gets the largest part of a VM (policy/siting.rs). The same holds for a step whose runner is lost: the node that was asked by chance has it taken over by the named one. Where nobody names a home all is as before.

Weighed: (a) a record of each node's size in the store: a write for each start of 834 nodes and all read it; (b) homes only on seeds: three VMs for all models; (c) this: no message more, state of a seed as many entries as nodes ask it.

--- a/crates/node/src/door.rs
+++ b/crates/node/src/door.rs
@@ -11,6 +11,7 @@
 use firweir::process::clock::Clock;
 use firweir::process::log::Journal;
 use firweir::process::tasks::Tasks;
+use http::HeaderMap;
 use http::HeaderValue;
 use http::Method;
 use http::Request;
@@ -52,10 +53,15 @@
 use crate::respond::empty;
 use crate::respond::refusal;
 use crate::respond::with_json;
+use crate::roster::HOME_PATH;
+use crate::roster::HomeQuestion;
+use crate::roster::MEMBER;
+use crate::roster::Member;
 use crate::scoring::Scoring;
 use crate::submission::accept::Posted;
 use crate::submission::desk::Asker;
 use crate::submission::desk::Desk;
+use crate::submission::finder::Finder;
 use crate::submission::homes::Homes;
 use crate::submission::runners::PING_PATH;
 use crate::submission::runners::name_account;
@@ -70,6 +76,9 @@
 /// Largest body of counts: some windows of all accounts.
 const USAGE_LIMIT_BYTES: usize = 1 << 20;
 
+/// Largest body of a node's question for a home.
+const QUESTION_LIMIT_BYTES: usize = 4 << 10;
+
 /// Time for such a call, a waiting watch included.
 const STORE_CALL_TIMEOUT: Duration = Duration::from_secs(9);
 
@@ -94,6 +103,7 @@
     pub(crate) desk: Desk,
     pub(crate) drafting: Drafting,
     pub(crate) homes: Homes,
+    pub(crate) finder: Finder,
     pub(crate) holder: Holder,
     pub(crate) counting: Counting,
     pub(crate) relay: Arc<Relay>,
@@ -207,8 +217,12 @@
             return self.call_store(uri, &head, body).await;
         }
         if let Some(name) = head.uri.path().strip_prefix(RELAY_PATH) {
+            self.note_member(&head.headers);
             return self.pass_on(name, head.uri.query()).await;
         }
+        if head.uri.path() == HOME_PATH {
+            return self.name_home(body).await;
+        }
         let account = named_account(&head.headers);
         match self.dialect.client_call(&head) {
             ClientCall::Asked(asked) => {
@@ -272,6 +286,28 @@
         }
     }
 
+    /// Takes in what a node that asks tells of itself.
+    fn note_member(&self, headers: &HeaderMap) {
+        let Some(value) = headers.get(MEMBER) else {
+            return;
+        };
+        match serde_json::from_slice::<Member>(value.as_bytes()) {
+            Ok(member) => self.finder.roster.note(self.clock.now(), member),
+            Err(error) => self.journal.event("member_malformed", &[("cause", &error)]),
+        }
+    }
+
+    /// Names a home for a model.
+    async fn name_home(&self, body: Incoming) -> Response<Body> {
+        let Some(body) = read_body(body, QUESTION_LIMIT_BYTES).await else {
+            return empty(StatusCode::PAYLOAD_TOO_LARGE);
+        };
+        match serde_json::from_slice::<HomeQuestion>(&body) {
+            Ok(question) => json(StatusCode::OK, &self.finder.answer(&question)),
+            Err(_malformed) => empty(StatusCode::BAD_REQUEST),
+        }
+    }
+
     /// Passes on what the store shows to a node that takes this one for a seed.
     async fn pass_on(&self, name: &str, query: Option<&str>) -> Response<Body> {
         let question = query.and_then(Question::of_query);
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -36,6 +36,8 @@
 use crate::relay::Whereabouts;
 use crate::relay::age_most_ms;
 use crate::relay::name_of;
+use crate::roster::MEMBER;
+use crate::roster::Standing;
 use crate::store::Store;
 
 /// How long one watch may wait. A store that drops its history lets the watches that
@@ -147,6 +149,8 @@
     pub relay: Arc<Relay>,
     /// What this node wants to know of upstreams.
     pub interest: Arc<Interest>,
+    /// What it tells seeds of itself.
+    pub standing: Standing,
     /// Reads what entries of upstreams say.
     pub dialect: Arc<dyn Dialect>,
     /// Whether the store turns this node away.
@@ -314,6 +318,12 @@
         let query = self.question().to_query();
         let mut request = Request::new(Full::new(Bytes::new()));
         *request.uri_mut() = format!("{RELAY_PATH}{name}?{query}").parse().ok()?;
+        // One kind of question does for all.
+        if self.kind == Kind::Duties
+            && let Some(member) = self.sources.standing.header()
+        {
+            request.headers_mut().insert(MEMBER, member);
+        }
         let (links, interest) = (&self.sources.links, &self.sources.interest);
         let answer = tokio::select! {
             answer = links.call(seed, request, POLL_TIMEOUT) => answer.ok()?,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod relay;
 pub mod reload;
 pub mod respond;
+pub mod roster;
 pub mod scoring;
 pub mod settings;
 pub mod shared;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -49,12 +49,15 @@
 use crate::reload;
 use crate::reload::InForce;
 use crate::reload::Reload;
+use crate::roster::Roster;
+use crate::roster::Standing;
 use crate::scoring::Scoring;
 use crate::settings::NodeSettings;
 use crate::shared::Shared;
 use crate::store::Store;
 use crate::submission::desk::Desk;
 use crate::submission::desk::DeskParts;
+use crate::submission::finder::Finder;
 use crate::submission::homes::Homes;
 use crate::submission::records::Runner;
 use crate::usage::counting::Counting;
@@ -150,6 +153,7 @@
             seeds: Seeds::default(),
             relay: Arc::default(),
             interest: Arc::default(),
+            standing: standing_of(&settings),
             dialect: Arc::clone(&dialect),
             outage: Outage::default(),
             clock: Arc::clone(&clock),
@@ -217,11 +221,21 @@
             }
         }
         self.journal.event("drain_started", &[]);
+        self.sources.standing.set_takes_steps(false);
         self.tasks.drain();
         Ok(())
     }
 }
 
+/// What this node tells seeds of itself.
+fn standing_of(settings: &NodeSettings) -> Standing {
+    let runner = settings.peer_listen.map(|address| Runner {
+        node: settings.node.clone(),
+        address,
+    });
+    Standing::new(runner, settings.vm.capacity())
+}
+
 /// Nodes through which calls of the store may go: the seeds without this node.
 fn detour_nodes(settings: &NodeSettings) -> Vec<SocketAddr> {
     let own = settings.peer_listen;
@@ -349,6 +363,14 @@
     let drafting = Drafting::new(shared, scoring.clone());
     base.tasks.spawn(drafting.clone().run());
     let homes = Homes::new(base.store.clone(), journal.clone());
+    let finder = Finder {
+        seeds: base.sources.seeds.clone(),
+        roster: Arc::new(Roster::default()),
+        homes: homes.clone(),
+        links: base.links.clone(),
+        clock: Arc::clone(clock),
+        journal: journal.clone(),
+    };
     let desk = Desk::new(DeskParts {
         me: me.clone(),
         store: base.store.clone(),
@@ -356,6 +378,7 @@
         dialect: Arc::clone(dialect),
         drafting: drafting.clone(),
         homes: homes.clone(),
+        finder: finder.clone(),
         outage: base.sources.outage.clone(),
         settings: base.in_force.clone(),
         off: base.off,
@@ -403,6 +426,7 @@
         desk,
         drafting,
         homes,
+        finder,
         holder,
         counting,
         relay: Arc::clone(&base.sources.relay),
@@ -422,6 +446,7 @@
     let scoring = node.scoring.clone();
     let interest = Arc::clone(&base.sources.interest);
     let settings = base.in_force.clone();
+    let (standing, tasks) = (base.sources.standing.clone(), base.tasks.clone());
     let (relay, configured) = (Arc::clone(&base.sources.relay), Arc::clone(&fleet));
     let how = move || {
         let has_accounts = !configured.config().accounts.is_empty();
@@ -438,6 +463,7 @@
         }
         fleet.hear_of_config(news.as_of);
         interest.take_config(&fleet.config());
+        standing.set_takes_steps(!tasks.is_draining());
         live.take_fleet();
         scoring.take_fleet();
     });
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -52,6 +52,9 @@
     /// Nodes that pass on what the store shows, by where they take other nodes.
     #[serde(default)]
     pub seeds: Vec<SocketAddr>,
+    /// What the VM gives to this node.
+    #[serde(default)]
+    pub vm: VmSettings,
     /// An upstream that leaves may get requests for this long.
     pub leaving_ms: u64,
     /// Time from SIGTERM to SIGKILL.
@@ -81,6 +84,49 @@
     pub log_level: String,
 }
 
+/// What a VM gives to a node.
+#[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
+pub struct VmSettings {
+    /// Processor cores.
+    pub cores: f64,
+    /// Part of each that the node may use.
+    pub core_share: f64,
+    /// Memory.
+    pub memory_mb: f64,
+    /// What its own link carries.
+    pub link_mbps: f64,
+}
+
+/// The VM that [`VmSettings::capacity`] compares others with, and that is taken for given
+/// where the settings do not say.
+pub const REFERENCE_VM: VmSettings = VmSettings {
+    cores: 1.0,
+    core_share: 1.0,
+    memory_mb: 1_024.0,
+    link_mbps: 1_000.0,
+};
+
+impl Default for VmSettings {
+    fn default() -> Self {
+        REFERENCE_VM
+    }
+}
+
+impl VmSettings {
+    /// Parts of [`REFERENCE_VM`] by what is scarcest.
+    #[must_use]
+    pub fn capacity(&self) -> f64 {
+        let processor = self.cores * self.core_share;
+        let reference = REFERENCE_VM.cores * REFERENCE_VM.core_share;
+        let parts = [
+            processor / reference,
+            self.memory_mb / REFERENCE_VM.memory_mb,
+            self.link_mbps / REFERENCE_VM.link_mbps,
+        ];
+        parts.into_iter().fold(f64::INFINITY, f64::min).max(0.0)
+    }
+}
+
 /// A shorter window would be over before its counts are in.
 const WINDOW_LEAST_S: f64 = 1.0;
 
@@ -145,6 +191,7 @@
             ("ready_listen", self.ready_listen != other.ready_listen),
             ("peer_listen", self.peer_listen != other.peer_listen),
             ("seeds", self.seeds != other.seeds),
+            ("vm", self.vm != other.vm),
             ("leaving_ms", self.leaving_ms != other.leaving_ms),
             ("grace_s", self.grace() != other.grace()),
             (
--- a/crates/node/src/submission/accept.rs
+++ b/crates/node/src/submission/accept.rs
@@ -70,35 +70,66 @@
         if self.is_known(&submission.id) {
             return empty(StatusCode::ACCEPTED);
         }
+        if !self.shared.off.leaves(Mechanism::Homes) {
+            return self.accept_here(posted, submission, draining, false).await;
+        }
         let model = submission.model.clone();
-        let is_on = self.shared.off.leaves(Mechanism::Homes);
-        let home = self.shared.homes.of(&model).filter(|_| is_on);
-        match home.filter(|home| *home != self.shared.me) {
-            Some(home) if self.pass_to_home(&home, posted).await => empty(StatusCode::ACCEPTED),
-            // The home may have accepted it and not said so.
-            Some(_) if draining => refusal(Outcome::Unknown, "draining"),
-            None if draining => refusal(Outcome::NotRun(SUBMIT_AGAIN), "draining"),
-            Some(_) | None => self.accept_as_home(posted, submission, &model).await,
+        let known = self.shared.homes.of(&model);
+        if known.as_ref() == Some(&self.shared.me) {
+            return self.accept_here(posted, submission, draining, false).await;
+        }
+        if let Some(home) = &known
+            && self.pass_to_home(home, posted).await
+        {
+            return empty(StatusCode::ACCEPTED);
+        }
+        let silent = known.map(|home| home.address);
+        let named = self.shared.finder.find(&model, silent).await;
+        let named = named.filter(|home| *home != self.shared.me);
+        if let Some(home) = &named
+            && self.pass_to_home(home, posted).await
+        {
+            self.settle(&model, home.clone());
+            return empty(StatusCode::ACCEPTED);
         }
+        let was_passed = silent.is_some() || named.is_some();
+        self.accept_here(posted, submission, draining, was_passed)
+            .await
     }
 
-    async fn accept_as_home(
+    /// Accepts a submission as the home of its model; `was_passed` to a node that may have
+    /// accepted it and not said so.
+    async fn accept_here(
         &self,
         posted: &Posted<'_>,
         submission: Submission,
-        model: &str,
+        draining: bool,
+        was_passed: bool,
     ) -> Response<Body> {
+        if draining && was_passed {
+            return refusal(Outcome::Unknown, "draining");
+        }
+        if draining {
+            return refusal(Outcome::NotRun(SUBMIT_AGAIN), "draining");
+        }
+        let model = submission.model.clone();
         let answer = self.accept(posted, submission).await;
-        let is_home = self.shared.homes.of(model).as_ref() == Some(&self.shared.me);
+        let is_home = self.shared.homes.of(&model).as_ref() == Some(&self.shared.me);
         let is_on = self.shared.off.leaves(Mechanism::Homes);
         if answer.status() == StatusCode::ACCEPTED && !is_home && is_on {
-            let (homes, me) = (self.shared.homes.clone(), self.shared.me.clone());
-            let model = model.to_owned();
-            drop(tokio::spawn(async move { homes.settle(&model, me).await }));
+            self.settle(&model, self.shared.me.clone());
         }
         answer
     }
 
+    /// Makes a node the home of a model, beside the answer to a trainer.
+    fn settle(&self, model: &str, home: Runner) {
+        let (homes, model) = (self.shared.homes.clone(), model.to_owned());
+        drop(tokio::spawn(
+            async move { homes.settle(&model, home).await },
+        ));
+    }
+
     /// Whether the home of its model has accepted a submission.
     async fn pass_to_home(&self, home: &Runner, posted: &Posted<'_>) -> bool {
         let mut request = Request::new(Full::new(posted.body.clone()));
--- a/crates/node/src/submission/desk.rs
+++ b/crates/node/src/submission/desk.rs
@@ -43,6 +43,7 @@
 use crate::respond::with_json;
 use crate::store::Store;
 use crate::submission::board::Board;
+use crate::submission::finder::Finder;
 use crate::submission::heads::Heads;
 use crate::submission::heads::Known;
 use crate::submission::homes::Homes;
@@ -126,6 +127,7 @@
     pub(in crate::submission) store: Store,
     pub(in crate::submission) links: Links,
     pub(in crate::submission) homes: Homes,
+    pub(in crate::submission) finder: Finder,
     pub(in crate::submission) heads: Heads,
     pub(in crate::submission) settings: InForce,
     pub(in crate::submission) off: Off,
@@ -155,6 +157,8 @@
     pub drafting: Drafting,
     /// Who runs the submissions of which model.
     pub homes: Homes,
+    /// Finds homes.
+    pub finder: Finder,
     /// Whether the store turns this node away.
     pub outage: Outage,
     /// Settings, with how long results stay readable.
@@ -181,6 +185,7 @@
             dialect: parts.dialect,
             drafting: parts.drafting,
             homes: parts.homes,
+            finder: parts.finder,
             outage: parts.outage,
             settings: parts.settings,
             off: parts.off,
--- a/crates/node/src/submission/elsewhere.rs
+++ b/crates/node/src/submission/elsewhere.rs
@@ -119,8 +119,8 @@
         refusal(Outcome::NotRun(ASK_AGAIN), "runner-unreached")
     }
 
-    /// Takes a submission over if its runner, which did not answer, is gone; gives the head
-    /// that holds then.
+    /// Has a submission taken over if its runner, which did not answer, is gone; gives the head
+    /// that holds then. A seed names the successor, since this node was asked by chance.
     ///
     /// A task of its own: a client that waits for less than it takes to tell that a runner is
     /// gone would end the look with its question, and its next one reaches another node,
@@ -130,7 +130,10 @@
         if !self.shared.runners.is_gone(runner, error).await {
             return None;
         }
-        match self.shared.heads.take_over(&known).await {
+        let finder = &self.shared.finder;
+        let named = finder.find(&known.head.model, Some(runner)).await;
+        let successor = named.unwrap_or_else(|| self.shared.me.clone());
+        match self.shared.heads.take_over(&known, successor).await {
             Ok(now) => now,
             Err(error) => {
                 self.shared.journal.event(
--- a/crates/node/src/submission/heads.rs
+++ b/crates/node/src/submission/heads.rs
@@ -115,12 +115,16 @@
         Ok(known)
     }
 
-    /// Makes this node the runner in place of the one that is known.
+    /// Makes a node the runner in place of the one that is known.
     ///
     /// # Errors
     ///
     /// The store did not answer.
-    pub async fn take_over(&self, known: &Known) -> Result<Option<Known>, StoreError> {
+    pub async fn take_over(
+        &self,
+        known: &Known,
+        successor: Runner,
+    ) -> Result<Option<Known>, StoreError> {
         let Some(now) = self.reread(&known.id).await? else {
             return Ok(None);
         };
@@ -129,14 +133,18 @@
         }
         let head = Head {
             write: self.store.write_id(),
-            runner: self.me.clone(),
+            runner: successor,
             ..now.head.clone()
         };
         match self.replace(&now, head).await {
             Ok(taken) => {
                 self.journal.event(
                     "submission_taken_over",
-                    &[("submission", &known.id), ("from", &known.head.runner.node)],
+                    &[
+                        ("submission", &known.id),
+                        ("from", &known.head.runner.node),
+                        ("to", &taken.head.runner.node),
+                    ],
                 );
                 Ok(Some(taken))
             }
--- a/crates/node/src/submission/homes.rs
+++ b/crates/node/src/submission/homes.rs
@@ -18,6 +18,7 @@
 use crate::change::Change;
 use crate::dialect::Kind;
 use crate::dialect::Object;
+use crate::roster::Settled;
 use crate::store::Store;
 use crate::submission::records::Runner;
 
@@ -78,6 +79,17 @@
         nodes
     }
 
+    /// The homes of all models.
+    #[must_use]
+    pub fn settled(&self) -> Vec<Settled> {
+        let homes = self.by_model.load();
+        let settled = homes.iter().map(|home| Settled {
+            model: home.model.clone(),
+            address: home.runner.address,
+        });
+        settled.collect()
+    }
+
     /// Takes in duties as the store shows them.
     pub fn take(&self, change: Change) {
         match change {
--- a/crates/node/src/submission/mod.rs
+++ b/crates/node/src/submission/mod.rs
@@ -4,6 +4,7 @@
 //! - [`records`]: what stands in the store.
 //! - [`board`]: one submission that this node runs, and its log of results.
 //! - [`homes`]: which node accepts and runs the submissions of a model.
+//! - [`finder`]: finding such a node.
 //! - [`texts`]: texts kept for the next step that asks for them.
 //! - [`saver`]: texts of unfinished samples in the store, for the next runner.
 //! - [`heads`]: who runs what, as the store has it.
@@ -16,6 +17,7 @@
 pub mod board;
 pub mod desk;
 mod elsewhere;
+pub mod finder;
 pub mod heads;
 pub mod homes;
 pub mod records;
--- /dev/null
+++ b/crates/node/tests/roster.rs
@@ -0,0 +1,146 @@
+//! The nodes that a seed knows, and the homes that it names.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use firweir_node::roster::HomeQuestion;
+use firweir_node::roster::Member;
+use firweir_node::roster::Roster;
+use firweir_node::roster::Settled;
+use firweir_node::roster::Standing;
+use firweir_node::submission::records::Runner;
+
+fn address(node: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], node))
+}
+
+fn member(node: u16, capacity: f64) -> Member {
+    Member {
+        runner: Runner {
+            node: format!("vm-{node}"),
+            address: address(node),
+        },
+        capacity,
+        takes_steps: true,
+    }
+}
+
+fn question(model: &str, but: Option<u16>) -> HomeQuestion {
+    HomeQuestion {
+        model: model.to_owned(),
+        but: but.map(address),
+    }
+}
+
+struct Case {
+    name: &'static str,
+    members: Vec<Member>,
+    /// Node that is home of another model already.
+    settled: Option<u16>,
+    /// Node that is out of the question.
+    but: Option<u16>,
+    /// Time since the members were heard of.
+    silent_ms: u64,
+    home: Option<u16>,
+}
+
+/// Guards against homes at nodes that drain, start, are gone or have enough to bear.
+#[test]
+fn who_is_named() {
+    let case = |name, members, home| Case {
+        name,
+        members,
+        settled: None,
+        but: None,
+        silent_ms: 0,
+        home,
+    };
+    let both = || vec![member(1, 1.0), member(2, 0.5)];
+    let draining = Member {
+        takes_steps: false,
+        ..member(1, 1.0)
+    };
+    let cases = [
+        case("the largest", both(), Some(1)),
+        case("nobody is known", Vec::new(), None),
+        case(
+            "one that drains, or has no configuration yet",
+            vec![draining, member(2, 0.5)],
+            Some(2),
+        ),
+        Case {
+            but: Some(1),
+            ..case("the one that does not answer", both(), Some(2))
+        },
+        Case {
+            settled: Some(1),
+            ..case("half of a large one is a small one", both(), Some(2))
+                .with_capacity_of_second(0.6)
+        },
+        Case {
+            silent_ms: 4_000,
+            ..case("they have not asked for long", both(), None)
+        },
+    ];
+    for case in cases {
+        let roster = Roster::default();
+        let start = Instant::now();
+        for member in case.members {
+            roster.note(start, member);
+        }
+        let settled: Vec<Settled> = case
+            .settled
+            .map(|node| Settled {
+                model: "other".to_owned(),
+                address: address(node),
+            })
+            .into_iter()
+            .collect();
+        let now = start + Duration::from_millis(case.silent_ms);
+        let home = roster.home_for(now, &question("m", case.but), &settled);
+        let home = home.map(|home| home.address);
+        assert_eq!(home, case.home.map(address), "{}", case.name);
+    }
+}
+
+impl Case {
+    fn with_capacity_of_second(mut self, capacity: f64) -> Self {
+        self.members[1].capacity = capacity;
+        self
+    }
+}
+
+/// Guards against two homes of one model: its first step comes again through another node
+/// before the list of duties shows the home.
+#[test]
+fn a_model_gets_the_same_home_again() {
+    let roster = Roster::default();
+    let now = Instant::now();
+    for node in 1..=20 {
+        roster.note(now, member(node, 1.0));
+    }
+    let first = roster.home_for(now, &question("m", None), &[]);
+    for model in ["a", "b", "c"] {
+        let other = roster.home_for(now, &question(model, None), &[]);
+        assert_ne!(other, first, "models that come at once are spread");
+    }
+    let again = roster.home_for(now, &question("m", None), &[]);
+    assert_eq!(again, first);
+}
+
+/// Guards against a large fleet that is told in more words than a small one: what a node tells
+/// of itself does not grow.
+#[test]
+fn what_a_node_tells_is_small() {
+    let runner = member(1, 1.0).runner;
+    let standing = Standing::new(Some(runner), 0.06);
+    let header = standing.header().expect("it takes other nodes");
+    assert!(header.len() < 200, "{} bytes", header.len());
+    let told: Member = serde_json::from_slice(header.as_bytes()).expect("JSON");
+    assert!(!told.takes_steps, "it knows no configuration yet");
+    standing.set_takes_steps(true);
+    let header = standing.header().expect("as before");
+    let told: Member = serde_json::from_slice(header.as_bytes()).expect("JSON");
+    assert!(told.takes_steps);
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod retry;
 pub mod route;
 pub mod share;
+pub mod siting;
 pub mod slots;
 pub mod step_order;
 pub mod straggler;
--- /dev/null
+++ b/crates/policy/tests/siting.rs
@@ -0,0 +1,100 @@
+//! Which node becomes the home of a model.
+
+use firweir_policy::siting::Candidate;
+use firweir_policy::siting::NodeKey;
+use firweir_policy::siting::best_home;
+
+const LARGE: f64 = 1.0;
+const SMALL: f64 = 0.06;
+
+/// A fleet with so many large VMs among small ones; the large ones come first.
+fn fleet(large: u32, small: u32) -> Vec<Candidate> {
+    let candidate = |node: u32| Candidate {
+        node: NodeKey(node),
+        hash: u64::from(node).wrapping_mul(0x9e37_79b9_7f4a_7c15),
+        capacity: if node < large { LARGE } else { SMALL },
+        homes: 0,
+    };
+    (0..large + small).map(candidate).collect()
+}
+
+/// Homes of so many models, settled one after the other.
+fn settle(fleet: &mut [Candidate], models: u64) -> Vec<NodeKey> {
+    let mut homes = Vec::new();
+    for model in 0..models {
+        let home = best_home(model, fleet).expect("there are nodes");
+        fleet[home.0 as usize].homes += 1;
+        homes.push(home);
+    }
+    homes
+}
+
+struct Case {
+    name: &'static str,
+    large: u32,
+    small: u32,
+    models: u64,
+    /// Most models that a large VM, and a small one, may be home of.
+    most_large: u32,
+    most_small: u32,
+}
+
+/// Guards against trainers that wait for a small VM while large ones are idle.
+#[test]
+fn large_vms_are_filled_first() {
+    let cases = [
+        Case {
+            name: "a large VM for each model",
+            large: 17,
+            small: 261,
+            models: 8,
+            most_large: 1,
+            most_small: 0,
+        },
+        Case {
+            name: "as many models on each large VM as are needed",
+            large: 3,
+            small: 300,
+            models: 12,
+            most_large: 4,
+            most_small: 0,
+        },
+        Case {
+            name: "one large VM does not get all there is",
+            large: 1,
+            small: 300,
+            models: 30,
+            most_large: 16,
+            most_small: 1,
+        },
+        Case {
+            name: "VMs of one size get one each",
+            large: 0,
+            small: 9,
+            models: 9,
+            most_large: 0,
+            most_small: 1,
+        },
+    ];
+    for case in cases {
+        let mut fleet = fleet(case.large, case.small);
+        settle(&mut fleet, case.models);
+        let (large, small) = fleet.split_at(case.large as usize);
+        let most = |held: &[Candidate]| held.iter().map(|node| node.homes).max().unwrap_or(0);
+        assert!(most(large) <= case.most_large, "{}: large", case.name);
+        assert!(most(small) <= case.most_small, "{}: small", case.name);
+    }
+}
+
+/// Guards against all first steps of a fleet meeting at one node.
+#[test]
+fn models_that_come_at_once_are_spread() {
+    let fleet = fleet(50, 784);
+    let mut homes: Vec<NodeKey> = (0..8)
+        .filter_map(|model| best_home(model, &fleet))
+        .collect();
+    homes.sort_unstable();
+    homes.dedup();
+    assert!(homes.len() >= 5, "8 models on {} nodes", homes.len());
+    assert_eq!(best_home(1, &[]), None);
+}
