Samples start under a young view of their submission's head only

Cause: a runner looked at the head each 1.8 s in a task of its own, and started samples whatever came of it. The times were on the clock that stands still while a VM is suspended.

Change: HeadView holds when a read was sent that showed this node as the runner and no end, on the clock that counts suspension; right before a sample is sent it waits for a look that is young enough, and asks for one. The bound comes from the settings (end_applies_ms). Without the store nobody can end a submission, so looks in vain count; a read that shows another runner does not.

Tests: samples_start_under_a_young_head_only (late look, suspension, never read, store away and back), a_look_or_the_end_lets_samples_go_on.

--- a/crates/node/src/draft_run.rs
+++ b/crates/node/src/draft_run.rs
@@ -83,8 +83,16 @@
 }
 
 impl Run<'_> {
-    /// Runs it to its end.
+    /// Runs it to its end, from when the submission is known to be wanted still.
     pub(crate) async fn attempt(&mut self, reached: &mut Reached) -> Attempt {
+        let limits = self.shared.settings.now().head_limits();
+        let clock = &*self.shared.boot_clock;
+        let is_over = || !self.board.is_running();
+        let young = self.board.view.await_young(clock, &limits, is_over);
+        young.await;
+        if is_over() {
+            return Attempt::Moved;
+        }
         let draft = DraftRequest {
             item: self.item,
             host: &self.board.head.host,
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -351,6 +351,8 @@
         dialect: Arc::clone(dialect),
         links: base.links.clone(),
         clock: Arc::clone(clock),
+        boot_clock: Arc::clone(&base.sources.boot_clock),
+        settings: base.in_force.clone(),
         journal: journal.clone(),
         off: base.off,
     };
@@ -383,6 +385,7 @@
         settings: base.in_force.clone(),
         off: base.off,
         clock: Arc::clone(clock),
+        boot_clock: Arc::clone(&base.sources.boot_clock),
         journal: journal.clone(),
     });
     let holder = Holder::new(HolderParts {
--- a/crates/node/src/reload.rs
+++ b/crates/node/src/reload.rs
@@ -59,6 +59,7 @@
         taken.lease_ms = new.lease_ms;
         taken.config_apply_ms = new.config_apply_ms;
         taken.revoke_ms = new.revoke_ms;
+        taken.end_applies_ms = new.end_applies_ms;
         taken.keep_results_s = new.keep_results_s;
         taken.log_level.clone_from(&new.log_level);
         let in_force = held.keys_that_differ(&taken);
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -10,6 +10,7 @@
 
 use crate::authentication::NewsLimits;
 use crate::mechanisms::Mechanism;
+use crate::submission::head_view::HeadLimits;
 
 quick_error! {
     /// Why a settings file cannot be used.
@@ -61,6 +62,10 @@
     pub grace_s: f64,
     /// Results of a submission stay readable for this long after it was accepted.
     pub keep_results_s: f64,
+    /// No sample of a submission that has ended may reach an engine this long after the end
+    /// was confirmed.
+    #[serde(default = "default_end_applies_ms")]
+    pub end_applies_ms: u64,
     /// Engines may hear from another holder of the orders only after this long.
     pub lease_ms: u64,
     /// A configuration is in force everywhere within this time.
@@ -134,6 +139,10 @@
     2_000
 }
 
+const fn default_end_applies_ms() -> u64 {
+    3_000
+}
+
 fn default_log_level() -> String {
     "info".to_owned()
 }
@@ -198,6 +207,10 @@
                 "keep_results_s",
                 self.keep_results() != other.keep_results(),
             ),
+            (
+                "end_applies_ms",
+                self.end_applies_ms != other.end_applies_ms,
+            ),
             ("lease_ms", self.lease_ms != other.lease_ms),
             (
                 "config_apply_ms",
@@ -255,6 +268,12 @@
         NewsLimits::new(self.config_apply(), self.revocation())
     }
 
+    /// How old the view of a submission's head may be.
+    #[must_use]
+    pub fn head_limits(&self) -> HeadLimits {
+        HeadLimits::new(Duration::from_millis(self.end_applies_ms))
+    }
+
     /// Engines may hear from another holder of the orders only after this long.
     #[must_use]
     pub const fn lease(&self) -> Duration {
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -6,10 +6,12 @@
 use firweir::process::log::Journal;
 
 use crate::dialect::Dialect;
+use crate::duty::BootClock;
 use crate::fleet::Fleet;
 use crate::interest::Interest;
 use crate::link::Links;
 use crate::mechanisms::Off;
+use crate::reload::InForce;
 use crate::usage::counting::Counting;
 
 /// Cheap to clone.
@@ -25,6 +27,10 @@
     pub links: Links,
     /// The clock.
     pub clock: Arc<dyn Clock>,
+    /// The clock that counts suspended time.
+    pub boot_clock: Arc<dyn BootClock>,
+    /// Settings.
+    pub settings: InForce,
     /// Events and metrics.
     pub journal: Journal,
     /// Counts requests of accounts.
--- a/crates/node/src/submission/accept.rs
+++ b/crates/node/src/submission/accept.rs
@@ -1,7 +1,6 @@
 //! Accepting submissions: once, and kept whole in the store before a trainer hears of it.
 
 use std::time::Duration;
-use std::time::Instant;
 
 use bytes::Bytes;
 use firweir::connection::server::Body;
@@ -232,7 +231,7 @@
                     let clock = &*self.shared.clock;
                     let board = Board::new(id.clone(), head, submission.items, clock);
                     // Its head names this node since then.
-                    board.confirm(sent);
+                    board.view.confirm(sent);
                     self.start(board);
                 }
                 Acceptance::Accepted
@@ -271,7 +270,7 @@
         path: String,
         account: Option<String>,
         submission: &Submission,
-    ) -> Result<Option<(Head, Instant)>, StoreError> {
+    ) -> Result<Option<(Head, Duration)>, StoreError> {
         let until = self.shared.clock.now() + ACCEPT_PATIENCE;
         let store = &self.shared.store;
         let parts = cut(submission.items.clone(), item_bytes);
@@ -305,7 +304,7 @@
             ended: false,
             account,
         };
-        let sent = self.shared.clock.now();
+        let sent = self.shared.boot_clock.since_boot();
         let created = store
             .create(Kind::Submissions, &submission.id, &head, &head.write, until)
             .await?;
--- a/crates/node/src/submission/board.rs
+++ b/crates/node/src/submission/board.rs
@@ -35,6 +35,7 @@
 use crate::model::Route;
 use crate::store::Created;
 use crate::store::Store;
+use crate::submission::head_view::HeadView;
 use crate::submission::records::Chunk;
 use crate::submission::records::Head;
 use crate::submission::records::Part;
@@ -106,8 +107,8 @@
     /// Texts of items that an earlier runner saved, sorted by item.
     saved: Mutex<Vec<(String, Progress)>>,
     saved_records: AtomicUsize,
-    /// When a read was sent that showed this node as the runner.
-    confirmed: Mutex<Option<Instant>>,
+    /// How old the view of its head is.
+    pub view: HeadView,
     listed: Notify,
     pending: Notify,
     /// Another node runs it.
@@ -148,7 +149,7 @@
             state: Mutex::new(state),
             saved: Mutex::default(),
             saved_records: AtomicUsize::new(0),
-            confirmed: Mutex::default(),
+            view: HeadView::default(),
             listed: Notify::new(),
             pending: Notify::new(),
             given_up: AtomicBool::new(false),
@@ -234,22 +235,6 @@
         self.accepted + Duration::from_millis(due_ms)
     }
 
-    /// Notes that a read that was sent then showed this node as the runner.
-    pub fn confirm(&self, sent: Instant) {
-        *self.lock_confirmed() = Some(sent);
-    }
-
-    /// When such a read was last sent.
-    #[must_use]
-    pub fn confirmed(&self) -> Option<Instant> {
-        *self.lock_confirmed()
-    }
-
-    fn lock_confirmed(&self) -> MutexGuard<'_, Option<Instant>> {
-        let confirmed = self.confirmed.lock();
-        confirmed.unwrap_or_else(PoisonError::into_inner)
-    }
-
     /// The text of an item that an earlier runner saved.
     #[must_use]
     pub fn saved_text(&self, item: &str) -> Option<Progress> {
@@ -316,6 +301,7 @@
     /// No more of it is wanted.
     pub fn end(&self) {
         self.lock().ended = true;
+        self.view.wake();
         self.pending.notify_one();
         self.listed.notify_waiters();
     }
@@ -323,6 +309,7 @@
     /// Another node runs it from now on.
     pub fn give_up(&self) {
         self.given_up.store(true, Ordering::Release);
+        self.view.wake();
         self.pending.notify_one();
         self.listed.notify_waiters();
     }
--- a/crates/node/src/submission/desk.rs
+++ b/crates/node/src/submission/desk.rs
@@ -29,6 +29,7 @@
 use crate::dialect::ResultPage;
 use crate::dialect::StoreError;
 use crate::drafting::Drafting;
+use crate::duty::BootClock;
 use crate::follow::list;
 use crate::link::Links;
 use crate::mechanisms::Mechanism;
@@ -55,10 +56,6 @@
 /// When a client may ask again where it is not known who runs a submission.
 pub(in crate::submission) const ASK_AGAIN: Duration = Duration::from_millis(250);
 
-/// Time between looks at the head of a submission that this node runs. An end that
-/// this node did not hear of must stop its items within 3 s.
-const LOOK_AT_HEAD: Duration = Duration::from_millis(1_800);
-
 /// For this long after a read of its head a runner may say that nothing is listed: what
 /// another node lists meanwhile may be missing in an answer for a second.
 const CONFIRMED_FOR: Duration = Duration::from_millis(700);
@@ -132,6 +129,7 @@
     pub(in crate::submission) settings: InForce,
     pub(in crate::submission) off: Off,
     pub(in crate::submission) clock: Arc<dyn Clock>,
+    pub(in crate::submission) boot_clock: Arc<dyn BootClock>,
     pub(in crate::submission) journal: Journal,
     pub(in crate::submission) runners: Runners,
     pub(in crate::submission) outage: Outage,
@@ -167,6 +165,8 @@
     pub off: Off,
     /// The clock.
     pub clock: Arc<dyn Clock>,
+    /// The clock that counts suspended time.
+    pub boot_clock: Arc<dyn BootClock>,
     /// Events.
     pub journal: Journal,
 }
@@ -190,6 +190,7 @@
             settings: parts.settings,
             off: parts.off,
             clock: parts.clock,
+            boot_clock: parts.boot_clock,
             journal: parts.journal,
             state: Mutex::default(),
             loading: tokio::sync::Mutex::default(),
@@ -244,7 +245,10 @@
     /// node that did not reach this one may have taken it over, or ended it.
     async fn watch_head(self, board: Arc<Board>) {
         while board.is_running() && !board.is_complete() {
-            tokio::time::sleep(LOOK_AT_HEAD).await;
+            let limits = self.shared.settings.now().head_limits();
+            let look_wanted = board.view.look_wanted();
+            // In time or sooner, the head is looked at.
+            drop(tokio::time::timeout(limits.look_every, look_wanted).await);
             // Without the store no one else can take it over either.
             drop(self.confirm(&board).await);
         }
@@ -256,13 +260,17 @@
     ///
     /// The store did not answer.
     async fn confirm(&self, board: &Board) -> Result<bool, StoreError> {
-        let sent = self.shared.clock.now();
-        let Some(known) = self.shared.heads.reread(&board.id).await? else {
+        let sent = self.shared.boot_clock.since_boot();
+        let newest = self.shared.heads.reread(&board.id).await;
+        if newest.is_err() {
+            board.view.note_in_vain(sent);
+        }
+        let Some(known) = newest? else {
             return Ok(false);
         };
         let mine = known.head.runner == self.shared.me;
-        if mine {
-            board.confirm(sent);
+        if mine && !known.head.ended {
+            board.view.confirm(sent);
         }
         self.apply(known);
         Ok(mine)
@@ -276,9 +284,9 @@
     /// nothing only if a read of the head, sent less than [`CONFIRMED_FOR`] ago, showed it
     /// as the runner. What is listed never changes, so other pages need no such read.
     async fn nothing_listed(&self, board: &Board, after: usize) -> Response<Body> {
-        let now = self.shared.clock.now();
-        let confirmed = board.confirmed();
-        let fresh = confirmed.is_some_and(|sent| now.duration_since(sent) < CONFIRMED_FOR);
+        let now = self.shared.boot_clock.since_boot();
+        let confirmed = board.view.confirmed();
+        let fresh = confirmed.is_some_and(|sent| now.saturating_sub(sent) < CONFIRMED_FOR);
         let certain = fresh || after >= board.items.len();
         let mine = if certain {
             Ok(true)
@@ -431,9 +439,15 @@
     async fn read_step(&self, id: &str, head: Head) -> Result<Arc<Board>, StoreError> {
         let board = Board::load(&self.shared.store, id, head, &*self.shared.clock).await?;
         if board.is_running() {
-            let newest = self.shared.heads.reread(id).await?;
-            if newest.is_none_or(|known| known.head.ended) {
-                board.end();
+            let sent = self.shared.boot_clock.since_boot();
+            match self.shared.heads.reread(id).await? {
+                Some(known) if !known.head.ended => {
+                    // Another runner's step starts nothing here; the next look lets it go.
+                    if known.head.runner == self.shared.me {
+                        board.view.confirm(sent);
+                    }
+                }
+                _ => board.end(),
             }
         }
         Ok(board)
--- a/crates/node/src/submission/mod.rs
+++ b/crates/node/src/submission/mod.rs
@@ -7,6 +7,7 @@
 //! - [`finder`]: finding such a node.
 //! - [`texts`]: texts kept for the next step that asks for them.
 //! - [`saver`]: texts of unfinished samples in the store, for the next runner.
+//! - [`head_view`]: how old a runner's view of a head is.
 //! - [`heads`]: who runs what, as the store has it.
 //! - [`runners`]: other nodes that run submissions.
 //! - [`desk`]: running, reading, ending.
@@ -18,6 +19,7 @@
 pub mod desk;
 mod elsewhere;
 pub mod finder;
+pub mod head_view;
 pub mod heads;
 pub mod homes;
 pub mod records;
--- /dev/null
+++ b/crates/node/tests/head_view.rs
@@ -0,0 +1,106 @@
+//! When a runner may start samples of a submission that others may have ended.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use firweir_node::duty::BootClock;
+use firweir_node::submission::head_view::HeadLimits;
+use firweir_node::submission::head_view::HeadView;
+
+const END_APPLIES: Duration = Duration::from_secs(3);
+
+/// A clock that a test sets.
+#[derive(Debug, Default)]
+struct SetClock(AtomicU64);
+
+impl SetClock {
+    fn set(&self, now_ms: u64) {
+        self.0.store(now_ms, Ordering::Relaxed);
+    }
+}
+
+impl BootClock for SetClock {
+    fn since_boot(&self) -> Duration {
+        Duration::from_millis(self.0.load(Ordering::Relaxed))
+    }
+}
+
+struct Case {
+    name: &'static str,
+    confirmed_ms: Option<u64>,
+    in_vain_ms: Option<u64>,
+    now_ms: u64,
+    starts: bool,
+}
+
+/// Guards against samples of an ended submission that start by an old view of its head: on a
+/// slow VM, after a suspension, or at a node that took the submission over as it ended.
+#[tokio::test(start_paused = true)]
+async fn samples_start_under_a_young_head_only() {
+    let case = |name, confirmed_ms, now_ms, starts| Case {
+        name,
+        confirmed_ms,
+        in_vain_ms: None,
+        now_ms,
+        starts,
+    };
+    let cases = [
+        case("just read", Some(10_000), 10_100, true),
+        case("between two looks", Some(10_000), 11_900, true),
+        case("a look is late", Some(10_000), 12_500, false),
+        case("suspended since the last look", Some(10_000), 40_000, false),
+        case("never read", None, 500, false),
+        Case {
+            in_vain_ms: Some(14_000),
+            ..case("nobody reaches the store", Some(10_000), 14_100, true)
+        },
+        Case {
+            in_vain_ms: Some(14_000),
+            ..case("the store may be back", Some(10_000), 17_000, false)
+        },
+    ];
+    for case in cases {
+        let (clock, view) = (SetClock::default(), HeadView::default());
+        let limits = HeadLimits::new(END_APPLIES);
+        case.confirmed_ms
+            .map(Duration::from_millis)
+            .inspect(|sent| view.confirm(*sent));
+        case.in_vain_ms
+            .map(Duration::from_millis)
+            .inspect(|sent| view.note_in_vain(*sent));
+        clock.set(case.now_ms);
+        let starting = view.await_young(&clock, &limits, || false);
+        let starts = tokio::time::timeout(Duration::from_secs(1), starting).await;
+        assert_eq!(starts.is_ok(), case.starts, "{}", case.name);
+    }
+}
+
+/// Guards against samples that wait for ever: for the next look, or for the end.
+#[tokio::test(start_paused = true)]
+async fn a_look_or_the_end_lets_samples_go_on() {
+    for ends in [false, true] {
+        let (clock, view) = (Arc::new(SetClock::default()), Arc::new(HeadView::default()));
+        let ended = Arc::new(AtomicU64::new(0));
+        clock.set(60_000);
+        let waiting = tokio::spawn({
+            let (clock, view) = (Arc::clone(&clock), Arc::clone(&view));
+            let ended = Arc::clone(&ended);
+            async move {
+                let limits = HeadLimits::new(END_APPLIES);
+                let is_over = || ended.load(Ordering::Relaxed) > 0;
+                view.await_young(&*clock, &limits, is_over).await;
+            }
+        });
+        view.look_wanted().await;
+        assert!(!waiting.is_finished());
+        if ends {
+            ended.store(1, Ordering::Relaxed);
+            view.wake();
+        } else {
+            view.confirm(Duration::from_secs(60));
+        }
+        waiting.await.expect("it goes on");
+    }
+}
