The limit of loads at once doubles until a first load was slow

Cause: the limit starts at 16, what a pool of 62 engines needs, and grew by half in the time of a load. On the whole fleet, whose weight store serves 1,955 at once, first versions of eight models waited for a ramp of ten loads; the time grows with the pool.

Change: as a slow start: each quick load adds one while none was slow, so that the limit doubles in the time of a load; after the first slow one as before.

--- a/crates/policy/src/load_limit.rs
+++ b/crates/policy/src/load_limit.rs
@@ -5,7 +5,8 @@
 //! of the pool loads at once: of 1,000 engines 250, each of which takes twenty times as
 //! long, and no engine has a version before the step that needs it is due. **How:** loads
 //! that take little longer than the quickest one let more run at once, loads that take much
-//! longer fewer. **Thresholds:** beside each constant.
+//! longer fewer. Until a first one was slow the limit doubles in the time of a load, so that
+//! the first versions of a large pool wait for a few loads, whatever its size.
 
 use std::time::Duration;
 use std::time::Instant;
@@ -28,8 +29,9 @@
 /// What is left of the limit after a slow load.
 const BACK_OFF: f64 = 0.8;
 
-/// What a quick load adds, while as many run as may: the limit grows by half of itself in
-/// the time of a load.
+/// What a quick load adds, while as many run as may: the limit doubles in the time of a load
+/// before any was slow, and grows by half of itself after.
+const GROWTH_AT_FIRST: f64 = 1.0;
 const GROWTH: f64 = 0.5;
 
 /// Learns how many loads the weight store serves at once.
@@ -61,7 +63,11 @@
         if times >= SLOW {
             self.lower(now, took);
         } else if times <= QUICK && full {
-            self.limit += GROWTH;
+            self.limit += if self.lowered.is_some() {
+                GROWTH
+            } else {
+                GROWTH_AT_FIRST
+            };
         }
     }
 
--- a/crates/policy/tests/load_limit.rs
+++ b/crates/policy/tests/load_limit.rs
@@ -52,20 +52,36 @@
         },
     ];
     for case in cases {
-        let at_once = after_a_minute(&case);
+        let at_once = after(&case, Duration::from_secs(60));
         let name = case.name;
         assert!(case.at_once.contains(&at_once), "{name}: {at_once}");
     }
 }
 
+/// Guards against first versions that wait for a limit that grows slowly: the time until a
+/// version's engines may all load must not grow with the pool.
+#[test]
+fn a_large_pool_has_its_first_versions_in_seconds() {
+    for engines in [10_000, 20_000] {
+        let case = Case {
+            name: "a fleet",
+            engines,
+            served_at_once: engines / 5,
+            at_once: 400..=engines,
+        };
+        let at_once = after(&case, Duration::from_secs(6));
+        assert!(case.at_once.contains(&at_once), "{engines}: {at_once}");
+    }
+}
+
 /// Plays loads one after the other at each of as many engines as may load.
-fn after_a_minute(case: &Case) -> usize {
+fn after(case: &Case, time: Duration) -> usize {
     let start = Instant::now();
     let most = (case.engines as f64 / 4.0).round() as usize;
     let mut limit = LoadLimit::default();
     let mut running: Vec<(Instant, Instant)> = Vec::new();
     let mut now = start;
-    while now < start + Duration::from_secs(60) {
+    while now < start + time {
         now += Duration::from_millis(20);
         let full = running.len() >= limit.at_once(most);
         let ended: Vec<_> = running.extract_if(.., |(_, end)| *end <= now).collect();
