Calls have no gates at engines that serve rollouts only

Cause: each change of whereabouts brought the gates of live calls and of reward calls up to the whole list, 9,625 engines among it, at every node that follows it; no call of either sort goes there. Grew with engines x changes.

Change: only services to which a route for calls leads have upstreams listed at a gate. A node that only passes calls on never knew the others.

--- a/crates/node/src/gates.rs
+++ b/crates/node/src/gates.rs
@@ -46,10 +46,14 @@
         }
     }
 
-    /// Brings the gates up to what the fleet knows.
+    /// Brings the gates up to what the fleet knows. No call waits at a gate of engines that
+    /// serve rollouts only, and there are thousands of them.
     pub fn take_fleet(&self, fleet: &Fleet) {
-        let upstreams = fleet.upstreams();
-        for service in &fleet.config().services {
+        let (config, upstreams) = (fleet.config(), fleet.upstreams());
+        for service in &config.services {
+            if !config.is_called(&service.name) {
+                continue;
+            }
             let gate = self.of(&service.name);
             let of_service = || upstreams.iter().filter(|held| held.service == service.name);
             let limit = of_service().map(|held| held.slots).max().unwrap_or(1);
--- a/crates/node/src/model.rs
+++ b/crates/node/src/model.rs
@@ -122,6 +122,16 @@
         routes.any(|route| route.host == host && route.kind == RouteKind::Rollout && route.public)
     }
 
+    /// Whether a route for calls leads to a service; one for rollouts does not count.
+    #[must_use]
+    pub fn is_called(&self, service: &str) -> bool {
+        let mut calls = self
+            .routes
+            .iter()
+            .filter(|route| route.kind != RouteKind::Rollout);
+        calls.any(|route| route.targets.iter().any(|target| target.service == service))
+    }
+
     /// A service by its name.
     #[must_use]
     pub fn service(&self, name: &str) -> Option<&Service> {
