--- a/crates/node/src/draft_jobs.rs
+++ b/crates/node/src/draft_jobs.rs
@@ -14,6 +14,7 @@
 use tokio::sync::Notify;
 
 use crate::fleet::Fleet;
+use crate::interest::DraftedModel;
 use crate::model::Config;
 use crate::model::Instance;
 use crate::model::Item;
@@ -64,6 +65,8 @@
     pub(crate) placement: Placement,
     /// Sorted by key.
     pub(crate) jobs: Vec<Job>,
+    /// Models of submissions that are drafted, or were until the last sample ended; sorted.
+    pub(crate) models_drafted: Vec<DraftedModel>,
     /// Sorted by key.
     pub(crate) engines: Vec<(UpstreamKey, Arc<Upstream>)>,
     /// Sorted by instance. Never removed, so that a key names one instance.
--- a/crates/node/src/drafting.rs
+++ b/crates/node/src/drafting.rs
@@ -13,6 +13,7 @@
 use firweir_policy::placement::DraftKey;
 use firweir_policy::placement::EngineState;
 use firweir_policy::placement::ModelKey;
+use firweir_policy::pool::engines_needed;
 use firweir_policy::recurring::pause_after;
 use firweir_policy::work::UpstreamKey;
 use tokio::sync::Notify;
@@ -30,9 +31,11 @@
 use crate::draft_run::Reached;
 use crate::draft_run::Run;
 use crate::engines::rollout_engines;
+use crate::interest::DraftedModel;
 use crate::mechanisms::Mechanism;
 use crate::model::ItemResult;
 use crate::model::ItemState;
+use crate::relay::hash_of_name;
 use crate::scoring::Scored;
 use crate::scoring::Scoring;
 use crate::shared::Shared;
@@ -82,10 +85,40 @@
                 self.add_item(&mut state, board, place, rank);
             }
         }
+        self.count_models(&mut state);
         drop(state);
         self.inner.wake.notify_one();
     }
 
+    /// Counts the engines that the models of all samples need.
+    fn count_models(&self, state: &mut State) {
+        let config = self.shared.fleet.config();
+        let mut drafted: Vec<DraftedModel> = Vec::new();
+        let mut before = None;
+        for job in &state.jobs {
+            let head = &job.board.head;
+            // Samples of one step stand together.
+            if before.replace(&job.board.id) == Some(&job.board.id) {
+                continue;
+            }
+            let route = config.route(&head.host, &head.path);
+            let target = route.and_then(|route| route.targets.first());
+            let service = target.and_then(|target| config.service(&target.service));
+            let slots = service.map_or(1, |service| service.slots.max(1));
+            let samples = self.shared.fleet.demands().of(&head.model);
+            let samples = samples.unwrap_or(0).max(head.items);
+            let model = DraftedModel {
+                model: hash_of_name(&head.model),
+                engines: engines_needed(samples, slots),
+            };
+            match drafted.binary_search_by_key(&model.model, |held| held.model) {
+                Ok(at) => drafted[at].engines = drafted[at].engines.max(model.engines),
+                Err(at) => drafted.insert(at, model),
+            }
+        }
+        state.models_drafted = drafted;
+    }
+
     fn add_item(&self, state: &mut State, board: &Arc<Board>, place: usize, rank: u64) {
         let item = &board.items[place];
         let kept = state.kept.take(&item.id, board.head.min_version);
@@ -193,6 +226,7 @@
             let item = &job.board.items[job.place];
             state.kept.keep(&item.id, job.progress);
         }
+        self.count_models(&mut guard);
         drop(guard);
         self.inner.wake.notify_one();
     }
@@ -215,7 +249,12 @@
         let now = self.shared.clock.now();
         let mut state = self.lock();
         let drafts = !state.jobs.is_empty();
-        self.shared.interest.take_drafting(now, drafts);
+        let models = if drafts {
+            state.models_drafted.as_slice()
+        } else {
+            &[]
+        };
+        self.shared.interest.take_drafting(now, models);
         if drafts {
             self.take_engines(&mut state);
         }
@@ -260,7 +299,7 @@
         state.seen = Some(seen);
         let mut engines = Vec::new();
         let mut states = Vec::new();
-        for engine in rollout_engines(&self.shared.fleet) {
+        for engine in rollout_engines(&self.shared.fleet).serving {
             let upstream = &engine.upstream;
             let key = state.key_of(&upstream.instance);
             let mut versions: Vec<(ModelKey, u64)> = upstream
--- a/crates/node/src/engines.rs
+++ b/crates/node/src/engines.rs
@@ -3,14 +3,21 @@
 use std::sync::Arc;
 
 use firweir_policy::placement::ModelKey;
+use firweir_policy::pool::Slice;
+use firweir_policy::pool::engines_needed;
+use firweir_policy::pool::order_in_pool;
+use firweir_policy::pool::pool_slice;
+use firweir_policy::waves::Division;
 use firweir_policy::waves::Lag;
+use firweir_policy::waves::Need;
 use firweir_policy::waves::assign;
-use xxhash_rust::xxh3::xxh3_64;
 
+use crate::demand::Demands;
 use crate::fleet::Fleet;
 use crate::model::ModelVersion;
 use crate::model::RouteKind;
 use crate::model::Upstream;
+use crate::relay::hash_of_name;
 
 /// An engine that takes new samples.
 #[derive(Debug, Clone)]
@@ -21,62 +28,136 @@
     pub models: Vec<Arc<str>>,
 }
 
-/// Engines of the services that rollouts go to, without those that leave, sorted by
-/// instance.
+/// Engines that are to serve a model, and how all of them are divided.
+#[derive(Debug, Default)]
+pub struct Engines {
+    /// Sorted by instance, without those that leave.
+    pub serving: Vec<Engine>,
+    /// The division.
+    pub division: Division,
+}
+
+/// A model as far as it takes engines.
+#[derive(Debug)]
+struct Model {
+    name: Arc<str>,
+    hash: u64,
+    /// Newest version that was named.
+    named: Option<u64>,
+    /// Part of all engines that is looked at for it.
+    slice: Slice,
+}
+
+/// Engines of the services that rollouts go to.
 #[must_use]
-pub fn rollout_engines(fleet: &Fleet) -> Vec<Engine> {
+pub fn rollout_engines(fleet: &Fleet) -> Engines {
+    let engines = candidates(fleet);
+    let slots = engines.iter().map(|engine| engine.slots).min();
+    // A node that drafts may know a part of them only.
+    let total = engines.len().max(fleet.listed());
+    let mut models = models_of(&engines, &fleet.named());
+    let needs = needs_of(&models, slots.unwrap_or(1), fleet.demands());
+    for need in &needs {
+        models[need.model.0 as usize].slice = pool_slice(total, need.engines);
+    }
+    let division = Division {
+        engines: total,
+        models: models.len(),
+        needs,
+    };
+    let assigned = assign(&division, &lags(&engines, &models));
+    let name_of = |model: ModelKey| Arc::clone(&models[model.0 as usize].name);
+    // Where all are looked at, those that no model takes have room for the samples of any.
+    let all = models.iter().all(|model| model.slice == Slice::default());
+    let serving = engines
+        .into_iter()
+        .zip(assigned)
+        .filter(|(_, own)| all || !own.is_empty());
+    let with_models = |(upstream, own): (Arc<Upstream>, Vec<ModelKey>)| Engine {
+        upstream,
+        models: own.into_iter().map(name_of).collect(),
+    };
+    Engines {
+        serving: serving.map(with_models).collect(),
+        division,
+    }
+}
+
+/// Engines that do not leave, of the services that rollouts go to.
+fn candidates(fleet: &Fleet) -> Vec<Arc<Upstream>> {
     let (config, upstreams) = (fleet.config(), fleet.upstreams());
     let rollouts = config
         .routes
         .iter()
         .filter(|route| route.kind == RouteKind::Rollout);
-    let services: Vec<&str> = rollouts
+    let mut services: Vec<&str> = rollouts
         .flat_map(|route| route.targets.iter().map(|target| target.service.as_str()))
         .collect();
-    let engines: Vec<Arc<Upstream>> = upstreams
-        .iter()
-        .filter(|upstream| !upstream.leaving && services.contains(&upstream.service.as_str()))
-        .map(Arc::clone)
-        .collect();
-    let models = models_of(&engines);
-    let assigned = assign(engines.len(), &lags(&engines, &models, &fleet.named()));
-    let name_of = |model: ModelKey| Arc::clone(&models[model.0 as usize]);
-    let with_models = |(upstream, own): (Arc<Upstream>, Vec<ModelKey>)| Engine {
-        upstream,
-        models: own.into_iter().map(name_of).collect(),
+    services.sort_unstable();
+    services.dedup();
+    let is_candidate = |upstream: &&Arc<Upstream>| {
+        !upstream.leaving && services.binary_search(&upstream.service.as_str()).is_ok()
     };
-    engines.into_iter().zip(assigned).map(with_models).collect()
+    let candidates = upstreams.iter().filter(is_candidate);
+    candidates.map(Arc::clone).collect()
 }
 
-/// Names of all models, sorted. All engines of a service mostly have the same few, so
-/// each is looked up before it is taken in.
-fn models_of(engines: &[Arc<Upstream>]) -> Vec<Arc<str>> {
-    let mut models: Vec<Arc<str>> = Vec::new();
-    for held in engines.iter().flat_map(|engine| &engine.models) {
-        if let Err(at) = place_of(&models, &held.model) {
-            models.insert(at, Arc::from(held.model.as_str()));
+/// All models, sorted by name. All engines of a service mostly have the same ones, so each
+/// engine is first compared with the one before.
+fn models_of(engines: &[Arc<Upstream>], named: &[ModelVersion]) -> Vec<Model> {
+    let mut held_names: Vec<&str> = Vec::new();
+    let mut before: &[ModelVersion] = &[];
+    for engine in engines {
+        let held = engine.models.iter().map(|held| &held.model);
+        if !held.eq(before.iter().map(|held| &held.model)) {
+            held_names.extend(engine.models.iter().map(|held| held.model.as_str()));
+            before = &engine.models;
         }
     }
-    models
+    held_names.sort_unstable();
+    held_names.dedup();
+    let model = |name: &str| {
+        let newest = named.binary_search_by(|held| held.model.as_str().cmp(name));
+        Model {
+            name: Arc::from(name),
+            hash: hash_of_name(name),
+            named: newest.ok().map(|at| named[at].version),
+            slice: Slice::default(),
+        }
+    };
+    held_names.into_iter().map(model).collect()
 }
 
-fn place_of(models: &[Arc<str>], model: &str) -> Result<usize, usize> {
-    models.binary_search_by(|held| held.as_ref().cmp(model))
+/// What the models need whose homes have told.
+fn needs_of(models: &[Model], slots: u32, demands: &Demands) -> Vec<Need> {
+    let needs = models.iter().enumerate().filter_map(|(at, model)| {
+        let samples = demands.of(&model.name)?;
+        Some(Need {
+            model: ModelKey(at as u32),
+            engines: engines_needed(samples, slots),
+        })
+    });
+    needs.collect()
 }
 
-fn lags(engines: &[Arc<Upstream>], models: &[Arc<str>], named: &[ModelVersion]) -> Vec<Lag> {
+/// How far engines are behind the models in whose slices they are.
+fn lags(engines: &[Arc<Upstream>], models: &[Model]) -> Vec<Lag> {
     let mut lags = Vec::new();
     for (at, engine) in engines.iter().enumerate() {
-        let hash = xxh3_64(engine.instance.id.as_bytes());
-        for held in &engine.models {
-            let newest = named.iter().find(|named| named.model == held.model);
-            let newest = newest.map_or(held.version, |named| named.version);
-            let model = place_of(models, &held.model).unwrap_or_default();
+        let hash = hash_of_name(&engine.instance.id);
+        for (key, model) in models.iter().enumerate() {
+            let order = order_in_pool(hash, model.hash);
+            if !model.slice.has(order) {
+                continue;
+            }
+            let Some(version) = engine.version_of(&model.name) else {
+                continue;
+            };
             lags.push(Lag {
                 engine: at,
-                hash,
-                model: ModelKey(model as u32),
-                behind: newest.saturating_sub(held.version),
+                model: ModelKey(key as u32),
+                order,
+                behind: model.named.map_or(0, |named| named.saturating_sub(version)),
             });
         }
     }
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
+use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
@@ -15,6 +16,7 @@
 use tokio::sync::Notify;
 
 use crate::change::Change;
+use crate::demand::Demands;
 use crate::dialect::BadMessage;
 use crate::dialect::Dialect;
 use crate::dialect::Object;
@@ -73,6 +75,9 @@
     upstreams: ArcSwap<Vec<Arc<Upstream>>>,
     /// Sorted by model.
     named: ArcSwap<Vec<ModelVersion>>,
+    demands: Arc<Demands>,
+    /// Entries of the whole list of upstreams, as far as seeds told.
+    listed: AtomicUsize,
     changed: Notify,
 }
 
@@ -106,6 +111,15 @@
     pub whereabouts: bool,
 }
 
+/// What an entry says that an operator wants to know of.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum EntryChange {
+    /// It is new, or begins to leave.
+    Listed,
+    /// Neither.
+    Known,
+}
+
 /// What is known of one service's entries.
 #[derive(Debug)]
 struct ServiceEntries<'a> {
@@ -196,6 +210,8 @@
             config_as_of_ms: AtomicU64::new(0),
             upstreams: ArcSwap::default(),
             named: ArcSwap::default(),
+            demands: Arc::default(),
+            listed: AtomicUsize::new(0),
             changed: Notify::new(),
         })
     }
@@ -261,6 +277,24 @@
         self.named.load_full()
     }
 
+    /// Samples that steps of the models ask for.
+    #[must_use]
+    pub const fn demands(&self) -> &Arc<Demands> {
+        &self.demands
+    }
+
+    /// Entries of the whole list of upstreams, of which this node may know a part; 0 where
+    /// nobody told.
+    #[must_use]
+    pub fn listed(&self) -> usize {
+        self.listed.load(Ordering::Relaxed)
+    }
+
+    /// The whole list of upstreams has so many entries.
+    pub fn take_listed(&self, listed: usize) {
+        self.listed.store(listed, Ordering::Relaxed);
+    }
+
     /// Waits until a configuration is known.
     pub async fn configured(&self) {
         loop {
@@ -343,7 +377,13 @@
         for change in changes {
             match change {
                 Change::All(objects) => restarted.extend(self.take_all(list, &objects, now)),
-                Change::Put(object) => restarted.extend(self.put(list, &object)),
+                Change::Put(object) => {
+                    let (change, address) = self.put(list, &object);
+                    if change == EntryChange::Listed {
+                        self.journal_listed(list, &object.name);
+                    }
+                    restarted.extend(address);
+                }
                 Change::Gone(name) => {
                     list.refused.retain(|(held, _)| *held != name);
                     self.remove(list, &name, now);
@@ -374,8 +414,33 @@
             self.remove(list, &name, now);
         }
         list.refused.retain(|(name, _)| is_listed(name));
-        let restarted = objects.iter().filter_map(|object| self.put(list, object));
-        restarted.collect()
+        let mut restarted = Vec::new();
+        let mut news = 0;
+        for object in objects {
+            let (change, address) = self.put(list, object);
+            news += usize::from(change == EntryChange::Listed);
+            restarted.extend(address);
+        }
+        self.journal.event(
+            "upstreams_listed",
+            &[("entries", &objects.len()), ("news", &news)],
+        );
+        restarted
+    }
+
+    fn journal_listed(&self, list: &UpstreamList, name: &str) {
+        let found = list
+            .listed
+            .binary_search_by(|held| held.name.as_str().cmp(name));
+        let Ok(at) = found else {
+            return;
+        };
+        let upstream = &list.listed[at].upstream;
+        let (instance, leaving) = (&upstream.instance, upstream.leaving);
+        self.journal.event(
+            "upstream_listed",
+            &[("upstream", instance), ("leaving", &leaving)],
+        );
     }
 
     /// Drops upstreams whose time has come; tells whether there were any.
@@ -391,24 +456,18 @@
     }
 
     /// Takes in an entry; gives the address of an upstream that has started again.
-    fn put(&self, list: &mut UpstreamList, object: &Object) -> Option<SocketAddr> {
+    fn put(&self, list: &mut UpstreamList, object: &Object) -> (EntryChange, Option<SocketAddr>) {
         let upstream = match self.dialect.upstream(object) {
             Ok(upstream) => upstream,
             Err(error) => {
                 self.refuse(list, object, &error);
-                return None;
+                return (EntryChange::Known, None);
             }
         };
         list.refused.retain(|(name, _)| *name != object.name);
         let at = list.listed.partition_point(|held| held.name < object.name);
         let known = list.listed.get(at).filter(|held| held.name == object.name);
-        if known.is_none_or(|held| held.upstream.leaving != upstream.leaving) {
-            let (instance, leaving) = (&upstream.instance, upstream.leaving);
-            self.journal.event(
-                "upstream_listed",
-                &[("upstream", instance), ("leaving", &leaving)],
-            );
-        }
+        let is_news = known.is_none_or(|held| held.upstream.leaving != upstream.leaving);
         let before = known.map(|held| &held.upstream.instance);
         let restarted = before.is_some_and(|before| *before != upstream.instance);
         if restarted {
@@ -431,7 +490,12 @@
             Some(held) if held.name == object.name => *held = listed,
             _ => list.listed.insert(at, listed),
         }
-        restarted.then_some(address)
+        let change = if is_news {
+            EntryChange::Listed
+        } else {
+            EntryChange::Known
+        };
+        (change, restarted.then_some(address))
     }
 
     /// An entry of another writer names no upstream, and takes the place of the entry of
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -172,6 +172,8 @@
     /// suspended time. A watch counts from when it was sent: one that waits may hear nothing
     /// while the store drops its history. `None` if the answer may be old.
     pub as_of: Option<Duration>,
+    /// Objects of the kind in all, where a seed told.
+    pub listed: Option<usize>,
 }
 
 /// One kind as its follower knows it.
@@ -307,6 +309,7 @@
         (is_young && passing.revision >= self.newest).then(|| Update {
             revision: passing.revision,
             news: News {
+                listed: Some(passing.listed),
                 as_of: passing.as_of_for(sent),
                 changes: passing.into_changes(),
             },
@@ -335,13 +338,13 @@
     }
 
     fn question(&self) -> Question {
-        let services = match &self.wanted {
-            Wanted::Services(services) if self.kind == Kind::Upstreams => Some(services.clone()),
-            Wanted::Services(_) | Wanted::All => None,
+        let parts = match &self.wanted {
+            Wanted::Parts(parts) if self.kind == Kind::Upstreams => Some(parts.clone()),
+            Wanted::Parts(_) | Wanted::All => None,
         };
         Question {
             since: self.since.unwrap_or(0),
-            services,
+            parts,
         }
     }
 
@@ -362,6 +365,7 @@
                 Update {
                     revision,
                     news: News {
+                        listed: None,
                         changes: vec![Change::All(objects)],
                         as_of: Some(sent),
                     },
@@ -437,6 +441,7 @@
                 Ok(Update {
                     revision,
                     news: News {
+                        listed: None,
                         changes: changes.collect(),
                         as_of: (freshness == Freshness::Newest).then_some(sent),
                     },
--- a/crates/node/src/interest.rs
+++ b/crates/node/src/interest.rs
@@ -1,12 +1,12 @@
 //! What a node has to know of the platform's upstreams.
 //!
-//! **Load:** each load of weights changes an engine's entry: at ten engines beside each of
-//! 300 VMs, hundreds of entries a second. **Without it:** every node gets every change;
-//! most of a small VM's processor time goes into entries that it never uses. **How:** a
-//! node that drafts samples or orders weights follows all of every entry. Any other node
-//! only sends live calls: it follows, of the services to which its configuration's routes
-//! lead, which upstreams there are, where they answer and whether they leave. As soon as
-//! it gets a step it asks for the whole list.
+//! **Load:** each load of weights changes an engine's entry: hundreds of entries a second at
+//! ten engines beside each of 300 VMs. **Without it:** every node gets every change; most of a
+//! small VM's processor time goes into entries that it never uses. **How:** a node that sends
+//! live calls follows, of the services to which its configuration's routes lead, which
+//! upstreams there are, where they answer and whether they leave. One that drafts follows the
+//! engines besides that its models choose among ([`firweir_policy::pool`]), which are all of a
+//! small fleet. One that orders weights follows all of every entry, and so do seeds.
 
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -14,23 +14,53 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use firweir_policy::pool::Slice;
+use firweir_policy::pool::pool_slice;
 use tokio::sync::Notify;
 
 use crate::model::Config;
 use crate::model::RouteKind;
-use crate::relay::hash_of_service;
+use crate::relay::hash_of_name;
 
-/// A node that has drafted follows everything for this long after: a trainer asks for a
-/// step every few seconds, and the whole list takes some 100 ms to come.
-const KEEPS_ALL: Duration = Duration::from_secs(10);
+/// A model that was drafted is followed for this long after: a trainer asks for a step every
+/// few seconds, and engines take some 100 ms to come.
+const KEEPS_MODEL: Duration = Duration::from_secs(10);
 
 /// What a node wants to know of upstreams.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Wanted {
     /// Every change of every entry.
     All,
-    /// Where the upstreams of these services are, by the hashes of their names; sorted.
-    Services(Vec<u64>),
+    /// Some of the entries.
+    Parts(Parts),
+}
+
+/// Some entries of the list of upstreams.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Parts {
+    /// Services of which it has to be known where their upstreams are, by the hashes of their
+    /// names; sorted.
+    pub services: Vec<u64>,
+    /// Engines whose every change is wanted; sorted by model.
+    pub slices: Vec<ModelSlice>,
+}
+
+/// The engines that a model chooses among.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ModelSlice {
+    /// Hash of the model's name.
+    pub model: u64,
+    /// Its part of all engines.
+    pub slice: Slice,
+}
+
+/// A model that a node drafts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct DraftedModel {
+    /// Hash of the model's name.
+    pub model: u64,
+    /// Engines that its steps need.
+    pub engines: usize,
 }
 
 /// What one node wants to know; its parts tell what they do.
@@ -40,36 +70,56 @@
     changed: Notify,
 }
 
+/// A model that is drafted, or was a while ago.
+#[derive(Debug, Clone, Copy)]
+struct Drafted {
+    model: DraftedModel,
+    at: Instant,
+    slice: Slice,
+}
+
 #[derive(Debug, Default)]
 struct State {
-    /// When it last drafted.
-    drafted: Option<Instant>,
+    /// Sorted by model.
+    drafted: Vec<Drafted>,
+    /// Entries of the whole list, as far as a seed told.
+    listed: usize,
     /// It follows the store itself.
     follows_store: bool,
     /// It may order weights.
     orders: bool,
     /// Sorted.
     services: Vec<u64>,
-    /// One of these asks for everything.
-    wants_all: bool,
+    /// What came of it.
+    wanted: Wanted,
+}
+
+impl Default for Wanted {
+    fn default() -> Self {
+        Self::Parts(Parts::default())
+    }
 }
 
 impl Interest {
     /// What is wanted now.
     #[must_use]
     pub fn wanted(&self) -> Wanted {
-        let state = self.lock();
-        if state.wants_all {
-            Wanted::All
-        } else {
-            Wanted::Services(state.services.clone())
-        }
+        self.lock().wanted.clone()
     }
 
     /// Whether every change of every entry is wanted.
     #[must_use]
     pub fn wants_all(&self) -> bool {
-        self.lock().wants_all
+        self.lock().wanted == Wanted::All
+    }
+
+    /// Hashes of the models whose engines are followed; `None` for all.
+    #[must_use]
+    pub fn models(&self) -> Option<Vec<u64>> {
+        match &self.lock().wanted {
+            Wanted::All => None,
+            Wanted::Parts(parts) => Some(parts.slices.iter().map(|held| held.model).collect()),
+        }
     }
 
     /// Live calls may go to the services of this configuration.
@@ -78,39 +128,47 @@
         let live = live.filter(|route| route.kind != RouteKind::Rollout);
         let targets = live.flat_map(|route| &route.targets);
         let mut services: Vec<u64> = targets
-            .map(|target| hash_of_service(&target.service))
+            .map(|target| hash_of_name(&target.service))
             .collect();
         services.sort_unstable();
         services.dedup();
         let mut state = self.lock();
-        if state.services != services {
-            state.services = services;
-            drop(state);
-            self.changed.notify_waiters();
-        }
+        state.services = services;
+        self.settle(state);
     }
 
     /// Whether the node follows the store itself, which shows everything.
-    pub fn take_follows_store(&self, now: Instant, follows_store: bool) {
+    pub fn take_follows_store(&self, follows_store: bool) {
         let mut state = self.lock();
         state.follows_store = follows_store;
-        self.settle(now, state);
+        self.settle(state);
+    }
+
+    /// The whole list of upstreams has so many entries.
+    pub fn take_listed(&self, listed: usize) {
+        let mut state = self.lock();
+        state.listed = listed;
+        state.choose_slices();
+        self.settle(state);
     }
 
-    /// Whether the node drafts now.
-    pub fn take_drafting(&self, now: Instant, drafts: bool) {
+    /// The models that the node drafts now.
+    pub fn take_drafting(&self, now: Instant, models: &[DraftedModel]) {
         let mut state = self.lock();
-        if drafts {
-            state.drafted = Some(now);
+        state
+            .drafted
+            .retain(|held| now.duration_since(held.at) < KEEPS_MODEL);
+        for model in models {
+            state.draft(now, *model);
         }
-        self.settle(now, state);
+        self.settle(state);
     }
 
     /// Whether the node may order weights now.
-    pub fn take_orders(&self, now: Instant, orders: bool) {
+    pub fn take_orders(&self, orders: bool) {
         let mut state = self.lock();
         state.orders = orders;
-        self.settle(now, state);
+        self.settle(state);
     }
 
     /// Waits until something else is wanted.
@@ -118,11 +176,10 @@
         self.changed.notified().await;
     }
 
-    fn settle(&self, now: Instant, mut state: MutexGuard<'_, State>) {
-        let drafted = state.drafted.is_some_and(|at| now < at + KEEPS_ALL);
-        let wants_all = state.follows_store || drafted || state.orders;
-        if state.wants_all != wants_all {
-            state.wants_all = wants_all;
+    fn settle(&self, mut state: MutexGuard<'_, State>) {
+        let wanted = state.weigh();
+        if state.wanted != wanted {
+            state.wanted = wanted;
             drop(state);
             self.changed.notify_waiters();
         }
@@ -132,3 +189,55 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+impl State {
+    fn draft(&mut self, now: Instant, model: DraftedModel) {
+        let drafted = &mut self.drafted;
+        match drafted.binary_search_by_key(&model.model, |held| held.model.model) {
+            Ok(at) => {
+                drafted[at].at = now;
+                if drafted[at].model != model {
+                    drafted[at].model = model;
+                    self.choose_slices();
+                }
+            }
+            Err(at) => {
+                let slice = pool_slice(self.listed, model.engines);
+                drafted.insert(
+                    at,
+                    Drafted {
+                        model,
+                        at: now,
+                        slice,
+                    },
+                );
+            }
+        }
+    }
+
+    /// A slice that is one step narrower than it would be chosen now is kept: each change
+    /// brings all of its entries again.
+    fn choose_slices(&mut self) {
+        for held in &mut self.drafted {
+            let chosen = pool_slice(self.listed, held.model.engines);
+            if held.slice.zeros > chosen.zeros + 1 || chosen == Slice::default() {
+                held.slice = chosen;
+            }
+        }
+    }
+
+    fn weigh(&self) -> Wanted {
+        let whole = |held: &Drafted| held.slice == Slice::default();
+        if self.follows_store || self.orders || self.drafted.iter().any(whole) {
+            return Wanted::All;
+        }
+        let slices = self.drafted.iter().map(|held| ModelSlice {
+            model: held.model.model,
+            slice: held.slice,
+        });
+        Wanted::Parts(Parts {
+            services: self.services.clone(),
+            slices: slices.collect(),
+        })
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod account;
 pub mod authentication;
 pub mod change;
+pub mod demand;
 pub mod detour;
 pub mod dialect;
 pub mod disk;
--- a/crates/node/src/model.rs
+++ b/crates/node/src/model.rs
@@ -76,6 +76,8 @@
 pub struct Service {
     /// Name of the service.
     pub name: String,
+    /// Samples that an engine runs at once; 0 for plain services.
+    pub slots: u32,
     /// Tokens that an engine's memory holds; 0 for plain services.
     pub memory_tokens: u64,
 }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -192,7 +192,7 @@
         let follows_store = seeds.asked.is_empty();
         self.sources.seeds.set(seeds);
         let interest = &self.sources.interest;
-        interest.take_follows_store(self.clock.now(), follows_store);
+        interest.take_follows_store(follows_store);
     }
 
     pub(crate) fn follow(
@@ -364,7 +364,11 @@
     let scoring = Scoring::new(shared.clone(), base.settings.zone.clone());
     let drafting = Drafting::new(shared, scoring.clone());
     base.tasks.spawn(drafting.clone().run());
-    let homes = Homes::new(base.store.clone(), journal.clone());
+    let homes = Homes::new(
+        base.store.clone(),
+        journal.clone(),
+        Arc::clone(fleet.demands()),
+    );
     let finder = Finder {
         seeds: base.sources.seeds.clone(),
         roster: Arc::new(Roster::default()),
@@ -475,6 +479,7 @@
     let (scoring, links) = (node.scoring.clone(), node.links.clone());
     let followed = Arc::clone(&list);
     let drafting = node.drafting.clone();
+    let interest = Arc::clone(&base.sources.interest);
     let idle_pause = base.settings.leaving().mul_f64(IDLE_PAUSE_PART);
     let how = move || Following {
         pause: if drafting.is_busy() {
@@ -489,6 +494,10 @@
         let mut list = followed
             .lock()
             .unwrap_or_else(std::sync::PoisonError::into_inner);
+        if let Some(listed) = news.listed {
+            fleet.take_listed(listed);
+            interest.take_listed(listed);
+        }
         let taken = fleet.take_upstreams(&mut list, news.changes);
         for address in taken.restarted {
             links.forget(address);
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -26,6 +26,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use firweir_policy::pool::Slice;
+use firweir_policy::pool::order_in_pool;
 use serde::Deserialize;
 use serde::Serialize;
 use serde_json::value::RawValue;
@@ -35,6 +37,8 @@
 use crate::change::Change;
 use crate::dialect::Kind;
 use crate::dialect::Object;
+use crate::interest::ModelSlice;
+use crate::interest::Parts;
 use crate::model::Upstream;
 
 /// Path at which a seed answers other nodes.
@@ -87,6 +91,9 @@
     /// The same on the seed's own clock.
     #[serde(skip)]
     pub as_of: Option<Duration>,
+    /// Objects that the seed knows, wanted or not.
+    #[serde(default)]
+    pub listed: usize,
     /// All objects, not only what changed.
     pub whole: bool,
     /// Objects in the order of their changes.
@@ -143,6 +150,8 @@
     pub service: u64,
     /// Hash of all else but the versions of its weights.
     pub details: u64,
+    /// Hash of its id, by which models choose engines.
+    pub engine: u64,
 }
 
 impl Whereabouts {
@@ -154,16 +163,17 @@
         let (slots, leaving) = (upstream.slots, upstream.leaving);
         let details = format!("{born_ms} {address} {zone} {slots} {leaving}");
         Self {
-            service: hash_of_service(&upstream.service),
+            service: hash_of_name(&upstream.service),
             details: xxh3_64(details.as_bytes()),
+            engine: hash_of_name(&instance.id),
         }
     }
 }
 
-/// The hash by which nodes name a service to a seed.
+/// The hash by which nodes name services and models to a seed.
 #[must_use]
-pub fn hash_of_service(service: &str) -> u64 {
-    xxh3_64(service.as_bytes())
+pub fn hash_of_name(name: &str) -> u64 {
+    xxh3_64(name.as_bytes())
 }
 
 /// What a node asks a seed for.
@@ -171,46 +181,80 @@
 pub struct Question {
     /// The revision that it knows.
     pub since: u64,
-    /// Hashes of the services of which it has to know where their upstreams are; sorted.
-    /// Without them it gets every change.
-    pub services: Option<Vec<u64>>,
+    /// The entries that it wants to know of; all where it does not say.
+    pub parts: Option<Parts>,
 }
 
 impl Question {
-    /// The question in the query of a path: the revision, then one hash a service, with a
-    /// mark in front if every change of other kinds is left out.
+    /// The question in the query of a path: the revision, then the parts if not all is
+    /// wanted: a hash for each service, and a hash and a number of zeros for each model.
     #[must_use]
     pub fn to_query(&self) -> String {
         let since = self.since;
-        let Some(services) = &self.services else {
+        let Some(parts) = &self.parts else {
             return since.to_string();
         };
-        let hashes = services.iter().map(|hash| format!(",{hash:x}"));
-        format!("{since};{}", hashes.collect::<String>())
+        let services = parts.services.iter().map(|hash| format!(",{hash:x}"));
+        let slice = |held: &ModelSlice| format!(",{:x}:{}", held.model, held.slice.zeros);
+        let slices = parts.slices.iter().map(slice);
+        format!("{since};{}", services.chain(slices).collect::<String>())
     }
 
     /// Reads a query; `None` if it is malformed.
     #[must_use]
     pub fn of_query(query: &str) -> Option<Self> {
-        let Some((since, hashes)) = query.split_once(';') else {
+        let Some((since, wanted)) = query.split_once(';') else {
             let since = query.parse().ok()?;
-            return Some(Self {
-                since,
-                services: None,
-            });
+            return Some(Self { since, parts: None });
         };
-        let hashes = hashes.split(',').filter(|hash| !hash.is_empty());
-        let services: Result<Vec<u64>, _> =
-            hashes.map(|hash| u64::from_str_radix(hash, 16)).collect();
-        let mut services = services.ok()?;
-        services.sort_unstable();
+        let mut parts = Parts::default();
+        for part in wanted.split(',').filter(|part| !part.is_empty()) {
+            match part.split_once(':') {
+                Some((model, zeros)) => parts.slices.push(ModelSlice {
+                    model: u64::from_str_radix(model, 16).ok()?,
+                    slice: Slice {
+                        zeros: zeros.parse().ok()?,
+                    },
+                }),
+                None => parts.services.push(u64::from_str_radix(part, 16).ok()?),
+            }
+        }
+        parts.services.sort_unstable();
         Some(Self {
             since: since.parse().ok()?,
-            services: Some(services),
+            parts: Some(parts),
         })
     }
 }
 
+impl Parts {
+    /// What of an upstream belongs to them.
+    fn part_of(&self, whereabouts: Whereabouts) -> Part {
+        let is_in = |held: &ModelSlice| {
+            let order = order_in_pool(whereabouts.engine, held.model);
+            held.slice.has(order)
+        };
+        if self.slices.iter().any(is_in) {
+            return Part::Everything;
+        }
+        match self.services.binary_search(&whereabouts.service) {
+            Ok(_) => Part::Whereabouts,
+            Err(_) => Part::Nothing,
+        }
+    }
+}
+
+/// What of one entry is wanted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Part {
+    /// Every change.
+    Everything,
+    /// Changes of its whereabouts.
+    Whereabouts,
+    /// No change.
+    Nothing,
+}
+
 /// An object as a seed holds it.
 #[derive(Debug)]
 struct Mirrored {
@@ -364,7 +408,8 @@
         let age = self.heard.map(|heard| now.duration_since(heard));
         let whole = question.since < self.kept_since;
         let objects = if whole {
-            let wanted = self.objects.iter().filter(|held| held.is_of(question));
+            let is_wanted = |held: &&Mirrored| held.part_for(question) != Part::Nothing;
+            let wanted = self.objects.iter().filter(is_wanted);
             wanted.map(|held| held.passed.clone()).collect()
         } else {
             self.later(question)
@@ -374,6 +419,7 @@
             age_ms: age.map_or(u64::MAX, |age| age.as_millis() as u64),
             as_of_ms: None,
             as_of: self.as_of,
+            listed: self.objects.len(),
             whole,
             objects,
         }
@@ -383,11 +429,20 @@
     fn later(&self, question: &Question) -> Vec<Passed> {
         let since = question.since;
         // Most questions of most nodes end here, whatever engines load.
-        if question.services.is_some() && self.last_moved <= since {
+        let calls_only = question
+            .parts
+            .as_ref()
+            .is_some_and(|parts| parts.slices.is_empty());
+        if calls_only && self.last_moved <= since {
             return Vec::new();
         }
-        let wanted = self.objects.iter().filter(|held| held.is_of(question));
-        let changed = wanted.filter(|held| held.changed_for(question) > since);
+        // Most objects have not changed, and a hash is dearer than a look.
+        let changed = self.objects.iter().filter(|held| held.changed > since);
+        let changed = changed.filter(|held| match held.part_for(question) {
+            Part::Everything => true,
+            Part::Whereabouts => held.moved > since,
+            Part::Nothing => false,
+        });
         let mut later: Vec<(u64, Passed)> = changed
             .map(|held| (held.changed, held.passed.clone()))
             .collect();
@@ -468,19 +523,12 @@
         }
     }
 
-    /// An object that tells no whereabouts is for everyone.
-    fn is_of(&self, question: &Question) -> bool {
-        match (&question.services, self.whereabouts) {
-            (Some(services), Some(told)) => services.binary_search(&told.service).is_ok(),
-            _ => true,
-        }
-    }
-
-    const fn changed_for(&self, question: &Question) -> u64 {
-        if question.services.is_some() {
-            self.moved
-        } else {
-            self.changed
+    /// An object that tells no whereabouts is for everyone, as it moves.
+    fn part_for(&self, question: &Question) -> Part {
+        match (&question.parts, self.whereabouts) {
+            (None, _) => Part::Everything,
+            (Some(parts), Some(told)) => parts.part_of(told),
+            (Some(_), None) => Part::Whereabouts,
         }
     }
 }
--- a/crates/node/src/submission/accept.rs
+++ b/crates/node/src/submission/accept.rs
@@ -82,13 +82,14 @@
         {
             return empty(StatusCode::ACCEPTED);
         }
+        let samples = submission.items.len() as u32;
         let silent = known.map(|home| home.address);
         let named = self.shared.finder.find(&model, silent).await;
         let named = named.filter(|home| *home != self.shared.me);
         if let Some(home) = &named
             && self.pass_to_home(home, posted).await
         {
-            self.settle(&model, home.clone());
+            self.settle(&model, home.clone(), samples);
             return empty(StatusCode::ACCEPTED);
         }
         let was_passed = silent.is_some() || named.is_some();
@@ -112,21 +113,22 @@
             return refusal(Outcome::NotRun(SUBMIT_AGAIN), "draining");
         }
         let model = submission.model.clone();
+        let samples = submission.items.len() as u32;
         let answer = self.accept(posted, submission).await;
         let is_home = self.shared.homes.of(&model).as_ref() == Some(&self.shared.me);
         let is_on = self.shared.off.leaves(Mechanism::Homes);
         if answer.status() == StatusCode::ACCEPTED && !is_home && is_on {
-            self.settle(&model, self.shared.me.clone());
+            self.settle(&model, self.shared.me.clone(), samples);
         }
         answer
     }
 
     /// Makes a node the home of a model, beside the answer to a trainer.
-    fn settle(&self, model: &str, home: Runner) {
+    fn settle(&self, model: &str, home: Runner, samples: u32) {
         let (homes, model) = (self.shared.homes.clone(), model.to_owned());
-        drop(tokio::spawn(
-            async move { homes.settle(&model, home).await },
-        ));
+        drop(tokio::spawn(async move {
+            homes.settle(&model, home, samples).await;
+        }));
     }
 
     /// Whether the home of its model has accepted a submission.
@@ -228,6 +230,7 @@
             Ok(head) => {
                 if let Some((head, sent)) = head {
                     self.journal_accepted(&submission);
+                    self.tell_growth(&submission);
                     let clock = &*self.shared.clock;
                     let board = Board::new(id.clone(), head, submission.items, clock);
                     // Its head names this node since then.
@@ -251,6 +254,16 @@
         decided.send_replace(Some(acceptance));
     }
 
+    /// Tells how many samples a step has, as the home of its model.
+    fn tell_growth(&self, submission: &Submission) {
+        let homes = &self.shared.homes;
+        let (model, samples) = (&submission.model, submission.items.len() as u32);
+        let is_home = homes.of(model).as_ref() == Some(&self.shared.me);
+        if is_home && homes.has_grown(model, samples) {
+            self.settle(model, self.shared.me.clone(), samples);
+        }
+    }
+
     fn journal_accepted(&self, submission: &Submission) {
         self.shared.journal.event(
             "submission_accepted",
--- a/crates/node/src/submission/homes.rs
+++ b/crates/node/src/submission/homes.rs
@@ -16,6 +16,7 @@
 use serde::Serialize;
 
 use crate::change::Change;
+use crate::demand::Demands;
 use crate::dialect::Kind;
 use crate::dialect::Object;
 use crate::roster::Settled;
@@ -32,6 +33,9 @@
     write: String,
     /// The node.
     runner: Runner,
+    /// Samples of its steps; not known of homes that were settled by earlier releases.
+    #[serde(default)]
+    samples: Option<u32>,
 }
 
 #[derive(Debug, Clone)]
@@ -46,6 +50,7 @@
 pub struct Homes {
     store: Store,
     journal: Journal,
+    demands: Arc<Demands>,
     /// Sorted by model.
     by_model: Arc<ArcSwap<Vec<Home>>>,
 }
@@ -53,10 +58,11 @@
 impl Homes {
     /// No home is known yet.
     #[must_use]
-    pub fn new(store: Store, journal: Journal) -> Self {
+    pub fn new(store: Store, journal: Journal, demands: Arc<Demands>) -> Self {
         Self {
             store,
             journal,
+            demands,
             by_model: Arc::default(),
         }
     }
@@ -99,12 +105,20 @@
         }
     }
 
-    /// Makes `runner` the home of a model, unless another node came first.
-    pub async fn settle(&self, model: &str, runner: Runner) {
+    /// Whether the record of a home tells of fewer samples than a step of its model has.
+    #[must_use]
+    pub fn has_grown(&self, model: &str, samples: u32) -> bool {
+        self.demands.has_grown(model, samples)
+    }
+
+    /// Makes `runner` the home of a model whose steps have so many samples, unless another
+    /// node came first.
+    pub async fn settle(&self, model: &str, runner: Runner, samples: u32) {
         let name = format!("{PREFIX}{model}");
         let record = Record {
             write: self.store.write_id(),
             runner: runner.clone(),
+            samples: self.demands.of(model).max(Some(samples)),
         };
         let homes = self.by_model.load();
         let known = homes.iter().find(|home| home.model == model).cloned();
@@ -121,6 +135,7 @@
         };
         match settled {
             Ok(revision) => {
+                self.demands.note(model, samples);
                 self.journal
                     .event("home_settled", &[("model", &model), ("home", &runner.node)]);
                 self.note(&Home {
@@ -140,11 +155,16 @@
             return;
         };
         match serde_json::from_str::<Record>(object.value.get()) {
-            Ok(record) => self.note(&Home {
-                model: model.to_owned(),
-                revision: object.revision,
-                runner: record.runner,
-            }),
+            Ok(record) => {
+                if let Some(samples) = record.samples {
+                    self.demands.note(model, samples);
+                }
+                self.note(&Home {
+                    model: model.to_owned(),
+                    revision: object.revision,
+                    runner: record.runner,
+                });
+            }
             Err(error) => self
                 .journal
                 .event("home_unreadable", &[("model", &model), ("cause", &error)]),
--- a/crates/node/src/weights.rs
+++ b/crates/node/src/weights.rs
@@ -24,6 +24,7 @@
 use crate::dialect::OrderAnswer;
 use crate::dialect::WeightOrder;
 use crate::engines::Engine;
+use crate::engines::Engines;
 use crate::engines::rollout_engines;
 use crate::fleet::Fleet;
 use crate::holder::Holder;
@@ -35,6 +36,7 @@
 use crate::model::Instance;
 use crate::model::ModelVersion;
 use crate::model::Upstream;
+use crate::relay::hash_of_name;
 
 /// Time between looks at whether orders are due.
 const LOOK_EVERY: Duration = Duration::from_millis(200);
@@ -175,12 +177,13 @@
         let parts = &self.shared.parts;
         let held = parts.holder.held();
         let holds = held.is_some();
-        parts.interest.take_orders(parts.clock.now(), holds);
+        parts.interest.take_orders(holds);
         // Others see the engines' versions late or not at all. Seeds and nodes that draft
         // see that no one gives orders.
         let began = parts.clock.now();
-        let wants_all = parts.interest.wants_all();
-        let silent_calls = if wants_all {
+        let models = parts.interest.models();
+        let sees_engines = models.as_ref().is_none_or(|models| !models.is_empty());
+        let silent_calls = if sees_engines {
             SILENT_CALLS
         } else {
             SILENT_CALLS_MOST
@@ -188,10 +191,10 @@
         if !holds && parts.holder.take_silence(silent_calls) {
             parts.holder.ask_for_duty().await;
         }
-        if !holds && !wants_all {
+        if !holds && !sees_engines {
             return Duration::ZERO;
         }
-        let due = self.due();
+        let due = self.due(models.as_deref());
         let now = parts.clock.now();
         let stuck = self.is_stuck(now, !due.is_empty(), patience);
         match held {
@@ -239,16 +242,24 @@
         stuck
     }
 
-    /// The orders that are due now.
-    fn due(&self) -> Vec<Due> {
+    /// The orders that are due now for these models, by the hashes of their names; for all
+    /// where none are given.
+    fn due(&self, models: Option<&[u64]>) -> Vec<Due> {
         let fleet = &self.shared.parts.fleet;
         let now = self.shared.parts.clock.now();
         let named = fleet.named();
-        let engines = rollout_engines(fleet);
+        let Engines {
+            serving: engines,
+            division,
+        } = rollout_engines(fleet);
         let mut weighed = Vec::new();
         let mut loads = Vec::new();
+        let is_seen = |load: &&ModelVersion| {
+            let hash = hash_of_name(&load.model);
+            models.is_none_or(|models| models.binary_search(&hash).is_ok())
+        };
         for (at, engine) in engines.iter().enumerate() {
-            for load in newest_of(engine, &named) {
+            for load in newest_of(engine, &named).into_iter().filter(is_seen) {
                 let (loading, unavailable) = self.state_of(&engine.upstream, load, now);
                 let model = named.binary_search_by(|held| held.model.cmp(&load.model));
                 weighed.push(EngineWeights {
@@ -264,9 +275,9 @@
         }
         let routes = &fleet.config().routes;
         let keep_running = !routes.iter().any(|route| route.single_version);
-        let at_once = self.loads_at_once(engines.len());
+        let at_once = self.loads_at_once(division.engines);
         let next = if self.shared.parts.off.leaves(Mechanism::TwoSets) {
-            next_loads(&weighed, at_once)
+            next_loads(&weighed, at_once, &division)
         } else {
             next_loads_of_all(&weighed, at_once)
         };
--- a/crates/node/tests/interest.rs
+++ b/crates/node/tests/interest.rs
@@ -3,13 +3,17 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use firweir_node::interest::DraftedModel;
 use firweir_node::interest::Interest;
+use firweir_node::interest::ModelSlice;
+use firweir_node::interest::Parts;
 use firweir_node::interest::Wanted;
 use firweir_node::model::Config;
 use firweir_node::model::Route;
 use firweir_node::model::RouteKind;
 use firweir_node::model::Target;
-use firweir_node::relay::hash_of_service;
+use firweir_node::relay::hash_of_name;
+use firweir_policy::pool::Slice;
 
 fn route(kind: RouteKind, service: &str) -> Route {
     Route {
@@ -30,28 +34,105 @@
     }
 }
 
-/// A node that had drafted a step a minute before still took in every load of every engine;
-/// with homes that move, most nodes of a fleet did in the end.
-#[test]
-fn a_node_that_drafts_wants_everything_for_a_while() {
-    let interest = Interest::default();
-    let start = Instant::now();
-    let config = Config {
+fn config() -> Config {
+    Config {
         routes: vec![
             route(RouteKind::Rollout, "drafts"),
             route(RouteKind::Idempotent, "cards"),
         ],
         ..Config::default()
+    }
+}
+
+/// What calls need, and the slices of these models besides.
+fn parts(slices: &[(u64, u32)]) -> Wanted {
+    let slice = |(model, zeros): &(u64, u32)| ModelSlice {
+        model: *model,
+        slice: Slice { zeros: *zeros },
     };
-    interest.take_config(&config);
-    let calls = Wanted::Services(vec![hash_of_service("cards")]);
-    assert_eq!(interest.wanted(), calls, "what its calls need");
-    interest.take_drafting(start, true);
+    Wanted::Parts(Parts {
+        services: vec![hash_of_name("cards")],
+        slices: slices.iter().map(slice).collect(),
+    })
+}
+
+const MODEL: DraftedModel = DraftedModel {
+    model: 7,
+    engines: 40,
+};
+
+/// Guards against nodes that take in every load of every engine: after a step, most nodes of
+/// a fleet did in the end, since homes move.
+#[test]
+fn a_node_that_drafts_wants_everything_for_a_while() {
+    let interest = Interest::default();
+    let start = Instant::now();
+    interest.take_config(&config());
+    assert_eq!(interest.wanted(), parts(&[]), "what its calls need");
+    interest.take_drafting(start, &[MODEL]);
     assert_eq!(interest.wanted(), Wanted::All, "at once");
-    interest.take_drafting(start + Duration::from_secs(4), false);
+    interest.take_drafting(start + Duration::from_secs(4), &[]);
     assert_eq!(interest.wanted(), Wanted::All, "until the next step");
-    interest.take_drafting(start + Duration::from_secs(30), false);
-    assert_eq!(interest.wanted(), calls, "no step comes any more");
-    interest.take_orders(start + Duration::from_secs(31), true);
+    interest.take_drafting(start + Duration::from_secs(30), &[]);
+    assert_eq!(interest.wanted(), parts(&[]), "no step comes any more");
+    interest.take_orders(true);
     assert_eq!(interest.wanted(), Wanted::All, "it orders weights");
 }
+
+struct Case {
+    name: &'static str,
+    /// Entries of the whole list, one after the other.
+    listed: &'static [usize],
+    wanted: Wanted,
+}
+
+/// Guards against a home that follows a whole fleet for one model, and against one that asks
+/// for its engines anew with each engine that comes or goes.
+#[test]
+fn a_home_wants_a_part_of_a_large_fleet() {
+    let cases = [
+        Case {
+            name: "a small fleet, whole",
+            listed: &[600],
+            wanted: Wanted::All,
+        },
+        Case {
+            name: "a fleet",
+            listed: &[10_000],
+            wanted: parts(&[(7, 4)]),
+        },
+        Case {
+            name: "twice the fleet",
+            listed: &[20_000],
+            wanted: parts(&[(7, 5)]),
+        },
+        Case {
+            name: "a few engines less than the narrower slice needs",
+            listed: &[10_300, 10_200],
+            wanted: parts(&[(7, 5)]),
+        },
+        Case {
+            name: "a quarter of the fleet is left",
+            listed: &[10_300, 2_600],
+            wanted: parts(&[(7, 3)]),
+        },
+        Case {
+            name: "hardly any is left",
+            listed: &[10_000, 300],
+            wanted: Wanted::All,
+        },
+    ];
+    for case in cases {
+        let interest = Interest::default();
+        interest.take_config(&config());
+        interest.take_listed(case.listed[0]);
+        interest.take_drafting(Instant::now(), &[MODEL]);
+        for listed in case.listed {
+            interest.take_listed(*listed);
+        }
+        assert_eq!(interest.wanted(), case.wanted, "{}", case.name);
+        let models = interest.models();
+        let sees_all = case.wanted == Wanted::All;
+        assert_eq!(models.is_none(), sees_all, "{}: its models", case.name);
+    }
+}
--- a/crates/policy/benches/placement.rs
+++ b/crates/policy/benches/placement.rs
@@ -16,6 +16,7 @@
 use firweir_policy::placement::EngineState;
 use firweir_policy::placement::ModelKey;
 use firweir_policy::placement::Placement;
+use firweir_policy::waves::Division;
 use firweir_policy::waves::EngineWeights;
 use firweir_policy::waves::loads_at_most;
 use firweir_policy::waves::next_loads;
@@ -133,8 +134,13 @@
             })
             .collect();
         let at_once = loads_at_most(engines as usize).min(16);
+        let division = Division {
+            engines: engines as usize,
+            models: 3,
+            needs: Vec::new(),
+        };
         group.bench_function(BenchmarkId::from_parameter(engines), |bencher| {
-            bencher.iter(|| black_box(next_loads(&weights, at_once)));
+            bencher.iter(|| black_box(next_loads(&weights, at_once, &division)));
         });
     }
     group.finish();
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod pace;
 
 pub mod placement;
+pub mod pool;
 pub mod recurring;
 pub mod reserve;
 pub mod retry;
--- a/crates/policy/src/waves.rs
+++ b/crates/policy/src/waves.rs
@@ -13,7 +13,6 @@
 use std::cmp::Reverse;
 
 use crate::placement::ModelKey;
-use crate::route::mix;
 use crate::work::UpstreamKey;
 
 /// Versions behind the named one at which an engine is of no more use: the next
@@ -31,10 +30,10 @@
 pub struct Lag {
     /// Place of the engine among all.
     pub engine: usize,
-    /// Hash of its instance; the same on every VM.
-    pub hash: u64,
     /// The model.
     pub model: ModelKey,
+    /// Place of the engine in the model's order ([`crate::pool::order_in_pool`]).
+    pub order: u64,
     /// Versions behind.
     pub behind: u64,
 }
@@ -45,49 +44,86 @@
 const VERSION_QUARTERS: usize = 3;
 
 /// Sets of engines that get a model's versions by turns.
-const SETS: usize = 2;
+pub(crate) const SETS: usize = 2;
 
 /// Versions behind up to which an engine keeps its models: it gets every other one.
 const KEPT_BEHIND: u64 = 2;
 
-/// Engines that get each version of one of `models` models.
-fn engines_a_version(engines: usize, models: usize) -> usize {
-    let share = engines.div_ceil(models.max(1));
-    (share * VERSION_QUARTERS).div_ceil(4)
+/// Engines that the steps of one model need at once.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Need {
+    /// The model.
+    pub model: ModelKey,
+    /// Engines.
+    pub engines: usize,
+}
+
+/// Engines among which models are divided, and what is known of the models' needs.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Division {
+    /// All engines.
+    pub engines: usize,
+    /// All models.
+    pub models: usize,
+    /// Sorted by model. A model whose need is not known gets its share.
+    pub needs: Vec<Need>,
 }
 
-/// The models that each of `engines` engines is to serve, its own one first: equal parts
-/// for all models, and engines keep the models whose newer weights they have.
+impl Division {
+    /// A model's equal share of the engines.
+    fn share(&self) -> usize {
+        self.engines.div_ceil(self.models.max(1))
+    }
+
+    fn need(&self, model: ModelKey) -> usize {
+        let found = self.needs.binary_search_by_key(&model, |need| need.model);
+        found.map_or(usize::MAX, |at| self.needs[at].engines)
+    }
+
+    /// Engines that get each version of a model.
+    fn a_version(&self, model: ModelKey) -> usize {
+        let of_share = (self.share() * VERSION_QUARTERS).div_ceil(4);
+        of_share.min(self.need(model))
+    }
+
+    /// Engines of both sets of a model.
+    fn both_sets(&self, model: ModelKey) -> usize {
+        (SETS * self.a_version(model)).min(self.engines)
+    }
+}
+
+/// The models that each engine is to serve, its own one first: equal parts for all models, or
+/// what they need if that is less, and engines keep the models whose newer weights they have.
 ///
 /// Every node computes the same from the same list. Dividing engines by their place
 /// in the list would be simpler, but each engine that comes or goes would move all
 /// behind it to another model, and each move is a load.
 #[must_use]
-pub fn assign(engines: usize, lags: &[Lag]) -> Vec<Vec<ModelKey>> {
+pub fn assign(division: &Division, lags: &[Lag]) -> Vec<Vec<ModelKey>> {
     let mut models: Vec<ModelKey> = lags.iter().map(|lag| lag.model).collect();
     models.sort_unstable();
     models.dedup();
-    let share = engines.div_ceil(models.len().max(1));
-    let both_sets = SETS * engines_a_version(engines, models.len());
     let mut pairs = lags.to_vec();
-    let order = |lag: &Lag| mix(lag.hash ^ mix(u64::from(lag.model.0)));
-    pairs.sort_by_key(|lag| (lag.behind > KEPT_BEHIND, order(lag)));
-    let mut assigned = vec![Vec::new(); engines];
-    give(&mut assigned, &models, &pairs, 1, share);
+    pairs.sort_by_key(|lag| (lag.behind > KEPT_BEHIND, lag.order, lag.engine));
+    let mut assigned = vec![Vec::new(); division.engines];
+    let both_sets = |model| division.both_sets(model);
+    let own = |model| division.share().min(both_sets(model));
+    give(&mut assigned, &models, &pairs, 1, own);
     if models.len() > 1 {
-        give(&mut assigned, &models, &pairs, SETS, both_sets.min(engines));
+        give(&mut assigned, &models, &pairs, SETS, both_sets);
     }
     assigned
 }
 
-/// Gives models to engines in this order, until an engine has `each` or a model `most`.
+/// Gives models to engines in this order, until an engine has `each` or a model the most that
+/// it is to have.
 /// `models` is sorted.
 fn give(
     assigned: &mut [Vec<ModelKey>],
     models: &[ModelKey],
     pairs: &[Lag],
     each: usize,
-    most: usize,
+    most_of: impl Fn(ModelKey) -> usize,
 ) {
     let has = |held: &[ModelKey], model| held.contains(&model);
     // Counted once: with 1,000 engines a count for each pair took most of a VM's time.
@@ -95,12 +131,13 @@
         .iter()
         .map(|model| assigned.iter().filter(|held| has(held, *model)).count())
         .collect();
+    let most: Vec<usize> = models.iter().map(|model| most_of(*model)).collect();
     for lag in pairs {
         let Ok(at) = models.binary_search(&lag.model) else {
             continue;
         };
         let own = &mut assigned[lag.engine];
-        if given[at] < most && own.len() < each && !has(own, lag.model) {
+        if given[at] < most[at] && own.len() < each && !has(own, lag.model) {
             own.push(lag.model);
             given[at] += 1;
         }
@@ -132,28 +169,29 @@
 
 /// The loads to order now, as places in `weights`, so that `at_once` run at the most.
 #[must_use]
-pub fn next_loads(weights: &[EngineWeights], at_once: usize) -> Vec<usize> {
-    let engines = distinct(weights.iter().map(|held| held.engine.0));
-    let models = distinct(weights.iter().map(|held| held.model.0));
-    loads(weights, at_once, engines_a_version(engines, models))
+pub fn next_loads(weights: &[EngineWeights], at_once: usize, division: &Division) -> Vec<usize> {
+    loads(weights, at_once, |model| division.a_version(model))
 }
 
 /// The loads to order now if every engine is to have every version of its models.
 #[must_use]
 pub fn next_loads_of_all(weights: &[EngineWeights], at_once: usize) -> Vec<usize> {
-    let engines = distinct(weights.iter().map(|held| held.engine.0));
-    loads(weights, at_once, engines)
+    loads(weights, at_once, |_model| usize::MAX)
 }
 
-/// The loads to order now, where `a_version` engines get each version.
+/// The loads to order now, where so many engines get each version of a model.
 ///
 /// Each model's candidates are sorted once and each load moves its counts by one: with a
 /// look at every other pair for each candidate, 3,000 engines took 10^10 steps a look.
-fn loads(weights: &[EngineWeights], at_once: usize, a_version: usize) -> Vec<usize> {
-    let mut plan = Plan::of(weights);
+fn loads(
+    weights: &[EngineWeights],
+    at_once: usize,
+    a_version: impl Fn(ModelKey) -> usize,
+) -> Vec<usize> {
+    let mut plan = Plan::of(weights, a_version);
     let mut loads = Vec::new();
     while plan.loading < at_once {
-        let Some(at) = plan.next(weights, a_version) else {
+        let Some(at) = plan.next(weights) else {
             break;
         };
         plan.load(&weights[at]);
@@ -166,6 +204,8 @@
 #[derive(Debug)]
 struct ModelPlan {
     model: ModelKey,
+    /// Engines that get each version.
+    a_version: usize,
     /// Engines that the next step can use, or soon can.
     usable: usize,
     /// Engines that have the newest version, or load it.
@@ -190,7 +230,7 @@
 }
 
 impl Plan {
-    fn of(weights: &[EngineWeights]) -> Self {
+    fn of(weights: &[EngineWeights], a_version: impl Fn(ModelKey) -> usize) -> Self {
         let mut busy: Vec<UpstreamKey> = loading(weights).map(|held| held.engine).collect();
         busy.sort_unstable();
         let mut engines: Vec<UpstreamKey> = weights.iter().map(|held| held.engine).collect();
@@ -198,7 +238,7 @@
         let mut models: Vec<ModelKey> = weights.iter().map(|held| held.model).collect();
         models.sort_unstable();
         models.dedup();
-        let plan_of = |model| ModelPlan::of(model, weights, &engines);
+        let plan_of = |model| ModelPlan::of(model, weights, &engines, a_version(model));
         Self {
             models: models.into_iter().map(plan_of).collect(),
             busy,
@@ -209,11 +249,11 @@
     /// The model with the fewest usable engines first: with the oldest version first, one
     /// trainer's step waited 3.3 s for its first engine while others' models got their
     /// second set.
-    fn next(&mut self, weights: &[EngineWeights], a_version: usize) -> Option<usize> {
+    fn next(&mut self, weights: &[EngineWeights]) -> Option<usize> {
         let busy = &self.busy;
         let is_busy = |at: &usize| busy.binary_search(&weights[*at].engine).is_ok();
         let candidates = self.models.iter_mut().filter_map(|model| {
-            let at = model.next(weights, a_version, is_busy)?;
+            let at = model.next(weights, is_busy)?;
             Some((model.usable, order_of(weights, at), at))
         });
         candidates.min().map(|(_, _, at)| at)
@@ -237,7 +277,12 @@
 
 impl ModelPlan {
     /// `engines` names the engine of every pair, sorted.
-    fn of(model: ModelKey, weights: &[EngineWeights], engines: &[UpstreamKey]) -> Self {
+    fn of(
+        model: ModelKey,
+        weights: &[EngineWeights],
+        engines: &[UpstreamKey],
+        a_version: usize,
+    ) -> Self {
         let own = || weights.iter().filter(|held| held.model == model);
         let usable = own().filter(|held| held.loading || held.behind() < USELESS_BEHIND);
         let newest = own().filter(|held| held.loading || held.behind() == 0);
@@ -258,6 +303,7 @@
         let (alone, others) = behind.into_iter().partition(is_alone);
         Self {
             model,
+            a_version,
             usable: usable.count(),
             newest: newest.count(),
             alone,
@@ -269,7 +315,6 @@
     fn next(
         &mut self,
         weights: &[EngineWeights],
-        a_version: usize,
         is_busy: impl Fn(&usize) -> bool,
     ) -> Option<usize> {
         // An engine that loads one model stays busy for as long as loads are planned.
@@ -278,7 +323,8 @@
                 candidates.pop();
             }
         }
-        let other = self.others.last().filter(|_| self.newest < a_version);
+        let is_wanted = self.newest < self.a_version;
+        let other = self.others.last().filter(|_| is_wanted);
         let wanted = [self.alone.last(), other].into_iter().flatten().copied();
         wanted.min_by_key(|at| order_of(weights, *at))
     }
@@ -299,10 +345,3 @@
 fn loading(weights: &[EngineWeights]) -> impl Iterator<Item = &EngineWeights> {
     weights.iter().filter(|held| held.loading)
 }
-
-fn distinct(keys: impl Iterator<Item = u32>) -> usize {
-    let mut keys: Vec<u32> = keys.collect();
-    keys.sort_unstable();
-    keys.dedup();
-    keys.len()
-}
--- a/crates/policy/tests/waves.rs
+++ b/crates/policy/tests/waves.rs
@@ -3,10 +3,13 @@
 use std::cmp::Reverse;
 
 use firweir_policy::placement::ModelKey;
+use firweir_policy::pool::order_in_pool;
 use firweir_policy::step_order::Sample;
 use firweir_policy::step_order::ranks;
+use firweir_policy::waves::Division;
 use firweir_policy::waves::EngineWeights;
 use firweir_policy::waves::Lag;
+use firweir_policy::waves::Need;
 use firweir_policy::waves::assign;
 use firweir_policy::waves::loads_at_most;
 use firweir_policy::waves::next_loads;
@@ -72,18 +75,27 @@
             unavailable: case.unavailable.contains(&at),
         };
         let engines: Vec<_> = case.versions.into_iter().enumerate().map(engine).collect();
-        let loads = next_loads(&engines, loads_at_most(12));
+        let loads = next_loads(&engines, loads_at_most(12), &shares(12, 1));
         assert_eq!(loads, case.loads, "{}", case.name);
     }
 }
 
+/// Nothing is known of what the models need.
+const fn shares(engines: usize, models: usize) -> Division {
+    Division {
+        engines,
+        models,
+        needs: Vec::new(),
+    }
+}
+
 fn lags(engines: &[usize], behind: impl Fn(usize, u32) -> u64) -> Vec<Lag> {
     let pairs = engines.iter().enumerate();
     pairs
         .flat_map(|(at, engine)| {
             let lag = |model| Lag {
                 engine: at,
-                hash: *engine as u64,
+                order: order_in_pool(*engine as u64, u64::from(model)),
                 model: ModelKey(model),
                 behind: behind(*engine, model),
             };
@@ -95,7 +107,7 @@
 #[test]
 fn models_share_engines_evenly_and_keep_them() {
     let all: Vec<usize> = (0..12).collect();
-    let first = assign(12, &lags(&all, |_, _| 0));
+    let first = assign(&shares(12, 3), &lags(&all, |_, _| 0));
     for model in 0..3 {
         let model = ModelKey(model);
         let own = first.iter().filter(|held| held[0] == model);
@@ -107,16 +119,20 @@
     // Each engine has new weights of its models; the others fall behind.
     let behind =
         |engine: usize, model: u32| u64::from(!first[engine].contains(&ModelKey(model))) * 3;
-    assert_eq!(assign(12, &lags(&all, behind)), first, "nothing moves");
+    assert_eq!(
+        assign(&shares(12, 3), &lags(&all, behind)),
+        first,
+        "nothing moves"
+    );
     // One of the sets is two versions behind until it has loaded.
     let by_turns = |engine: usize, model: u32| behind(engine, model) + (engine as u64 % 2) * 2;
     let kept = assign(
-        12,
+        &shares(12, 3),
         &lags(&all, |engine, model| by_turns(engine, model).min(3)),
     );
     assert_eq!(kept, first, "an older version moves nothing");
     let left = &all[1..];
-    let second = assign(11, &lags(left, behind));
+    let second = assign(&shares(11, 3), &lags(left, behind));
     for (before, after) in first[1..].iter().zip(&second) {
         let kept = before.iter().all(|model| after.contains(model));
         assert!(
@@ -149,7 +165,7 @@
     }
     let mut loaded = Vec::new();
     loop {
-        let loads = next_loads(&weights, loads_at_most(6));
+        let loads = next_loads(&weights, loads_at_most(6), &shares(6, 2));
         let Some(first) = loads.first() else {
             break;
         };
@@ -182,7 +198,7 @@
         add(engine + 6, 1, 3);
         add(engine + 9, 1, 3);
     }
-    let loads = next_loads(&weights, loads_at_most(12));
+    let loads = next_loads(&weights, loads_at_most(12), &shares(12, 2));
     let models: Vec<u32> = loads.iter().map(|at| weights[*at].model.0).collect();
     assert_eq!(models, [1, 1, 1]);
 }
@@ -295,6 +311,86 @@
         let share = engines.len().div_ceil(models.len());
         let at_once = loads_at_most(engines.len());
         let expected = loads_by_rule(&weights, at_once, (share * 3).div_ceil(4));
-        prop_assert_eq!(next_loads(&weights, at_once), expected);
+        let division = shares(engines.len(), models.len());
+        prop_assert_eq!(next_loads(&weights, at_once, &division), expected);
+    }
+}
+
+struct Demand {
+    name: &'static str,
+    engines: usize,
+    /// Engines that each of three models needs.
+    needs: [usize; 3],
+    /// Engines that serve each model, and that load its next version.
+    serve: [usize; 3],
+    load: [usize; 3],
+}
+
+/// Guards against a version of weights that a share of the whole fleet loads, whatever the
+/// steps of its model can use: the loads of a day must not grow with the engines.
+#[test]
+fn loads_follow_what_steps_need() {
+    let cases = [
+        Demand {
+            name: "a pool that is smaller than what is needed",
+            engines: 12,
+            needs: [40; 3],
+            serve: [6; 3],
+            load: [3; 3],
+        },
+        Demand {
+            name: "a fleet",
+            engines: 1_000,
+            needs: [40, 60, 20],
+            serve: [80, 120, 40],
+            load: [40, 60, 20],
+        },
+        Demand {
+            name: "ten times that fleet",
+            engines: 10_000,
+            needs: [40, 60, 20],
+            serve: [80, 120, 40],
+            load: [40, 60, 20],
+        },
+    ];
+    for case in cases {
+        let needs = (0..3).map(|model| Need {
+            model: ModelKey(model),
+            engines: case.needs[model as usize],
+        });
+        let division = Division {
+            needs: needs.collect(),
+            ..shares(case.engines, 3)
+        };
+        let all: Vec<usize> = (0..case.engines).collect();
+        let assigned = assign(&division, &lags(&all, |_, _| 0));
+        let mut weights: Vec<EngineWeights> = Vec::new();
+        for (engine, models) in assigned.iter().enumerate() {
+            for model in models {
+                let before = weights.iter().filter(|held| held.model == *model);
+                weights.push(EngineWeights {
+                    engine: UpstreamKey(engine as u32),
+                    model: *model,
+                    // One of the model's sets has the version before, the other is behind.
+                    version: 1 + before.count() as u64 % 2,
+                    named: 3,
+                    loading: false,
+                    unavailable: false,
+                });
+            }
+        }
+        let loads = next_loads(&weights, usize::MAX, &division);
+        for model in 0..3 {
+            let of_model = |held: &&EngineWeights| held.model.0 == model as u32;
+            let serve = weights.iter().filter(of_model).count();
+            assert_eq!(serve, case.serve[model], "{}: model {model}", case.name);
+            let loads = loads.iter().map(|at| &weights[*at]).filter(of_model);
+            assert_eq!(
+                loads.count(),
+                case.load[model],
+                "{}: loads of model {model}",
+                case.name
+            );
+        }
     }
 }
