A seed that lists anew passes on what has changed

Cause: a store that drops its history has each seed list anew, and each list reset what the seed had kept: every node of the fleet got the whole list of what it follows each time. Grew with nodes x upstreams; 278 nodes a seed times 375 entries of the services that all call.

Change: a list is compared with what is known by name, revision and value; what differs is passed on as changes. Where a service has lost half of its entries nodes get the list itself as before, since they keep entries that have lapsed for a while.

--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -459,20 +459,68 @@
         whereabouts_of: &impl Fn(&Object) -> Option<Whereabouts>,
     ) {
         match change {
-            Change::All(objects) => {
-                let mirrored = |object| Mirrored::new(revision, object, whereabouts_of(object));
-                self.objects = objects.iter().map(mirrored).collect();
-                self.objects
-                    .sort_by(|a, b| a.passed.name.cmp(&b.passed.name));
-                self.gone.clear();
-                self.kept_since = revision;
-                self.last_moved = revision;
-            }
+            Change::All(objects) => self.take_all(revision, objects, whereabouts_of),
             Change::Put(object) => self.put(revision, object, whereabouts_of(object)),
             Change::Gone(name) => self.remove(revision, name),
         }
     }
 
+    /// Takes in a whole list. Where most of what was known is still there, nodes get what has
+    /// changed; else they get the list, since they keep entries that have lapsed for a while.
+    fn take_all(
+        &mut self,
+        revision: u64,
+        objects: &[Object],
+        whereabouts_of: &impl Fn(&Object) -> Option<Whereabouts>,
+    ) {
+        let mut names: Vec<&str> = objects.iter().map(|object| object.name.as_str()).collect();
+        names.sort_unstable();
+        let is_listed = |held: &Mirrored| names.binary_search(&held.passed.name.as_str()).is_ok();
+        if self.heard_of_none() || self.has_lost_most(is_listed) {
+            let mirrored = |object| Mirrored::new(revision, object, whereabouts_of(object));
+            self.objects = objects.iter().map(mirrored).collect();
+            self.objects
+                .sort_by(|a, b| a.passed.name.cmp(&b.passed.name));
+            self.gone.clear();
+            self.kept_since = revision;
+            self.last_moved = revision;
+            return;
+        }
+        let missing = self.objects.iter().filter(|held| !is_listed(held));
+        let missing: Vec<String> = missing.map(|held| held.passed.name.clone()).collect();
+        for name in missing {
+            self.remove(revision, &name);
+        }
+        for object in objects {
+            let known = self
+                .place_of(&object.name)
+                .map(|at| &self.objects[at].passed);
+            if !known.is_ok_and(|known| known.is(object)) {
+                self.put(revision, object, whereabouts_of(object));
+            }
+        }
+    }
+
+    const fn heard_of_none(&self) -> bool {
+        self.revision == 0
+    }
+
+    /// A service, or the kind as a whole where objects tell of none, has lost half of its objects.
+    fn has_lost_most(&self, is_listed: impl Fn(&Mirrored) -> bool) -> bool {
+        let service_of = |held: &Mirrored| held.whereabouts.map(|told| told.service);
+        let mut services: Vec<(Option<u64>, bool)> = self
+            .objects
+            .iter()
+            .map(|held| (service_of(held), is_listed(held)))
+            .collect();
+        services.sort_unstable();
+        let mut services = services.chunk_by(|a, b| a.0 == b.0);
+        services.any(|held| {
+            let left = held.iter().filter(|(_, is_listed)| *is_listed).count();
+            left * 2 < held.len()
+        })
+    }
+
     fn place_of(&self, name: &str) -> Result<usize, usize> {
         let objects = &self.objects;
         objects.binary_search_by(|held| held.passed.name.as_str().cmp(name))
@@ -534,6 +582,16 @@
 }
 
 impl Passed {
+    /// It is this very state of an object.
+    fn is(&self, object: &Object) -> bool {
+        self.revision == object.revision
+            && self.reported == object.reported
+            && self
+                .value
+                .as_ref()
+                .is_some_and(|value| value.get() == object.value.get())
+    }
+
     fn gone(revision: u64, name: &str) -> Self {
         Self {
             name: name.to_owned(),
