--- a/crates/node/src/usage/report.rs
+++ b/crates/node/src/usage/report.rs
@@ -35,6 +35,9 @@
 /// Time between looks at whether a window is due.
 const LOOK_EVERY: Duration = Duration::from_millis(250);
 
+/// Time between two looks whether this node has the duty: each wakes up every VM of a fleet.
+const IDLE_LOOK_EVERY: Duration = Duration::from_secs(1);
+
 /// Part of the time that a report may take after its window's end at which its counts are
 /// fixed: requests in flight and nodes that answer late are in by then, and the rest is for
 /// a store or platform that is away.
@@ -119,16 +122,17 @@
     /// Reports for as long as the process lives, whenever it holds the duty.
     pub async fn run(self) {
         let mut progress = None;
+        let mut pause = LOOK_EVERY;
         loop {
-            tokio::time::sleep(LOOK_EVERY).await;
+            tokio::time::sleep(pause).await;
             let settings = self.parts.settings.now();
-            let Some(usage) = &settings.usage else {
-                continue;
-            };
-            if !self.parts.holder.is_held() {
+            let usage = settings.usage.as_ref();
+            let Some(usage) = usage.filter(|_| self.parts.holder.is_held()) else {
                 progress = None;
+                pause = IDLE_LOOK_EVERY;
                 continue;
-            }
+            };
+            pause = LOOK_EVERY;
             let outcome = match &mut progress {
                 None => self.begin(usage).await.map(|begun| progress = Some(begun)),
                 Some(progress) => self.go_on(progress, usage).await,
--- a/crates/node/src/weights.rs
+++ b/crates/node/src/weights.rs
@@ -41,6 +41,10 @@
 /// Time between looks at whether orders are due.
 const LOOK_EVERY: Duration = Duration::from_millis(200);
 
+/// Time between two looks of a node that neither gives orders nor sees engines: each wakes
+/// up every VM of a fleet.
+const IDLE_LOOK_EVERY: Duration = Duration::from_secs(1);
+
 /// Orders that are due for this long while no engine changes its weights, and up to
 /// as much again at random, make a node ask the holder: a load takes 0.9 s.
 const PATIENCE: Duration = Duration::from_millis(1_300);
@@ -130,6 +134,15 @@
     due_since: Option<Instant>,
 }
 
+/// What came of a look at whether orders are due.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Look {
+    /// This node neither gives orders nor sees engines.
+    Idle,
+    /// It took this long to work out what is due.
+    Took(Duration),
+}
+
 /// One order that is due.
 #[derive(Debug)]
 struct Due {
@@ -166,14 +179,15 @@
         let mut pause = LOOK_EVERY;
         loop {
             tokio::time::sleep(pause).await;
-            let took = self.look(patience).await;
-            pause = pause_after(took, LOOK_EVERY);
+            pause = match self.look(patience).await {
+                Look::Idle => IDLE_LOOK_EVERY,
+                Look::Took(took) => pause_after(took, LOOK_EVERY),
+            };
         }
     }
 
-    /// Gives the orders that are due, or asks for their holder. Tells how long it took to
-    /// work out what is due.
-    async fn look(&self, patience: Duration) -> Duration {
+    /// Gives the orders that are due, or asks for their holder.
+    async fn look(&self, patience: Duration) -> Look {
         let parts = &self.shared.parts;
         let held = parts.holder.held();
         let holds = held.is_some();
@@ -192,7 +206,7 @@
             parts.holder.ask_for_duty().await;
         }
         if !holds && !sees_engines {
-            return Duration::ZERO;
+            return Look::Idle;
         }
         let due = self.due(models.as_deref());
         let now = parts.clock.now();
@@ -206,7 +220,7 @@
             None if stuck => parts.holder.ask_for_duty().await,
             Some(_) | None => {}
         }
-        now.duration_since(began)
+        Look::Took(now.duration_since(began))
     }
 
     fn order_all(&self, epoch: u64, due: Vec<Due>) {
