--- a/crates/node/src/disk.rs
+++ b/crates/node/src/disk.rs
@@ -17,8 +17,7 @@
 use crate::settings::NodeSettings;
 use crate::store::Store;
 
-/// Within this time a request to empty a VM is reported as done: it allows 8 s and more,
-/// and is known up to 3 s late.
+/// Within this time a request to empty a VM is reported as done, once it is known.
 const REPORT_WITHIN: Duration = Duration::from_secs(1);
 
 /// Pause before a report that failed is tried again.
--- a/crates/node/src/door.rs
+++ b/crates/node/src/door.rs
@@ -86,8 +86,8 @@
 /// another node, and a follower that lost its seed finds another one within a second.
 const COME_BACK: Duration = Duration::from_millis(300);
 
-/// How long a request waits for a node's first configuration: a list of the store takes
-/// some 10 ms. A store that is away is away for seconds.
+/// How long a request waits for a node's first configuration: many times as long as a list
+/// takes. A store that is away is away for seconds.
 const CONFIG_WAIT: Duration = Duration::from_millis(200);
 
 /// Most of a client's own patience that this may take.
@@ -379,10 +379,8 @@
 
     /// The configuration; waited for a while by a node that has just started.
     ///
-    /// **Failure:** after a loss of power clients reach a node some 20 ms before it has
-    /// read its configuration, since the balancer goes on with all nodes where none is
-    /// ready. Refused, they come back after 0.3 s and are late. **Gain:** most of them are
-    /// answered in time.
+    /// After a loss of power clients reach nodes that have not read it yet, since the balancer
+    /// goes on with all nodes where none is ready. Refused, they would come back too late.
     async fn first_config(&self, patience: Option<Duration>) -> Option<Arc<Config>> {
         if !self.off.leaves(Mechanism::FirstConfig) {
             let config = self.fleet.config();
--- a/crates/node/src/drafting.rs
+++ b/crates/node/src/drafting.rs
@@ -44,7 +44,7 @@
 use crate::submission::records::TextPiece;
 use crate::submission::texts::SavedText;
 
-/// Events from which a text is worth saving: shorter ones are made anew within 1.3 s.
+/// Events from which a text is worth saving: shorter ones are soon made anew.
 const WORTH_SAVING: usize = 25;
 
 /// Time between looks at what nothing else wakes up for.
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -31,8 +31,8 @@
 /// does not empty the list. A service that has lost a few has lost them for good.
 const ENTRIES_RETURN: Duration = Duration::from_secs(2);
 
-/// A follower hears of the configuration at least this often where all is well: the longest
-/// watch waits for 2 s, and a seed that fell silent costs 1.3 s.
+/// A follower hears of the configuration at least this often where all is well, its longest
+/// watch and a seed that fell silent included.
 const CONFIG_YOUNG: Duration = Duration::from_millis(3_500);
 
 /// An upstream in the list.
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -41,12 +41,12 @@
 use crate::store::Store;
 
 /// How long one watch may wait. A store that drops its history lets the watches that
-/// wait then hear nothing and does not cut them all; 3 s later a change that was made
-/// meanwhile has to be in force. This wait and a list have to fit into that.
+/// wait then hear nothing and does not cut them all. This wait and a list have to fit into
+/// the time in which a change comes into force.
 const WATCH_WAIT: Duration = Duration::from_secs(2);
 
-/// How long a watch may wait of what may be known seconds late. Such an answer is up to
-/// 6 s old in a bad spell and costs a tenth; a VM is to be emptied within 10 s.
+/// How long a watch may wait of what may be known seconds late. Such an answer costs a
+/// tenth, and may be older than the wait in a bad spell.
 const STALE_WATCH_WAIT: Duration = Duration::from_secs(3);
 
 /// Pause after a failed call, up to half of it more at random: the store's
--- a/crates/node/src/holder.rs
+++ b/crates/node/src/holder.rs
@@ -61,8 +61,8 @@
 /// A node asks another one whether it holds the duty for at most this long.
 const PING_TIMEOUT: Duration = Duration::from_millis(600);
 
-/// A holder that is asked reads its duty back within this time, or resigns: a slow
-/// store answers in 300 ms, and the node that asks waits for [`PING_TIMEOUT`].
+/// A holder that is asked reads its duty back within this time, or resigns: the node that
+/// asks waits for [`PING_TIMEOUT`].
 const VERIFY_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// A store that is asked to create the duty's object is tried for this long.
--- a/crates/node/src/interest.rs
+++ b/crates/node/src/interest.rs
@@ -1,7 +1,7 @@
 //! What a node has to know of the platform's upstreams.
 //!
-//! **Load:** each load of weights changes an engine's entry: hundreds of entries a second at
-//! ten engines beside each of 300 VMs. **Without it:** every node gets every change; most of a
+//! **Load:** each load of weights changes an engine's entry: hundreds of entries a second.
+//! **Without it:** every node gets every change; most of a
 //! small VM's processor time goes into entries that it never uses. **How:** a node that sends
 //! live calls follows, of the services to which its configuration's routes lead, which
 //! upstreams there are, where they answer and whether they leave. One that drafts follows the
@@ -23,7 +23,7 @@
 use crate::relay::hash_of_name;
 
 /// A model that was drafted is followed for this long after: a trainer asks for a step every
-/// few seconds, and engines take some 100 ms to come.
+/// few seconds, and engines take a while to come.
 const KEEPS_MODEL: Duration = Duration::from_secs(10);
 
 /// What a node wants to know of upstreams.
--- a/crates/node/src/link.rs
+++ b/crates/node/src/link.rs
@@ -43,7 +43,7 @@
 const UNACKNOWLEDGED: Duration = Duration::from_millis(2_500);
 
 /// Silence after which the system probes a connection, and between two probes;
-/// with [`PROBES`] a connection that went silent for good ends within 3 s.
+/// with [`PROBES`] they tell when a connection that went silent for good ends.
 const PROBE_AFTER: Duration = Duration::from_secs(1);
 
 /// Probes without an answer that end a connection.
@@ -59,9 +59,8 @@
 /// Idle connections kept for one address: more than an engine runs at once.
 const IDLE_MOST: usize = 32;
 
-/// Idle connections kept in all; beyond it the one that was used longest ago is closed. A
-/// small VM has some 4,000 descriptors and 160 MB: a node that ordered weights at 3,000
-/// engines had 3,012 connections and 108 MB. 62 engines of six places need 400.
+/// Idle connections kept in all; beyond it the one that was used longest ago is closed. Each
+/// takes a descriptor and buffers, of which a small VM has few.
 const IDLE_MOST_IN_ALL: usize = 1_024;
 
 /// An answer larger than this is refused: the store's values end at a megabyte,
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -67,9 +67,9 @@
 use crate::weights::Weights;
 use crate::weights::WeightsParts;
 
-/// Clients are taken until this long before a node that drains ends: an answer takes
-/// 1.5 s at most. The balancer stops after two misses, but it goes on with nodes that
-/// drain where few others are left in a zone: they must find somebody listening.
+/// Clients are taken until this long before a node that drains ends, which does for an
+/// answer. The balancer stops after two misses, but it goes on with nodes that drain where
+/// few others are left in a zone: they must find somebody listening.
 const FINISH_CLIENTS: Duration = Duration::from_millis(1_500);
 
 /// The process ends this long before it would be killed.
@@ -83,11 +83,11 @@
 
 /// Pause between two watches of the list of upstreams on a seed: what changes meanwhile
 /// comes in one answer, and each answer costs a call. An engine that has loaded is known
-/// this much later at most, where a load takes 0.9 s.
+/// this much later at most.
 const SEED_PAUSE: Duration = Duration::from_millis(200);
 
-/// Nodes follow seeds where upstreams that leave may get requests for this long: a
-/// node notices a dead seed 2.6 s late, as `relay` works out.
+/// Nodes follow seeds where upstreams that leave may get requests for this long: a node
+/// works with what may be `AGE_MOST` old, and notices a dead seed `POLL_TIMEOUT` late.
 const RELAY_FROM: Duration = Duration::from_millis(2_800);
 
 /// Time between looks at time-bound decisions of live calls.
--- a/crates/node/src/outage.rs
+++ b/crates/node/src/outage.rs
@@ -2,7 +2,7 @@
 //!
 //! **Load:** the store turns calls away for seconds, and each node follows four kinds of
 //! its objects. **Without it:** all four ask again and again, and each call that is turned away
-//! costs: 1,300 of them in 5 s at 73 nodes. **How:** the first that was turned away asks
+//! costs. **How:** the first that was turned away asks
 //! for all; the others wait until it gets an answer. They look for themselves after
 //! [`LOOK_AFTER`], since a path may fail for one kind of call only.
 
@@ -17,9 +17,8 @@
 use crate::dialect::Kind;
 use crate::dialect::StoreError;
 
-/// A follower waits this long for the one that asks. With the pause before its call, 0.9 s
-/// at most, it stays below the 3 s after an outage from which on changes have to be in
-/// force in time again.
+/// A follower waits this long for the one that asks. With the pause before its call it stays
+/// below the time after an outage from which on changes have to be in force in time again.
 const LOOK_AFTER: Duration = Duration::from_millis(1_500);
 
 /// Whether the store is away, as the followers of one node know it; cheap to clone.
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -2,8 +2,7 @@
 //!
 //! **Load:** every node needs the configuration and the list of upstreams, which
 //! changes with each load of weights. **Without it:** every node watches the store, and
-//! each change costs a call for each node: 5,525 calls a day at 66 nodes, 3,482
-//! with seeds. **How:** the seeds of the settings watch the store and keep the newest value of
+//! each change costs a call for each node. **How:** the seeds of the settings watch the store and keep the newest value of
 //! each object with the revision by which it changed. All other nodes ask a seed for what
 //! changed after the revision that they know, and the seed answers when there is something.
 //! A node that only sends live calls names the services that these go to, and is told of
@@ -13,9 +12,9 @@
 //! back. A seed says how old its knowledge is; if that is too old, or no seed answers,
 //! a node asks the store itself.
 //!
-//! **Thresholds:** a node may work with what is [`AGE_MOST`] old, notices a silent seed
-//! after [`POLL_TIMEOUT`], and then asks the store: 2.6 s in all. So this is for
-//! deployments that allow an upstream that leaves more than that.
+//! A node may work with what is [`AGE_MOST`] old, notices a silent seed after
+//! [`POLL_TIMEOUT`], and then asks the store. So this is for deployments that allow an
+//! upstream that leaves more than both.
 
 use std::collections::VecDeque;
 use std::sync::Mutex;
--- a/crates/node/src/submission/accept.rs
+++ b/crates/node/src/submission/accept.rs
@@ -36,8 +36,8 @@
 /// refused in time is accepted elsewhere.
 const ACCEPT_PATIENCE: Duration = Duration::from_millis(2_500);
 
-/// Time for the home of a model to accept a submission: a write of a few milliseconds,
-/// or one that a slow store answers in 300 ms. Then it is accepted here.
+/// Time for the home of a model to accept a submission, which takes two writes of a store
+/// that may be slow. Then it is accepted elsewhere.
 const HOME_PATIENCE: Duration = Duration::from_millis(900);
 
 /// When a trainer may submit again what could not be kept: the store's outages take
--- a/crates/node/src/submission/board.rs
+++ b/crates/node/src/submission/board.rs
@@ -55,13 +55,12 @@
 const WRITE_PAUSE: Duration = Duration::from_millis(400);
 
 /// Most bytes of texts in one page of results. A trainer reads an open step twice a second
-/// and needs all that is there: with pages of 250 KB its last groups waited behind others.
+/// and needs all that is there.
 const PAGE_LIMIT_BYTES: usize = 900_000;
 
 /// The same for a submission that has ended. It is read from its start, by many at once,
-/// and each page passes from its runner to the node that was asked, over links of 60
-/// Mbit/s: with 900 KB a page took 120 ms alone, readers that came together all ran out
-/// of time, asked again, and none got a page any more.
+/// and each page passes from its runner to the node that was asked, over links that they
+/// share: with large pages all run out of time, ask again, and none gets a page any more.
 const ENDED_PAGE_LIMIT_BYTES: usize = 250_000;
 
 /// Where an item stands.
--- a/crates/node/src/submission/desk.rs
+++ b/crates/node/src/submission/desk.rs
@@ -203,8 +203,7 @@
     /// Goes on with the submissions that an earlier process of this VM ran.
     ///
     /// The list may be seconds old. What it lacks is loaded by the next question of the
-    /// trainer, which comes within 500 ms; what it shows too much of is let go by the
-    /// look at its head.
+    /// trainer, what it shows too much of is let go by the look at its head.
     pub async fn resume(&self) {
         let store = &self.shared.store;
         let listed = loop {
@@ -278,9 +277,8 @@
 
     /// Answers that nothing is listed from a position on, if that is certain.
     ///
-    /// **Failure:** a runner that was silent for 2 s, since its VM is slow, has lost its
-    /// submission to another node, which lists more. Asked before it looks at the head
-    /// again, it would show less than a trainer has read. **Guard:** it says that there is
+    /// A runner that was silent for a while may have lost its submission to another node, which
+    /// lists more, and would show less than a trainer has read. So it says that there is
     /// nothing only if a read of the head, sent less than [`CONFIRMED_FOR`] ago, showed it
     /// as the runner. What is listed never changes, so other pages need no such read.
     async fn nothing_listed(&self, board: &Board, after: usize) -> Response<Body> {
--- a/crates/node/src/submission/elsewhere.rs
+++ b/crates/node/src/submission/elsewhere.rs
@@ -124,7 +124,7 @@
     ///
     /// A task of its own: a client that waits for less than it takes to tell that a runner is
     /// gone would end the look with its question, and its next one reaches another node,
-    /// which begins anew. Of 66 nodes none ever took such a submission over.
+    /// which begins anew.
     async fn replace_runner(self, known: Known, error: LinkError) -> Option<Known> {
         let runner = known.head.runner.address;
         if !self.shared.runners.is_gone(runner, error).await {
@@ -179,9 +179,8 @@
     /// Asks the homes of all models, one of which most likely runs the submission.
     ///
     /// While the store is away a node cannot read who runs a submission that it was not
-    /// asked about before, and clients' questions arrive at changing nodes: in an outage of
-    /// 5 s 103 questions were refused, most of them for results that were listed. A home
-    /// that does not run it says so by a conflict or, without the store, a refusal.
+    /// asked about before, and clients' questions arrive at changing nodes. A home that does not
+    /// run it says so by a conflict or, without the store, a refusal.
     async fn ask_homes(
         &self,
         question: &Question,
--- a/crates/node/src/submission/homes.rs
+++ b/crates/node/src/submission/homes.rs
@@ -1,9 +1,8 @@
 //! The home of a model: the node that accepts and runs its submissions, step after step.
 //!
 //! **Load:** a trainer's steps arrive at nodes by chance. **Without homes:** each step
-//! opens its own connections to all engines (2,589 in a day of a fleet of 66 nodes;
-//! 1,346 with homes), no node knows which engine holds a group's prompt,
-//! and several nodes fill the same engines without knowing of each other.
+//! opens its own connections to all engines, no node knows which engine holds a group's
+//! prompt, and several nodes fill the same engines without knowing of each other.
 //!
 //! A home is an agreement of convenience: any node may run any submission, and does
 //! when the home cannot be reached. So homes may be read seconds late.
--- a/crates/node/src/submission/runners.rs
+++ b/crates/node/src/submission/runners.rs
@@ -24,8 +24,8 @@
 use crate::link::LinkError;
 use crate::link::Links;
 
-/// Time for a runner's answer beyond what it was asked to wait: clients wait 1.5 s beyond
-/// it for theirs.
+/// Time for a runner's answer beyond what it was asked to wait: less than clients wait
+/// beyond it for theirs.
 const PEER_PATIENCE: Duration = Duration::from_millis(1_200);
 
 /// A runner that was not reached for this long is taken for gone. Shorter, and
@@ -43,7 +43,7 @@
 const PING_PATIENCE: Duration = Duration::from_millis(200);
 
 /// A node that has not answered a call by then is pinged beside it: accepting a step takes
-/// two writes of the store, some 15 ms.
+/// two writes of the store.
 const PING_AFTER: Duration = Duration::from_millis(100);
 
 #[derive(Debug)]
@@ -103,11 +103,8 @@
     /// Makes a call to a node for as long as that is alive: `None` once it has answered
     /// neither the call nor a ping.
     ///
-    /// **Load:** a trainer submits its step through any node, which passes it to the home
-    /// of its model. **Without it:** while a home is gone each node waits for it for as long
-    /// as a slow store may take, 0.9 s, and a client that waits for a second has left by
-    /// then: a step was accepted 2.9 s after the end of an outage that its home had not
-    /// outlived, and came 2 s late.
+    /// Without it, each node that a trainer submits its step through would wait for a home that
+    /// is gone for as long as a slow store may take, and the client have left by then.
     pub async fn while_alive<T>(
         &self,
         node: SocketAddr,
@@ -129,8 +126,8 @@
     }
 
     /// Whether a runner that did not answer is gone. Asks it until [`GONE_AFTER`] has
-    /// passed since it was first asked: a client that had to come again for that
-    /// would wait 2 s more.
+    /// passed since it was first asked: a client that had to come again for that would wait
+    /// twice as long.
     pub async fn is_gone(&self, runner: SocketAddr, mut error: LinkError) -> bool {
         loop {
             let silent_for = self.silent_for(runner);
--- a/crates/node/src/submission/saver.rs
+++ b/crates/node/src/submission/saver.rs
@@ -1,6 +1,6 @@
 //! Saves texts of samples that are being made, so that a sample survives its runner.
 //!
-//! **Load:** the longest samples take 7 s of the 7.5 s that a step has. **Without it:** a
+//! **Load:** the longest samples take nearly all the time that a step has. **Without it:** a
 //! runner that dies, or loses power with all others, takes their texts along; they begin
 //! anew elsewhere and the groups that they belong to come too late. **How:** a numbered record
 //! each [`SAVE_EVERY`] with what is new of the long ones. Records are created only, as
--- a/crates/node/src/submission/texts.rs
+++ b/crates/node/src/submission/texts.rs
@@ -12,8 +12,7 @@
 use crate::model::Score;
 use crate::submission::records::TextPiece;
 
-/// Bytes of texts that are kept: a step's texts take about a megabyte, and a VM has
-/// 88 MB.
+/// Bytes of texts that are kept: those of some steps, and little beside a small VM's memory.
 const KEPT_BYTES: usize = 6 << 20;
 
 /// What an item has so far.
--- a/crates/node/src/weights.rs
+++ b/crates/node/src/weights.rs
@@ -46,7 +46,7 @@
 const IDLE_LOOK_EVERY: Duration = Duration::from_secs(1);
 
 /// Orders that are due for this long while no engine changes its weights, and up to
-/// as much again at random, make a node ask the holder: a load takes 0.9 s.
+/// as much again at random, make a node ask the holder: longer than a load takes.
 const PATIENCE: Duration = Duration::from_millis(1_300);
 
 /// Calls in a row that a holder did not answer before a node asks whether it is gone: the
@@ -57,8 +57,8 @@
 /// An engine answers an order in milliseconds.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(600);
 
-/// An engine that accepted an order shows its new version within this time: a load
-/// takes 0.9 s and more, and the list of upstreams lags by some 100 ms.
+/// An engine that accepted an order shows its new version within this time, the lag of the
+/// list of upstreams included.
 const LOAD_SHOWS: Duration = Duration::from_secs(5);
 
 /// An engine that did not answer an order, or refused it, is asked again after this.
--- a/crates/policy/src/answering.rs
+++ b/crates/policy/src/answering.rs
@@ -8,8 +8,7 @@
 //! lets it, until the last group that is waited for is there. It gets all that came meanwhile,
 //! so that nothing is read later than by a trainer that asks less often. From the moment at
 //! which the step is due each sample is told at once. **Gain:** a trainer goes on in less than
-//! half of the time after its last group (`a_trainer_goes_on_soon`). **Thresholds:** beside the
-//! constant.
+//! half of the time after its last group (`a_trainer_goes_on_soon`).
 
 use std::time::Duration;
 
--- a/crates/policy/src/background.rs
+++ b/crates/policy/src/background.rs
@@ -10,9 +10,7 @@
 //! the calls take all others, in a window that doubles. Once the time is short, all places
 //! are used. Calls are not slowed down beyond that, as much slack as their step may have:
 //! a step that is whole sooner is through before the next outage of the store or loss of its
-//! runner. Spread over a quarter of the slack, 42 of a step's 92 samples were listed as the
-//! store went away 1.6 s after the step had come, and the others were lost with their runner.
-//! **Thresholds:** beside each constant.
+//! runner.
 
 use std::collections::VecDeque;
 use std::time::Duration;
--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -5,7 +5,7 @@
 //! demand has no end, fills the engines' batches and every live call waits
 //! behind it. **How:** three lanes (short live, long live, training), each with
 //! a fair queue. A lane starts work while a slot is free beyond those that are kept
-//! for the others. **Thresholds:** beside each constant.
+//! for the others.
 
 use std::collections::VecDeque;
 use std::time::Duration;
--- a/crates/policy/src/limit.rs
+++ b/crates/policy/src/limit.rs
@@ -13,7 +13,7 @@
 /// An answer that took more of its time than this was nearly late.
 const NEARLY_LATE: f64 = 0.8;
 
-/// More answers than this part nearly late: the stated goal is 0.5 % late.
+/// More answers than this part nearly late: four times the part that may be late.
 const TOO_MANY: f64 = 0.02;
 
 /// Time between two judgements; a cut shows after about one service time.
--- a/crates/policy/src/listing.rs
+++ b/crates/policy/src/listing.rs
@@ -3,20 +3,17 @@
 //! **Load:** the samples of a step end one by one over some seconds, and each write is a
 //! call of the platform's store and an answer to the trainer, which asks every half second
 //! and is kept waiting while there is nothing. **Without it:** each group that becomes
-//! whole is written by itself, 16 to 25 writes a step; and a trainer that has just been
+//! whole is written by itself; and a trainer that has just been
 //! given a sample that makes nothing whole asks again half a second later, while the last
 //! group that it waits for is there. **How:** a trainer goes on once it has all groups that
 //! it waits for. The last of them is written at once, and its question is waiting for it.
 //! All others wait for company, and near its end for that group, until the
-//! step is about to be due. **Gain:** a trainer that
-//! asks as above goes on 0.11 s after the last group of a step is whole instead of 0.60 s
-//! (`a_trainer_has_its_last_group_soon`). **Thresholds:** beside each constant.
+//! step is about to be due (`a_trainer_has_its_last_group_soon`).
 
 use std::time::Duration;
 
 /// Samples wait this long for others while the step is calm. It is also what a crash of the
-/// runner, or an outage of the store, costs in samples that were done: with 2 s, days with
-/// both lost 0.08 of what they were worth to a trainer of short samples.
+/// runner, or an outage of the store, costs in samples that were done.
 const CALM_WAIT: Duration = Duration::from_secs(1);
 
 /// From this long before the step is due, nothing is written but the last group that is
--- a/crates/policy/src/load_limit.rs
+++ b/crates/policy/src/load_limit.rs
@@ -2,8 +2,8 @@
 //!
 //! **Load:** trainers name a version every few seconds for a pool of any size, and the
 //! weight store serves a few loads at once; how many, nothing tells. **Without it:** a part
-//! of the pool loads at once: of 1,000 engines 250, each of which takes twenty times as
-//! long, and no engine has a version before the step that needs it is due. **How:** loads
+//! of the pool loads at once, each load takes many times as long, and no engine has a
+//! version before the step that needs it is due. **How:** loads
 //! that take little longer than the quickest one let more run at once, loads that take much
 //! longer fewer. Until a first one was slow the limit doubles in the time of a load, so that
 //! the first versions of a large pool wait for a few loads, whatever its size.
@@ -11,7 +11,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
-/// Loads at once before any has ended: a pool of 62 engines needs as many.
+/// Loads at once before any has ended: what a middling pool needs.
 const AT_FIRST: f64 = 16.0;
 
 /// Fewest loads at once. A load that is slow with so few tells that loads take longer now,
@@ -19,8 +19,7 @@
 const LEAST: f64 = 2.0;
 
 /// A load that takes this many times as long as the quickest one waited for others at the
-/// weight store. One does not wait for less: that it has ended is known up to 0.3 s late
-/// for a load of 0.9 s.
+/// weight store. One does not wait for less: that it has ended is known late.
 const SLOW: f64 = 1.6;
 
 /// A load within this many times the quickest one found the weight store free.
--- a/crates/policy/src/pace.rs
+++ b/crates/policy/src/pace.rs
@@ -7,14 +7,12 @@
 //! sample is a version old, and engines that live callers could have used were
 //! busy early for nothing. Starting later makes samples fresher, and at some
 //! point leaves the trainer without a lot. One weight says which counts more.
-//! **Thresholds:** beside each constant.
 
 use std::time::Duration;
 use std::time::Instant;
 
 /// At the least weight above none a step starts this many of its usual times
-/// before the trainer needs it: a step with a crash in it takes up to 1.5 times
-/// as long as one without.
+/// before the trainer needs it: what one with a crash in it takes.
 const LEAD_MOST: f64 = 1.5;
 
 /// At the largest weight below all it starts with no time to spare. Starting
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -10,8 +10,7 @@
 //! longest samples start first, so that they get the fastest engines. An engine that
 //! refused, failed or fell silent is left alone for a while. A sample that runs on a
 //! slow or silent engine while another one has room goes on there: its text so far is
-//! kept, and an engine reads it again within milliseconds. **Thresholds:** beside
-//! each constant.
+//! kept, and an engine reads it again within milliseconds.
 
 use std::cmp::Ordering;
 use std::time::Duration;
@@ -84,8 +83,8 @@
 /// that its other samples hold in memory.
 const FULL_SLOWER: f64 = 0.25;
 
-/// The group's prompt on an engine is worth this part of its speed: reading a prompt
-/// again takes 5 ms where a sample takes most of a second.
+/// The group's prompt on an engine is worth this part of its speed: reading it again takes
+/// little beside a sample.
 const PROMPT_BONUS: f64 = 0.03;
 
 /// An engine that is to serve another model costs this part of its speed: that
@@ -99,8 +98,8 @@
 /// A pause of more than this many usual ones tells of a load or a crash, not of speed.
 const SILENCE: f64 = 6.0;
 
-/// An engine is silent for a sample after this time at least: events come each
-/// 40 to 60 ms, a slow engine's each 200 ms.
+/// An engine is silent for a sample after this time at least: longer than a slow engine's
+/// pause between two events.
 const SILENT_AT_LEAST: Duration = Duration::from_millis(300);
 
 /// A sample without a first event is left there for this long at least: prompts are read
@@ -122,29 +121,25 @@
 /// takes, and a limit shorter than that would never let one come.
 const PATIENCE_DOUBLINGS: u32 = 6;
 
-/// A sample goes on at an engine that is faster by this factor. The move costs some
-/// 20 ms; a sample that has run for [`STAY_AT_LEAST`] is one of the long ones, which
-/// run for seconds.
+/// A sample goes on at an engine that is faster by this factor. The move costs little; a
+/// sample that has run for [`STAY_AT_LEAST`] is one of the long ones, which run for seconds.
 const FASTER_FACTOR: f64 = 1.4;
 
 /// A sample stays this long before it is moved for speed, so that two estimates that
 /// change places do not send it back and forth, and short ones end where they are: each
-/// move opens a connection. With 0.8 s, 3,300 to 4,000 connections in a minute of
-/// heavy load on 48 engines, with 1.4 s 2,700 to 3,500, and as many samples in time. It is the time on an
-/// engine that is slower by [`FASTER_FACTOR`]; on one three times slower it is 0.65 s.
+/// move opens a connection. It is the time on an engine that is slower by
+/// [`FASTER_FACTOR`]; on a slower one it is less.
 const STAY_AT_LEAST: Duration = Duration::from_millis(1_400);
 
 /// Groups whose engine is remembered: those of a few open steps.
 const GROUPS_KEPT: usize = 512;
 
 /// The engines' median time per event is worked out anew after this: it moves over
-/// seconds, and samples make thousands of events a second. Sorted for each event it took
-/// 23 us with 620 engines.
+/// seconds, and samples make thousands of events a second.
 const USUAL_KEPT: Duration = Duration::from_millis(100);
 
-/// From so many samples that wait on, the engines are ranked once for all of them. A step of
-/// 232 samples that met 3,000 engines took 40 ms of a core to place with a look at each
-/// engine for each sample: 0.3 s on a VM with an eighth of one.
+/// From so many samples that wait on, the engines are ranked once for all of them, instead
+/// of a look at each engine for each sample.
 const RANKED_FROM: usize = 16;
 
 /// Engines with room, the best one first, for the samples of one model that start at one time.
--- a/crates/policy/src/recurring.rs
+++ b/crates/policy/src/recurring.rs
@@ -1,10 +1,9 @@
 //! How often a node does work that comes again and again and grows with the fleet.
 //!
 //! **Load:** each look at all engines takes time by their number, and something changes all
-//! the time. **Without it:** a VM with an eighth of a core and 3,000 engines does nothing
+//! the time. **Without it:** a small VM of a large fleet does nothing
 //! else, and callers wait behind it. **How:** after each look it pauses by how long that
 //! took, as it saw it: on a slow or busy VM a look takes longer, and the pause with it.
-//! **Threshold:** beside the constant.
 
 use std::time::Duration;
 
--- a/crates/policy/src/route.rs
+++ b/crates/policy/src/route.rs
@@ -12,8 +12,8 @@
 
 use crate::work::UpstreamState;
 
-/// Upstreams that one entry uses. 420 entries cover 4,800 upstreams more than
-/// four times over at this size, and a scan of it stays under a microsecond.
+/// Upstreams that one entry uses: hundreds of entries cover thousands of upstreams several
+/// times over, and a scan stays short.
 pub const SUBSET: usize = 48;
 
 /// Part of the subset that is taken from the entry's own zone, where there are
--- a/crates/policy/src/slots.rs
+++ b/crates/policy/src/slots.rs
@@ -207,9 +207,8 @@
 
     /// The least loaded upstream with room for a draft of this prefix.
     ///
-    /// A step is as slow as its fullest engine, and a cached prompt saves a draft a
-    /// hundredth of its time: drafts of one prompt that were kept together left
-    /// engines with 8 to 34 of 256 drafts, and steps 3% longer. So drafts go by
+    /// A step is as slow as its fullest engine, and a cached prompt saves a draft little:
+    /// drafts of one prompt that are kept together make engines uneven. So drafts go by
     /// load alone, over the whole subset; the prefix only turns the order in which
     /// equal loads are taken, or all entries would fill the same engines first.
     #[must_use]
--- a/crates/policy/src/step_order.rs
+++ b/crates/policy/src/step_order.rs
@@ -6,7 +6,6 @@
 //! late as it is long, and slots go to groups that the trainer need not wait for.
 //! **How:** the longest samples by their trainer's estimate start first. The groups
 //! with the longest samples beyond those the trainer waits for go after all others.
-//! **Thresholds:** beside each constant.
 
 /// A group that the trainer need not wait for counts as if it had come this much
 /// later: by then the samples of the next step have begun.
--- a/crates/policy/src/straggler.rs
+++ b/crates/policy/src/straggler.rs
@@ -9,7 +9,7 @@
 //!
 //! A draft goes on from its text so far, and is never drawn again because it is
 //! long: drawing again until an answer is short would hand the trainer shorter
-//! samples than its model makes. **Thresholds:** beside each constant.
+//! samples than its model makes.
 
 use std::time::Duration;
 use std::time::Instant;
--- a/crates/policy/src/waves.rs
+++ b/crates/policy/src/waves.rs
@@ -8,7 +8,7 @@
 //! model has two sets of engines, which get the versions by turns, those that are of no
 //! more use first. The step begins on the set that has the version before, and goes on
 //! on the other one as that has loaded. With several models each engine serves two of
-//! them. **Thresholds:** beside each constant.
+//! them.
 
 use std::cmp::Reverse;
 
@@ -19,10 +19,9 @@
 /// step takes the named version and the one before it.
 const USELESS_BEHIND: u64 = 2;
 
-/// Engines that load at once, as a part of all: with two of twelve a load takes
-/// 0.9 s, and more slow each other down at the weight store. One more than that keeps
-/// the weight store busy while a load that has ended is not known yet. More of a large
-/// pool than the weight store serves is up to [`crate::load_limit`].
+/// Engines that load at once, as a part of all: enough to keep the weight store of a small
+/// pool busy while a load that has ended is not known yet. More of a large pool than the
+/// weight store serves is up to [`crate::load_limit`].
 const LOADING_PART: f64 = 1.0 / 4.0;
 
 /// How far one engine is behind the named version of one model.
@@ -39,8 +38,8 @@
 }
 
 /// Part of a model's equal share of the engines that gets each version, in quarters: all
-/// that the next step has at first. With half of it, items waited 2 s on a pool of four;
-/// with all of it, loads take longer than versions take to come.
+/// that the next step has at first. With half of it, samples wait on a small pool; with all
+/// of it, loads take longer than versions take to come.
 const VERSION_QUARTERS: usize = 3;
 
 /// Sets of engines that get a model's versions by turns.
@@ -126,7 +125,7 @@
     most_of: impl Fn(ModelKey) -> usize,
 ) {
     let has = |held: &[ModelKey], model| held.contains(&model);
-    // Counted once: with 1,000 engines a count for each pair took most of a VM's time.
+    // Counted once, not for each pair.
     let mut given: Vec<usize> = models
         .iter()
         .map(|model| assigned.iter().filter(|held| has(held, *model)).count())
@@ -181,8 +180,8 @@
 
 /// The loads to order now, where so many engines get each version of a model.
 ///
-/// Each model's candidates are sorted once and each load moves its counts by one: with a
-/// look at every other pair for each candidate, 3,000 engines took 10^10 steps a look.
+/// Each model's candidates are sorted once and each load moves its counts by one, instead of
+/// a look at every other pair for each candidate.
 fn loads(
     weights: &[EngineWeights],
     at_once: usize,
@@ -247,8 +246,7 @@
     }
 
     /// The model with the fewest usable engines first: with the oldest version first, one
-    /// trainer's step waited 3.3 s for its first engine while others' models got their
-    /// second set.
+    /// trainer's step waits for its first engine while others' models get their second set.
     fn next(&mut self, weights: &[EngineWeights]) -> Option<usize> {
         let busy = &self.busy;
         let is_busy = |at: &usize| busy.binary_search(&weights[*at].engine).is_ok();
