A node that did not answer is named no home until it asks again

Cause, by reading: two large VMs lost together were named in turn for as long as the roster held them, as a question leaves out one node only.

Change: a seed forgets the node that the asker did not reach; one that is there after all asks again within a second. Test: a_node_that_did_not_answer_is_named_again_once_it_asks.

--- a/crates/node/src/roster.rs
+++ b/crates/node/src/roster.rs
@@ -55,7 +55,7 @@
 pub struct HomeQuestion {
     /// The model.
     pub model: String,
-    /// A node that is out of the question.
+    /// A node that did not answer.
     pub but: Option<SocketAddr>,
 }
 
@@ -155,10 +155,11 @@
     ) -> Option<Runner> {
         let mut state = self.lock();
         state.forget(now, settled);
+        state.forget_member(question.but);
         if let Some(home) = state.named_before(question) {
             return Some(home);
         }
-        let candidates = state.candidates(question.but, settled);
+        let candidates = state.candidates(settled);
         let best = best_home(xxh3_64(question.model.as_bytes()), &candidates)?;
         let home = state.members[best.0 as usize].member.runner.clone();
         state.named.retain(|held| held.model != question.model);
@@ -187,12 +188,17 @@
             .retain(|held| now.duration_since(held.at) < NAMED_FOR && !is_settled(held));
     }
 
+    /// One that is there after all is known again by its next question.
+    fn forget_member(&mut self, address: Option<SocketAddr>) {
+        self.members
+            .retain(|held| Some(held.member.runner.address) != address);
+    }
+
     fn named_before(&self, question: &HomeQuestion) -> Option<Runner> {
         let mut named = self.named.iter();
         let named = named.find(|held| held.model == question.model)?;
         let member = self.member_at(named.address)?;
-        let is_usable = member.takes_steps && question.but != Some(named.address);
-        is_usable.then(|| member.runner.clone())
+        member.takes_steps.then(|| member.runner.clone())
     }
 
     fn member_at(&self, address: SocketAddr) -> Option<&Member> {
@@ -201,7 +207,7 @@
         found.ok().map(|at| &members[at].member)
     }
 
-    fn candidates(&self, but: Option<SocketAddr>, settled: &[Settled]) -> Vec<Candidate> {
+    fn candidates(&self, settled: &[Settled]) -> Vec<Candidate> {
         let settled = settled.iter().map(|held| held.address);
         let named = self.named.iter().map(|held| held.address);
         let mut homes: Vec<SocketAddr> = settled.chain(named).collect();
@@ -211,9 +217,7 @@
             homes[first..].partition_point(|held| *held == address)
         };
         let members = self.members.iter().enumerate();
-        let usable = members.filter(|(_, heard)| {
-            heard.member.takes_steps && but != Some(heard.member.runner.address)
-        });
+        let usable = members.filter(|(_, heard)| heard.member.takes_steps);
         let candidate = |(at, heard): (usize, &Heard)| {
             let address = heard.member.runner.address;
             Candidate {
--- a/crates/node/tests/roster.rs
+++ b/crates/node/tests/roster.rs
@@ -129,6 +129,23 @@
     assert_eq!(again, first);
 }
 
+/// Guards against homes that go back and forth between VMs that are lost together.
+#[test]
+fn a_node_that_did_not_answer_is_named_again_once_it_asks() {
+    let roster = Roster::default();
+    let now = Instant::now();
+    let both = [member(1, 1.0), member(2, 0.9), member(3, 0.1)];
+    both.into_iter().for_each(|member| roster.note(now, member));
+    let named = |but| {
+        let home = roster.home_for(now, &question("m", but), &[]);
+        home.map(|home| home.address.port())
+    };
+    assert_eq!(named(Some(1)), Some(2));
+    assert_eq!(named(Some(2)), Some(3), "not the first one again");
+    roster.note(now, member(1, 1.0));
+    assert_eq!(named(Some(3)), Some(1), "it is back");
+}
+
 /// Guards against a large fleet that is told in more words than a small one: what a node tells
 /// of itself does not grow.
 #[test]
