Each node logs what it uses and which roles it has

A line each ten seconds tells models, seed, orders, upstreams known, peak memory and processor time.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -39,4 +39,5 @@
 pub mod store;
 pub mod submission;
 pub mod usage;
+pub mod vitals;
 pub mod weights;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -64,6 +64,7 @@
 use crate::usage::counting::CountingParts;
 use crate::usage::report::Reporter;
 use crate::usage::report::ReporterParts;
+use crate::vitals::Vitals;
 use crate::weights::Weights;
 use crate::weights::WeightsParts;
 
@@ -393,7 +394,7 @@
         journal: journal.clone(),
     });
     let holder = Holder::new(HolderParts {
-        me,
+        me: me.clone(),
         settings: base.in_force.clone(),
         store: base.store.clone(),
         outage: base.sources.outage.clone(),
@@ -424,7 +425,16 @@
         off: base.off,
         journal: journal.clone(),
     });
-    base.tasks.spawn(weights.clone().run());
+    base.tasks.spawn(weights.run());
+    let vitals = Vitals {
+        me,
+        seeds: base.sources.seeds.clone(),
+        homes: homes.clone(),
+        holder: holder.clone(),
+        fleet: Arc::clone(&fleet),
+        journal: journal.clone(),
+    };
+    base.tasks.spawn(vitals.run());
     Arc::new(Door {
         dialect: Arc::clone(dialect),
         fleet,
--- a/crates/node/tests/roster.rs
+++ b/crates/node/tests/roster.rs
@@ -135,7 +135,9 @@
     let roster = Roster::default();
     let now = Instant::now();
     let both = [member(1, 1.0), member(2, 0.9), member(3, 0.1)];
-    both.into_iter().for_each(|member| roster.note(now, member));
+    for member in both {
+        roster.note(now, member);
+    }
     let named = |but| {
         let home = roster.home_for(now, &question("m", but), &[]);
         home.map(|home| home.address.port())
