Versions of weights are followed by nodes that follow engines

Cause: eight trainers name a version each four seconds, and each was news to every node at once: two answers a second to each of 834 nodes, a fourth of all connections between nodes and seeds, for nodes that only take callers. Grew with nodes x trainers.

Change: the follower of versions waits until the node drafts, orders weights or follows the store. A node that gets a step asks then, in one answer.

Test: versions_are_for_nodes_that_follow_engines; the path from a first step to its engines is that of a_node_learns_of_engines_as_it_gets_a_step.

--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -225,8 +225,10 @@
         seeds_after: None,
         next_seed,
     };
+    follower.await_need().await;
     let mut passed_on = follower.await_seeds().await;
     loop {
+        follower.await_need().await;
         follower.take_interest();
         if passed_on.is_none() {
             passed_on = follower.ask_seeds().await;
@@ -249,6 +251,14 @@
 }
 
 impl Follower {
+    /// Versions of weights say something to nodes that follow engines; each is news to all
+    /// that ask, and trainers name some every second.
+    async fn await_need(&self) {
+        if self.kind == Kind::WeightVersions {
+            self.sources.interest.engines_followed().await;
+        }
+    }
+
     /// The first answer of a seed; waited for for a while.
     async fn await_seeds(&mut self) -> Option<Update> {
         let until = self.sources.clock.now() + SEEDS_START;
--- a/crates/node/src/interest.rs
+++ b/crates/node/src/interest.rs
@@ -176,6 +176,20 @@
         self.changed.notified().await;
     }
 
+    /// Waits until engines are followed, which only nodes do that draft, order or are seeds.
+    pub async fn engines_followed(&self) {
+        loop {
+            let changed = self.changed.notified();
+            tokio::pin!(changed);
+            // Before the look, so that a change in between is not missed.
+            changed.as_mut().enable();
+            if self.models().is_none_or(|models| !models.is_empty()) {
+                return;
+            }
+            changed.await;
+        }
+    }
+
     fn settle(&self, mut state: MutexGuard<'_, State>) {
         let wanted = state.weigh();
         if state.wanted != wanted {
--- a/crates/node/tests/interest.rs
+++ b/crates/node/tests/interest.rs
@@ -79,6 +79,24 @@
     assert_eq!(interest.wanted(), Wanted::All, "it orders weights");
 }
 
+/// Guards against a fleet in which every node hears of every version of every model.
+#[tokio::test(start_paused = true)]
+async fn versions_are_for_nodes_that_follow_engines() {
+    let interest = Interest::default();
+    interest.take_config(&config());
+    interest.take_listed(10_000);
+    let wait = Duration::from_secs(1);
+    let followed = tokio::time::timeout(wait, interest.engines_followed());
+    assert!(followed.await.is_err(), "it only takes callers");
+    let drafts = async {
+        tokio::time::sleep(wait / 2).await;
+        interest.take_drafting(Instant::now(), &[MODEL]);
+    };
+    let followed = tokio::time::timeout(wait, interest.engines_followed());
+    let (followed, ()) = tokio::join!(followed, drafts);
+    assert!(followed.is_ok(), "it has got a step");
+}
+
 struct Case {
     name: &'static str,
     /// Entries of the whole list, one after the other.
