--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -1,6 +1,7 @@
 //! What this node holds to be true of the platform: configuration, upstreams,
 //! versions of weights. Read without locks; replaced whole.
 
+use std::fmt::Display;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
@@ -35,6 +36,9 @@
 /// watch and a seed that fell silent included.
 const CONFIG_YOUNG: Duration = Duration::from_millis(3_500);
 
+/// More upstreams than this that come together are one line in the log.
+const LISTED_ONE_BY_ONE: usize = 4;
+
 /// An upstream in the list.
 #[derive(Debug, Clone)]
 struct Listed {
@@ -111,13 +115,13 @@
     pub whereabouts: bool,
 }
 
-/// What an entry says that an operator wants to know of.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum EntryChange {
-    /// It is new, or begins to leave.
-    Listed,
-    /// Neither.
-    Known,
+/// What came of entries that are taken in together.
+#[derive(Debug, Default)]
+struct TakenEntries {
+    /// Names of upstreams that are new or begin to leave.
+    listed: Vec<String>,
+    /// Addresses at which another start of an upstream answers than before.
+    restarted: Vec<SocketAddr>,
 }
 
 /// What is known of one service's entries.
@@ -373,25 +377,20 @@
     /// Takes in changes of the list of upstreams, and publishes them together.
     pub fn take_upstreams(&self, list: &mut UpstreamList, changes: Vec<Change>) -> TakenUpstreams {
         let now = self.clock.now();
-        let mut restarted = Vec::new();
+        let mut taken = TakenEntries::default();
         for change in changes {
             match change {
-                Change::All(objects) => restarted.extend(self.take_all(list, &objects, now)),
-                Change::Put(object) => {
-                    let (change, address) = self.put(list, &object);
-                    if change == EntryChange::Listed {
-                        self.journal_listed(list, &object.name);
-                    }
-                    restarted.extend(address);
-                }
+                Change::All(objects) => self.take_all(list, &objects, now, &mut taken),
+                Change::Put(object) => self.put(list, &object, &mut taken),
                 Change::Gone(name) => {
                     list.refused.retain(|(held, _)| *held != name);
                     self.remove(list, &name, now);
                 }
             }
         }
+        self.journal_listed(list, &taken.listed);
         TakenUpstreams {
-            restarted,
+            restarted: taken.restarted,
             whereabouts: self.publish(list),
         }
     }
@@ -401,7 +400,8 @@
         list: &mut UpstreamList,
         objects: &[Object],
         now: Instant,
-    ) -> Vec<SocketAddr> {
+        taken: &mut TakenEntries,
+    ) {
         if !list.listed.is_empty() {
             list.regained = Some(now);
         }
@@ -414,33 +414,30 @@
             self.remove(list, &name, now);
         }
         list.refused.retain(|(name, _)| is_listed(name));
-        let mut restarted = Vec::new();
-        let mut news = 0;
         for object in objects {
-            let (change, address) = self.put(list, object);
-            news += usize::from(change == EntryChange::Listed);
-            restarted.extend(address);
+            self.put(list, object, taken);
         }
-        self.journal.event(
-            "upstreams_listed",
-            &[("entries", &objects.len()), ("news", &news)],
-        );
-        restarted
     }
 
-    fn journal_listed(&self, list: &UpstreamList, name: &str) {
-        let found = list
-            .listed
-            .binary_search_by(|held| held.name.as_str().cmp(name));
-        let Ok(at) = found else {
-            return;
-        };
-        let upstream = &list.listed[at].upstream;
-        let (instance, leaving) = (&upstream.instance, upstream.leaving);
-        self.journal.event(
-            "upstream_listed",
-            &[("upstream", instance), ("leaving", &leaving)],
-        );
+    /// Upstreams that are new or begin to leave: a line each, or one for all where many come
+    /// together.
+    fn journal_listed(&self, list: &UpstreamList, names: &[String]) {
+        if names.len() > LISTED_ONE_BY_ONE {
+            let (entries, news) = (list.listed.len(), names.len());
+            let fields: [(&str, &dyn Display); 2] = [("entries", &entries), ("news", &news)];
+            return self.journal.event("upstreams_listed", &fields);
+        }
+        for name in names {
+            let held = &list.listed;
+            let Ok(at) = held.binary_search_by(|held| held.name.cmp(name)) else {
+                continue;
+            };
+            let (instance, leaving) = (&held[at].upstream.instance, held[at].upstream.leaving);
+            self.journal.event(
+                "upstream_listed",
+                &[("upstream", instance), ("leaving", &leaving)],
+            );
+        }
     }
 
     /// Drops upstreams whose time has come; tells whether there were any.
@@ -455,13 +452,12 @@
         self.publish(list)
     }
 
-    /// Takes in an entry; gives the address of an upstream that has started again.
-    fn put(&self, list: &mut UpstreamList, object: &Object) -> (EntryChange, Option<SocketAddr>) {
+    fn put(&self, list: &mut UpstreamList, object: &Object, taken: &mut TakenEntries) {
         let upstream = match self.dialect.upstream(object) {
             Ok(upstream) => upstream,
             Err(error) => {
                 self.refuse(list, object, &error);
-                return (EntryChange::Known, None);
+                return;
             }
         };
         list.refused.retain(|(name, _)| *name != object.name);
@@ -490,12 +486,12 @@
             Some(held) if held.name == object.name => *held = listed,
             _ => list.listed.insert(at, listed),
         }
-        let change = if is_news {
-            EntryChange::Listed
-        } else {
-            EntryChange::Known
-        };
-        (change, restarted.then_some(address))
+        if is_news {
+            taken.listed.push(object.name.clone());
+        }
+        if restarted {
+            taken.restarted.push(address);
+        }
     }
 
     /// An entry of another writer names no upstream, and takes the place of the entry of
