A new order-giver waits until it knows most engines

Cause, by reading: a home that takes the duty of ordering weights has followed the engines of its own models so far, and would have ordered loads for other models among these alone until the whole list arrives.

Change: it gives no orders while it knows less than three quarters of the list. Test: a_part_of_the_list_is_not_all.

--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -36,6 +36,9 @@
 /// watch and a seed that fell silent included.
 const CONFIG_YOUNG: Duration = Duration::from_millis(3_500);
 
+/// Part of the list from which it counts as known.
+const MOST_OF_LIST: f64 = 0.75;
+
 /// More upstreams than this that come together are one line in the log.
 const LISTED_ONE_BY_ONE: usize = 4;
 
@@ -294,6 +297,13 @@
         self.listed.load(Ordering::Relaxed)
     }
 
+    /// Whether most of the whole list is known here. Some entries may name no upstream.
+    #[must_use]
+    pub fn knows_most(&self) -> bool {
+        let known = self.upstreams.load().len();
+        known as f64 >= self.listed() as f64 * MOST_OF_LIST
+    }
+
     /// The whole list of upstreams has so many entries.
     pub fn take_listed(&self, listed: usize) {
         self.listed.store(listed, Ordering::Relaxed);
--- a/crates/node/src/weights.rs
+++ b/crates/node/src/weights.rs
@@ -208,7 +208,13 @@
         if !holds && !sees_engines {
             return Look::Idle;
         }
-        let due = self.due(models.as_deref());
+        // A new holder may have followed its own models' engines only so far, and would take
+        // them for all there are.
+        let due = if holds && !parts.fleet.knows_most() {
+            Vec::new()
+        } else {
+            self.due(models.as_deref())
+        };
         let now = parts.clock.now();
         let stuck = self.is_stuck(now, !due.is_empty(), patience);
         match held {
