A node knows of upstreams what it follows, whoever tells it

What they knew of other engines grew old: one that begins to leave could still be given a sample where a home's own pool is full.

Change: a node that follows parts takes only these from the store too, and learns how many entries there are. Whether it knows all is told with the list (a count that was compared before could be old).

--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -4,6 +4,7 @@
 use std::fmt::Display;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
@@ -22,6 +23,7 @@
 use crate::dialect::Dialect;
 use crate::dialect::Object;
 use crate::duty::BootClock;
+use crate::follow::Extent;
 use crate::model::Config;
 use crate::model::ModelVersion;
 use crate::model::Upstream;
@@ -36,9 +38,6 @@
 /// watch and a seed that fell silent included.
 const CONFIG_YOUNG: Duration = Duration::from_millis(3_500);
 
-/// Part of the list from which it counts as known.
-const MOST_OF_LIST: f64 = 0.75;
-
 /// More upstreams than this that come together are one line in the log.
 const LISTED_ONE_BY_ONE: usize = 4;
 
@@ -85,6 +84,8 @@
     demands: Arc<Demands>,
     /// Entries of the whole list of upstreams, as far as seeds told.
     listed: AtomicUsize,
+    /// All of them are known here.
+    knows_all: AtomicBool,
     changed: Notify,
 }
 
@@ -219,6 +220,7 @@
             named: ArcSwap::default(),
             demands: Arc::default(),
             listed: AtomicUsize::new(0),
+            knows_all: AtomicBool::new(false),
             changed: Notify::new(),
         })
     }
@@ -297,16 +299,20 @@
         self.listed.load(Ordering::Relaxed)
     }
 
-    /// Whether most of the whole list is known here. Some entries may name no upstream.
+    /// Whether every entry of the list of upstreams is known here, not only a part.
     #[must_use]
-    pub fn knows_most(&self) -> bool {
-        let known = self.upstreams.load().len();
-        known as f64 >= self.listed() as f64 * MOST_OF_LIST
+    pub fn knows_all(&self) -> bool {
+        self.knows_all.load(Ordering::Relaxed)
     }
 
-    /// The whole list of upstreams has so many entries.
-    pub fn take_listed(&self, listed: usize) {
-        self.listed.store(listed, Ordering::Relaxed);
+    /// What of the list of upstreams is followed.
+    pub fn take_extent(&self, extent: Extent) {
+        if let Some(listed) = extent.listed {
+            self.listed.store(listed, Ordering::Relaxed);
+        }
+        if let Some(whole) = extent.whole {
+            self.knows_all.store(whole, Ordering::Relaxed);
+        }
     }
 
     /// Waits until a configuration is known.
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -172,8 +172,17 @@
     /// suspended time. A watch counts from when it was sent: one that waits may hear nothing
     /// while the store drops its history. `None` if the answer may be old.
     pub as_of: Option<Duration>,
-    /// Objects of the kind in all, where a seed told.
+    /// What of the kind is followed.
+    pub extent: Extent,
+}
+
+/// How much of a kind's list a node is told of; `None` for what is as before.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Extent {
+    /// Objects in all.
     pub listed: Option<usize>,
+    /// All of them are told, not only a part.
+    pub whole: Option<bool>,
 }
 
 /// One kind as its follower knows it.
@@ -319,7 +328,10 @@
         (is_young && passing.revision >= self.newest).then(|| Update {
             revision: passing.revision,
             news: News {
-                listed: Some(passing.listed),
+                extent: Extent {
+                    listed: Some(passing.listed),
+                    whole: passing.whole.then_some(self.wanted == Wanted::All),
+                },
                 as_of: passing.as_of_for(sent),
                 changes: passing.into_changes(),
             },
@@ -369,13 +381,18 @@
             // stale one is already gone, and no watch could start from it.
             None => {
                 let sent = self.sources.boot_clock.since_boot();
-                let (objects, revision) =
+                let (mut objects, revision) =
                     list(&self.sources.store, self.kind, Freshness::Newest).await?;
                 self.listed = Some(self.sources.clock.now());
+                let extent = Extent {
+                    listed: Some(objects.len()),
+                    whole: Some(self.wanted == Wanted::All),
+                };
+                objects.retain(|object| self.is_wanted(object));
                 Update {
                     revision,
                     news: News {
-                        listed: None,
+                        extent,
                         changes: vec![Change::All(objects)],
                         as_of: Some(sent),
                     },
@@ -400,6 +417,18 @@
         Ok(update)
     }
 
+    /// Whether this node follows an object that the store shows. A node must not know what it
+    /// does not follow: once it asks a seed again it hears no change of that.
+    fn is_wanted(&self, object: &Object) -> bool {
+        match &self.wanted {
+            Wanted::Parts(parts) if self.kind == Kind::Upstreams => {
+                let whereabouts = self.whereabouts_of(object);
+                whereabouts.is_none_or(|whereabouts| parts.have(whereabouts))
+            }
+            Wanted::Parts(_) | Wanted::All => true,
+        }
+    }
+
     /// Whereabouts that an entry tells; none if it cannot be read.
     fn whereabouts_of(&self, object: &Object) -> Option<Whereabouts> {
         if self.kind != Kind::Upstreams {
@@ -442,7 +471,7 @@
                 changes, revision, ..
             } => {
                 let changes = changes.into_iter().map(|change| {
-                    if change.deleted {
+                    if change.deleted || !self.is_wanted(&change.object) {
                         Change::Gone(change.object.name)
                     } else {
                         Change::Put(change.object)
@@ -451,7 +480,7 @@
                 Ok(Update {
                     revision,
                     news: News {
-                        listed: None,
+                        extent: Extent::default(),
                         changes: changes.collect(),
                         as_of: (freshness == Freshness::Newest).then_some(sent),
                     },
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -504,9 +504,8 @@
         let mut list = followed
             .lock()
             .unwrap_or_else(std::sync::PoisonError::into_inner);
-        // The store shows all there is, and a seed's count is old then.
-        fleet.take_listed(news.listed.unwrap_or_default());
-        if let Some(listed) = news.listed {
+        fleet.take_extent(news.extent);
+        if let Some(listed) = news.extent.listed {
             interest.take_listed(listed);
         }
         let taken = fleet.take_upstreams(&mut list, news.changes);
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -227,6 +227,12 @@
 }
 
 impl Parts {
+    /// Whether an upstream belongs to them.
+    #[must_use]
+    pub fn have(&self, whereabouts: Whereabouts) -> bool {
+        self.part_of(whereabouts) != Part::Nothing
+    }
+
     /// What of an upstream belongs to them.
     fn part_of(&self, whereabouts: Whereabouts) -> Part {
         let is_in = |held: &ModelSlice| {
--- a/crates/node/src/weights.rs
+++ b/crates/node/src/weights.rs
@@ -210,7 +210,7 @@
         }
         // A new holder may have followed its own models' engines only so far, and would take
         // them for all there are.
-        let due = if holds && !parts.fleet.knows_most() {
+        let due = if holds && !parts.fleet.knows_all() {
             Vec::new()
         } else {
             self.due(models.as_deref())
