How old a seed's knowledge may be follows from the settings' bounds

Cause: knowledge was too old after 1.3 s, which the smallest bound of a deployment with seeds asks for.

Change: half of the time in which an upstream leaves or a configuration comes into force, less if a silent seed and a request on its way need it: 1.3 s at a bound of 2.8 s as before, 1.5 at 3 s, 2.5 at 5 s.

--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -34,7 +34,6 @@
 use crate::relay::Relay;
 use crate::relay::SEED_WATCH;
 use crate::relay::Whereabouts;
-use crate::relay::age_most_ms;
 use crate::relay::name_of;
 use crate::roster::MEMBER;
 use crate::roster::Standing;
@@ -324,7 +323,7 @@
 
     /// What a seed passes on that was asked then, unless it knows too little.
     fn update_of(&self, passing: Passing, sent: Duration) -> Option<Update> {
-        let is_young = passing.age_ms <= age_most_ms();
+        let is_young = self.sources.relay.is_young(passing.age_ms);
         (is_young && passing.revision >= self.newest).then(|| Update {
             revision: passing.revision,
             news: News {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -46,6 +46,8 @@
 use crate::mechanisms::Mechanism;
 use crate::mechanisms::Off;
 use crate::outage::Outage;
+use crate::relay::Relay;
+use crate::relay::age_most;
 use crate::reload;
 use crate::reload::InForce;
 use crate::reload::Reload;
@@ -88,7 +90,7 @@
 const SEED_PAUSE: Duration = Duration::from_millis(200);
 
 /// Nodes follow seeds where upstreams that leave may get requests for this long: a node
-/// works with what may be `AGE_MOST` old, and notices a dead seed `POLL_TIMEOUT` late.
+/// works with what is some time old, and notices a dead seed late (`relay`).
 const RELAY_FROM: Duration = Duration::from_millis(2_800);
 
 /// Time between looks at time-bound decisions of live calls.
@@ -152,7 +154,7 @@
             store: store.clone(),
             links: links.clone(),
             seeds: Seeds::default(),
-            relay: Arc::default(),
+            relay: Arc::new(Relay::new(age_most(settings.news_bound()))),
             interest: Arc::default(),
             standing: standing_of(&settings),
             dialect: Arc::clone(&dialect),
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -12,9 +12,9 @@
 //! back. A seed says how old its knowledge is; if that is too old, or no seed answers,
 //! a node asks the store itself.
 //!
-//! A node may work with what is [`AGE_MOST`] old, notices a silent seed after
-//! [`POLL_TIMEOUT`], and then asks the store. So this is for deployments that allow an
-//! upstream that leaves more than both.
+//! A node notices a silent seed after [`POLL_TIMEOUT`], and then asks the store. So this is for
+//! deployments that allow an upstream that leaves more than that and the age of what a seed
+//! knows ([`age_most`]).
 
 use std::collections::VecDeque;
 use std::sync::Mutex;
@@ -51,10 +51,13 @@
     ("duties", Kind::Duties),
 ];
 
-/// A seed's knowledge may be this old: its watches end after [`SEED_WATCH`].
-pub const AGE_MOST: Duration = Duration::from_millis(1_300);
+/// Least age that a seed's knowledge may have: its watches end after [`SEED_WATCH`].
+const AGE_LEAST: Duration = Duration::from_millis(1_300);
 
-/// How long one watch of a seed may wait, so that its age stays below [`AGE_MOST`].
+/// Time for a request that is on its way by what a node knew.
+const ON_ITS_WAY: Duration = Duration::from_millis(200);
+
+/// How long one watch of a seed may wait, so that its age stays below [`AGE_LEAST`].
 pub const SEED_WATCH: Duration = Duration::from_secs(1);
 
 /// How long a seed holds a question for which it has nothing new.
@@ -297,9 +300,24 @@
 }
 
 /// What one node holds of the kinds that seeds pass on.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Relay {
     kinds: [Held; KINDS.len()],
+    age_most: Duration,
+}
+
+impl Default for Relay {
+    fn default() -> Self {
+        Self::new(AGE_LEAST)
+    }
+}
+
+/// How old a seed's knowledge may be where a change has to be in force within `bound`. A seed
+/// that lists anew is behind for a while, and all nodes would ask the store instead.
+#[must_use]
+pub fn age_most(bound: Duration) -> Duration {
+    let left = bound.saturating_sub(POLL_TIMEOUT + ON_ITS_WAY);
+    left.min(bound / 2).max(AGE_LEAST)
 }
 
 /// The name of a kind in paths, if seeds pass it on.
@@ -317,6 +335,21 @@
 }
 
 impl Relay {
+    /// Nothing is held yet; knowledge may be so old.
+    #[must_use]
+    pub fn new(age_most: Duration) -> Self {
+        Self {
+            kinds: Default::default(),
+            age_most,
+        }
+    }
+
+    /// Whether knowledge of this age does.
+    #[must_use]
+    pub const fn is_young(&self, age_ms: u64) -> bool {
+        age_ms as u128 <= self.age_most.as_millis()
+    }
+
     /// Keeps what the store has shown, up to this revision.
     pub fn keep(
         &self,
@@ -375,7 +408,7 @@
             let passing = held.lock().passing(question, now());
             let waited = tokio::time::Instant::now() >= until;
             let is_news = passing.whole || !passing.objects.is_empty();
-            if waited || is_news || passing.age_ms > age_most_ms() {
+            if waited || is_news || !self.is_young(passing.age_ms) {
                 return passing;
             }
             // Late or not, the loop looks again.
@@ -402,12 +435,6 @@
     }
 }
 
-/// [`AGE_MOST`] in milliseconds.
-#[must_use]
-pub const fn age_most_ms() -> u64 {
-    AGE_MOST.as_millis() as u64
-}
-
 impl Mirror {
     fn passing(&self, question: &Question, now: Instant) -> Passing {
         let age = self.heard.map(|heard| now.duration_since(heard));
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -256,6 +256,12 @@
         Duration::from_millis(self.config_apply_ms)
     }
 
+    /// Within this time nodes have to know what is new.
+    #[must_use]
+    pub fn news_bound(&self) -> Duration {
+        self.leaving().min(self.config_apply())
+    }
+
     /// How long a key that was taken away may be served, where that is bounded for all nodes.
     #[must_use]
     pub fn revocation(&self) -> Option<Duration> {
