Tests of failures say in one line which failure they guard against

No test changes.

one_claim_at_most_is_told_to_run: A caller whose entry, or the holder of whose record, fails between start and answer sends its charged call again, elsewhere. Whatever the order of claim, end, pause, death and outage, one claim at most is told to run, and a claim that was refused leaves the call free for the next.

objects_stay_small_and_few: Large answers and an hour of calls on one shard. Each object stays below the platform's megabyte, and slots whose records are past retention are used again, so that the number of objects stays bounded as well.

the_first_of_two_changes_to_one_file_wins: Two operators set the same limit at the same moment. One of them reads that it was accepted; if the other's write came through as well, the first one's change would be gone without a word to anyone.

an_apply_that_the_log_has_passed_is_refused: An operator's write hangs at a slow platform. Meanwhile more changes are accepted than the log holds, one of them to the same file. The log no longer shows that one; going on from the new head would overwrite it unseen.

no_steward_serves_less_than_the_fleet_holds: The object API is down, and all VMs are replaced one by one, in any order. The configuration has to be handed on from those that still hold it, or the fleet would be without one until the platform is back.

a_fresh_vm_does_not_serve_what_a_stale_peer_holds: A VM is cut off while a change is accepted. Then the object API fails, and the VM is reached again by one other alone, which starts with nothing and may ask it first. Taking its word, the fresh VM would serve a revision that the fleet has left behind.

a_vm_that_is_cut_off_is_named_as_not_confirmed: An operator applies while one VM is cut off, and stewards hold it for dead. The VM still answers callers with the old configuration, and the platform lists it: "in force everywhere" without it would be a lie.

swaps_and_broken_streams_make_no_wrong_sample: A trainer learns from text under the wrong version's name, or from half an answer: weights are swapped while drafts run, and meanwhile engines send chunks late, twice, without a version, or end a stream early.

a_step_takes_little_longer_than_its_longest_sample: A trainer waits for one long sample that its engine's crash threw back to the start: each step has a few samples ten times as long as the rest, and an engine crashes in the middle of it.

long_waits_show_in_the_percentiles: A caller waits for seconds, a trainer for minutes, and the report says a few milliseconds: values above what the histogram could tell apart were counted as its least.

half_an_answer_never_looks_whole: Engines die while they answer, and close some of the streams in good order: a caller sees an answer that ends in the middle and takes it for whole, or has to ask again. The entry lets such an answer go on at another engine.

live_calls_are_not_starved_by_training: Training offers more than the engines can do. Callers of the baseline with fixed limits wait behind it and are answered late; here they are not, and training gets the rest.

committed_feed_traces_hold: A holder dies or pauses in each phase of a step, the platform goes away, vaults lose their disks, trainers restart. Every step still reaches its trainer once, whole, fresh and rightly labelled.

promises_hold_under_each_fault: Each line of what may fail happens in the middle of charged calls and steps. Whatever it does to speed, no sample is lost, doubled, stale or wrongly labelled, and no charged call runs twice.

crashes_with_charged_calls_in_flight_run_none_twice: Charged calls take 300 ms, and the instances that run them crash again and again. Callers resend under the same key. A call that had reached an instance is neither said not to have run nor run a second time, whichever VM is asked.

a_damaged_lot_is_missing_and_can_be_put_again: A VM loses power while its vault writes, or its disk changes a bit. After the start the lot is either there as it was written or missing, and it can be put again; it is never there with other bytes, and a vault that did not restart finds the damage as it reads.

a_failing_disk_refuses_and_loses_nothing_else: A disk is full or fails while a holder puts a lot: the holder hears so and goes to another vault. What was stored before stays, and once the disk is well the lot can be put, without the remains of the failed try between its parts.

no_wrong_stream_makes_a_sample: A trainer gets a sample with a piece missing, doubled, in the wrong place or under another version's name, because an engine sent its stream so. No such stream makes a sample; one that only came in another order makes the right one.

an_answer_goes_on_behind_the_events_that_were_passed: An engine dies while a caller reads its answer, at some byte of it. The caller would see half an event, and the next engine would go on from a text that the caller does not have: words doubled or left out.

a_reader_that_stalls_stops_nothing: A VM stopped answering callers: whoever read its standard output had stalled, and the write of a log line waited for it. Lines now wait in a bounded queue; those beyond it are dropped, and the log says how many.

the_held_revision_never_falls: Heads and changes of one history arrive in any order, from peers that are behind as well. What a node holds never falls, and is always a head that was truly accepted.

a_missed_suspect_shows_in_the_digest: A caller's request had crashed three upstreams. One VM was down then, and the report of the third loss was handed on to others only. It ran the request once more, 4 s after its start: nothing ever compared which suspects two VMs know.

a_request_and_a_step_survive_a_kill_and_a_freeze: A line supervisor asks for a card while a feed drafts. First all is well. Then the VM that holds the feed dies with SIGKILL in the middle of a step: the other VM still answers, takes the feed and delivers on. Then that VM's entry is frozen and thawed: what it was asked meanwhile is answered whole. No sample may be lost, doubled or wrongly labelled by any of it.

a_drain_cuts_off_no_request_in_flight: A platform engineer drains a VM by SIGTERM while its entry works on a call. The call is answered whole, health checks fail meanwhile, and the process ends of itself with success.

no_order_of_events_doubles_or_loses_a_step: A kitchen's trainer gets a portion twice, or never: two VMs believe that they hold its feed, one of them after a pause, a crash or a write whose reply was lost, and each seals, voids and accepts by what it last saw. Whatever the order, each step must be trained on once, and as it was accepted.

a_vault_killed_in_an_append_keeps_what_it_confirmed: A vault is killed in the middle of an append, and the last of its bytes are lost as in a power cut. The torn tail is cut at the start; the lot that it had confirmed before is there as it was, and the one that was torn ends up on both vaults, whole.

an_accepted_lot_is_taken_again_after_its_holder_died: A trainer accepts a lot and dies before it has trained on it; so does the holder, by SIGKILL. The next holder gives the accepted lot again, the same bytes, and takes the lot over that was sealed after it: nothing is drafted twice.

a_failure_through_one_node_leaves_the_way_through_another: The home of a model is cut off from the store and from two of three seeds. One call found the third seed; a write that had tried another one meanwhile failed, and its failure made all calls forget the seed that worked. Results were listed 8 s late.

what_a_changed_file_puts_in_force: An operator replaced the seeds and signalled every node. The nodes went on asking seeds that were gone, each waited out its limits, and the store had the calls of all of them. A file that is half written, or malformed, changes nothing.

a_trainer_goes_on_soon: Trainers whose longest samples take nearly all of the time that a step may take fell behind by half a second a step: the last group was listed, and its trainer went on half a second later. It had asked just before, and been given a sample that made nothing whole.

what_callers_and_steps_get: Passengers looked their claims up and waited for half a second: a step's texts had become whole together, and their hundred reward calls filled every place of the service, though the step had six seconds to go.

load_that_fits_is_answered_whatever_the_rest_offers: A caller whose own load fits sees late or refused answers as soon as others offer more than fits: training without end, a burst, one caller with ten times its share, long answers. Without lanes, fair queues and reserved slots all wait in one line for slots that the others hold.

a_crashed_upstream_is_tried_again_while_others_have_room: An upstream crashes and comes back while its peers have room. Everything went on to the peers for good: the one slot of an upstream on trial counted as its whole share, so it looked full beside them, and each crash cost the fleet an upstream.

a_trainer_has_its_last_group_soon: Trainers of a calm fleet fell behind by a quarter of a second a step: the last group of a step was there half a second before its trainer went on. It had asked just before, and had been given a sample that made no group whole.

as_many_load_as_the_weight_store_serves: Of 1,000 engines 250 loaded at once from a store that serves twelve.

samples_that_come_together_go_where_each_would_alone: A step whose samples came together was placed by another way than samples that come one by one, since a look at each engine for each of them takes too long on large pools. Both ways have to end at the same engines.

a_request_is_tried_alone_then_quarantined_then_cleared: A caller sees its service go upstream by upstream: one request crashes what runs it, and is retried here and resent elsewhere. The counts of all VMs together must stop it at three, and an answer must clear whoever was beside it.

a_step_begins_on_one_set_while_the_other_loads: A trainer's step comes as version 5 is named, and takes versions 4 and 5. With one set of engines for its model, all of them had version 4 and began to load version 5 just then: samples waited for an engine, while engines of other models did nothing.

the_model_without_a_usable_engine_loads_first: Three trainers name versions within a second. The engines of one model were all two versions behind, those of another had a set that its step could begin on; that model's second set loaded first, and the first trainer waited for three loads in a row.

--- a/crates/bench/tests/charges.rs
+++ b/crates/bench/tests/charges.rs
@@ -150,10 +150,8 @@
     steps: Vec<Step>,
 }
 
-/// A caller whose entry, or the holder of whose record, fails between start and
-/// answer sends its charged call again, elsewhere. Whatever the order of claim,
-/// end, pause, death and outage, one claim at most is told to run, and a claim
-/// that was refused leaves the call free for the next.
+/// Guards against a charged call that runs twice, or never, whatever fails between its claim and
+/// its end.
 #[tokio::test(start_paused = true)]
 async fn one_claim_at_most_is_told_to_run() {
     use Step::*;
@@ -267,9 +265,7 @@
     }
 }
 
-/// Large answers and an hour of calls on one shard. Each object stays below the
-/// platform's megabyte, and slots whose records are past retention are used
-/// again, so that the number of objects stays bounded as well.
+/// Guards against objects of charged calls that outgrow the platform's limit, or pile up.
 #[tokio::test(start_paused = true)]
 async fn objects_stay_small_and_few() {
     let fleet = fleet().await;
--- a/crates/bench/tests/configuration.rs
+++ b/crates/bench/tests/configuration.rs
@@ -40,9 +40,7 @@
     serde_json::from_slice(&value).expect("a head in JSON")
 }
 
-/// Two operators set the same limit at the same moment. One of them reads that
-/// it was accepted; if the other's write came through as well, the first one's
-/// change would be gone without a word to anyone.
+/// Guards against an accepted change that a racing operator's write takes back unseen.
 #[test]
 fn the_first_of_two_changes_to_one_file_wins() {
     on_paused_clock(async {
@@ -66,9 +64,7 @@
     });
 }
 
-/// An operator's write hangs at a slow platform. Meanwhile more changes are
-/// accepted than the log holds, one of them to the same file. The log no longer
-/// shows that one; going on from the new head would overwrite it unseen.
+/// Guards against a late write that overwrites changes which the log no longer shows.
 #[test]
 fn an_apply_that_the_log_has_passed_is_refused() {
     on_paused_clock(async {
@@ -115,9 +111,7 @@
     order: &'static [usize],
 }
 
-/// The object API is down, and all VMs are replaced one by one, in any order. The
-/// configuration has to be handed on from those that still hold it, or the fleet
-/// would be without one until the platform is back.
+/// Guards against a configuration that is lost as all VMs are replaced while the platform is away.
 #[test]
 fn no_steward_serves_less_than_the_fleet_holds() {
     let cases = [
@@ -164,10 +158,7 @@
     }
 }
 
-/// A VM is cut off while a change is accepted. Then the object API fails, and the
-/// VM is reached again by one other alone, which starts with nothing and may ask
-/// it first. Taking its word, the fresh VM would serve a revision that the fleet
-/// has left behind.
+/// Guards against a fresh VM that serves an old revision on the word of one VM that was cut off.
 #[test]
 fn a_fresh_vm_does_not_serve_what_a_stale_peer_holds() {
     for seed in 0..8 {
@@ -208,9 +199,8 @@
     }
 }
 
-/// An operator applies while one VM is cut off, and stewards hold it for dead.
-/// The VM still answers callers with the old configuration, and the platform
-/// lists it: "in force everywhere" without it would be a lie.
+/// Guards against "in force everywhere" while a VM that is cut off still answers callers by the old
+/// one.
 #[test]
 fn a_vm_that_is_cut_off_is_named_as_not_confirmed() {
     on_paused_clock(async {
--- a/crates/bench/tests/feeds.rs
+++ b/crates/bench/tests/feeds.rs
@@ -34,17 +34,14 @@
     }
 }
 
-/// A trainer learns from text under the wrong version's name, or from half an
-/// answer: weights are swapped while drafts run, and meanwhile engines send
-/// chunks late, twice, without a version, or end a stream early.
+/// Guards against samples under a wrong version, or of half an answer, as weights change and
+/// streams break.
 #[test]
 fn swaps_and_broken_streams_make_no_wrong_sample() {
     assert_held("feed-swap-midstream", &[1, 2]);
 }
 
-/// A trainer waits for one long sample that its engine's crash threw back to
-/// the start: each step has a few samples ten times as long as the rest, and an
-/// engine crashes in the middle of it.
+/// Guards against a step that waits for a long sample which a crash threw back to the start.
 #[test]
 fn a_step_takes_little_longer_than_its_longest_sample() {
     assert_held("feed-stragglers", &[1]);
--- a/crates/bench/tests/judge.rs
+++ b/crates/bench/tests/judge.rs
@@ -11,9 +11,7 @@
     millis: u64,
 }
 
-/// A caller waits for seconds, a trainer for minutes, and the report says a few
-/// milliseconds: values above what the histogram could tell apart were counted as
-/// its least. Long waits are what the figures are for.
+/// Guards against waits of minutes that a report shows as milliseconds.
 #[test]
 fn long_waits_show_in_the_percentiles() {
     let cases = [
--- a/crates/bench/tests/load.rs
+++ b/crates/bench/tests/load.rs
@@ -67,9 +67,7 @@
     })
 }
 
-/// Engines die while they answer, and close some of the streams in good order:
-/// a caller sees an answer that ends in the middle and takes it for whole, or has
-/// to ask again. The entry lets such an answer go on at another engine.
+/// Guards against an answer that ends in the middle and looks whole as engines die.
 #[test]
 fn half_an_answer_never_looks_whole() {
     let crashes: Vec<Value> = (1..8)
@@ -91,9 +89,7 @@
     );
 }
 
-/// Training offers more than the engines can do. Callers of the baseline with
-/// fixed limits wait behind it and are answered late; here they are not, and
-/// training gets the rest.
+/// Guards against callers that wait behind more training than the engines can do.
 #[test]
 fn live_calls_are_not_starved_by_training() {
     let extra = unlimited_training();
--- a/crates/bench/tests/lots.rs
+++ b/crates/bench/tests/lots.rs
@@ -51,9 +51,8 @@
     "feed-vault-loss",
 ];
 
-/// A holder dies or pauses in each phase of a step, the platform goes away,
-/// vaults lose their disks, trainers restart. Every step still reaches its
-/// trainer once, whole, fresh and rightly labelled.
+/// Guards against steps that are lost, doubled or stale as holders, platform, vaults and trainers
+/// fail.
 #[test]
 fn committed_feed_traces_hold() {
     for name in FEED_TRACES {
--- a/crates/bench/tests/replays.rs
+++ b/crates/bench/tests/replays.rs
@@ -74,9 +74,7 @@
     faults: Value,
 }
 
-/// Each line of what may fail happens in the middle of charged calls and steps.
-/// Whatever it does to speed, no sample is lost, doubled, stale or wrongly
-/// labelled, and no charged call runs twice.
+/// Guards against samples and charged calls that any one fault loses or doubles.
 #[test]
 fn promises_hold_under_each_fault() {
     let cases = [
@@ -133,9 +131,7 @@
     }
 }
 
-/// Charged calls take 300 ms, and the instances that run them crash again and
-/// again. Callers resend under the same key. A call that had reached an instance
-/// is neither said not to have run nor run a second time, whichever VM is asked.
+/// Guards against a charged call that runs twice as the instances that run it crash.
 #[test]
 fn crashes_with_charged_calls_in_flight_run_none_twice() {
     let crash = |at_s: u32, target: u32| json!({"at_s": at_s, "kind": "upstream-crash", "target": target, "for_s": 1});
--- a/crates/bench/tests/vault.rs
+++ b/crates/bench/tests/vault.rs
@@ -56,10 +56,7 @@
     seen_at_start: bool,
 }
 
-/// A VM loses power while its vault writes, or its disk changes a bit. After the
-/// start the lot is either there as it was written or missing, and it can be put
-/// again; it is never there with other bytes, and a vault that did not restart
-/// finds the damage as it reads.
+/// Guards against a lot with other bytes than were written, after a loss of power or a changed bit.
 #[test]
 fn a_damaged_lot_is_missing_and_can_be_put_again() {
     let cases = [
@@ -133,9 +130,8 @@
     expected: &'static str,
 }
 
-/// A disk is full or fails while a holder puts a lot: the holder hears so and goes
-/// to another vault. What was stored before stays, and once the disk is well the
-/// lot can be put, without the remains of the failed try between its parts.
+/// Guards against a full or failing disk that loses what it had stored, or keeps parts of a failed
+/// try.
 #[test]
 fn a_failing_disk_refuses_and_loses_nothing_else() {
     let cases = [
--- a/crates/firweir/tests/chunks.rs
+++ b/crates/firweir/tests/chunks.rs
@@ -130,9 +130,7 @@
     assembly.whole()
 }
 
-/// A trainer gets a sample with a piece missing, doubled, in the wrong place or
-/// under another version's name, because an engine sent its stream so. No such
-/// stream makes a sample; one that only came in another order makes the right one.
+/// Guards against samples with a piece missing, doubled, misplaced or mislabelled by an engine.
 #[test]
 fn no_wrong_stream_makes_a_sample() {
     for case in CASES {
--- a/crates/firweir/tests/continued.rs
+++ b/crates/firweir/tests/continued.rs
@@ -14,9 +14,7 @@
     )
 }
 
-/// An engine dies while a caller reads its answer, at some byte of it. The caller would
-/// see half an event, and the next engine would go on from a text that the caller does
-/// not have: words doubled or left out.
+/// Guards against words doubled or left out where an answer goes on at another engine.
 #[test]
 fn an_answer_goes_on_behind_the_events_that_were_passed() {
     struct Case {
--- a/crates/firweir/tests/logs.rs
+++ b/crates/firweir/tests/logs.rs
@@ -30,9 +30,7 @@
     }
 }
 
-/// A VM stopped answering callers: whoever read its standard output had stalled, and
-/// the write of a log line waited for it. Lines now wait in a bounded queue; those
-/// beyond it are dropped, and the log says how many.
+/// Guards against a reader of the logs that stalls and stops callers.
 #[test]
 fn a_reader_that_stalls_stops_nothing() {
     let (lines, queued) = sync_channel(4);
--- a/crates/firweir/tests/observed.rs
+++ b/crates/firweir/tests/observed.rs
@@ -168,9 +168,7 @@
         prop_assert_eq!(taken(&twice(&reports)), taken(&reports));
     }
 
-    /// Heads and changes of one history arrive in any order, from peers that are
-    /// behind as well. What a node holds never falls, and is always a head that
-    /// was truly accepted.
+    /// Guards against a configuration that goes back as heads arrive in any order.
     #[test]
     fn the_held_revision_never_falls(
         changes in 1..90_u64,
@@ -267,9 +265,8 @@
     }
 }
 
-/// A caller's request had crashed three upstreams. One VM was down then, and the
-/// report of the third loss was handed on to others only. It ran the request once
-/// more, 4 s after its start: nothing ever compared which suspects two VMs know.
+/// Guards against a request that crashes a fourth upstream, since a VM that was down missed a
+/// report.
 #[test]
 fn a_missed_suspect_shows_in_the_digest() {
     struct Case {
--- a/crates/firweir/tests/processes.rs
+++ b/crates/firweir/tests/processes.rs
@@ -47,11 +47,7 @@
     (status == 200 && own && text.contains("x-firweir-outcome: answered")).then_some(())
 }
 
-/// A line supervisor asks for a card while a feed drafts. First all is well.
-/// Then the VM that holds the feed dies with SIGKILL in the middle of a step:
-/// the other VM still answers, takes the feed and delivers on. Then that VM's
-/// entry is frozen and thawed: what it was asked meanwhile is answered whole.
-/// No sample may be lost, doubled or wrongly labelled by any of it.
+/// Guards against requests and samples lost or doubled as a holder is killed and an entry frozen.
 #[test]
 fn a_request_and_a_step_survive_a_kill_and_a_freeze() {
     let fleet = Fleet::plan("kill-and-freeze", 2);
@@ -104,9 +100,7 @@
     }
 }
 
-/// A platform engineer drains a VM by SIGTERM while its entry works on a call.
-/// The call is answered whole, health checks fail meanwhile, and the process
-/// ends of itself with success.
+/// Guards against a drain that cuts off a call.
 #[test]
 fn a_drain_cuts_off_no_request_in_flight() {
     let fleet = Fleet::plan("drain", 1);
--- a/crates/firweir/tests/record.rs
+++ b/crates/firweir/tests/record.rs
@@ -468,10 +468,7 @@
     vault_losses: 0,
 };
 
-/// A kitchen's trainer gets a portion twice, or never: two VMs believe that they
-/// hold its feed, one of them after a pause, a crash or a write whose reply was
-/// lost, and each seals, voids and accepts by what it last saw. Whatever the
-/// order, each step must be trained on once, and as it was accepted.
+/// Guards against a step that is trained on twice, or never, in any order of two holders' acts.
 #[test]
 fn no_order_of_events_doubles_or_loses_a_step() {
     let cases = [
--- a/crates/firweir/tests/vaults.rs
+++ b/crates/firweir/tests/vaults.rs
@@ -110,10 +110,7 @@
     vault
 }
 
-/// A vault is killed in the middle of an append, and the last of its bytes are
-/// lost as in a power cut. The torn tail is cut at the start; the lot that it had
-/// confirmed before is there as it was, and the one that was torn ends up on both
-/// vaults, whole.
+/// Guards against a torn append that takes confirmed lots along.
 #[test]
 fn a_vault_killed_in_an_append_keeps_what_it_confirmed() {
     let fleet = Fleet::plan_with_vaults("vault-kill", 2);
@@ -161,10 +158,7 @@
     (status == 200).then(|| body.to_owned())
 }
 
-/// A trainer accepts a lot and dies before it has trained on it; so does the
-/// holder, by SIGKILL. The next holder gives the accepted lot again, the same
-/// bytes, and takes the lot over that was sealed after it: nothing is drafted
-/// twice.
+/// Guards against a lot that is drafted twice, or differs, after its trainer and holder died.
 #[test]
 fn an_accepted_lot_is_taken_again_after_its_holder_died() {
     let fleet = Fleet::plan_with_vaults("accepted-again", 2);
--- a/crates/node/tests/detour.rs
+++ b/crates/node/tests/detour.rs
@@ -15,9 +15,7 @@
     start + Duration::from_millis(ms)
 }
 
-/// The home of a model is cut off from the store and from two of three seeds. One call
-/// found the third seed; a write that had tried another one meanwhile failed, and its
-/// failure made all calls forget the seed that worked. Results were listed 8 s late.
+/// Guards against a failure through one seed that makes all calls forget the seed that works.
 #[test]
 fn a_failure_through_one_node_leaves_the_way_through_another() {
     let start = Instant::now();
--- a/crates/node/tests/reload.rs
+++ b/crates/node/tests/reload.rs
@@ -59,9 +59,7 @@
     grace_s: u64,
 }
 
-/// An operator replaced the seeds and signalled every node. The nodes went on asking seeds
-/// that were gone, each waited out its limits, and the store had the calls of all of them.
-/// A file that is half written, or malformed, changes nothing.
+/// Guards against nodes that go on with seeds which are gone, or take in half of a settings file.
 #[tokio::test]
 async fn what_a_changed_file_puts_in_force() {
     let cases = [
--- a/crates/policy/tests/answering.rs
+++ b/crates/policy/tests/answering.rs
@@ -123,9 +123,7 @@
     }
 }
 
-/// Trainers whose longest samples take nearly all of the time that a step may take fell behind
-/// by half a second a step: the last group was listed, and its trainer went on half a
-/// second later. It had asked just before, and been given a sample that made nothing whole.
+/// Guards against a trainer that goes on half a second after its last group was listed.
 #[test]
 fn a_trainer_goes_on_soon() {
     let mean_of = |is_held| {
--- a/crates/policy/tests/background.rs
+++ b/crates/policy/tests/background.rs
@@ -234,9 +234,7 @@
     done_within_ms: u64,
 }
 
-/// Passengers looked their claims up and waited for half a second: a step's texts had
-/// become whole together, and their hundred reward calls filled every place of the
-/// service, though the step had six seconds to go.
+/// Guards against callers that wait behind the reward calls of a whole step.
 #[test]
 fn what_callers_and_steps_get() {
     let cases = [
--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -240,10 +240,7 @@
     least: Vec<f64>,
 }
 
-/// A caller whose own load fits sees late or refused answers as soon as others
-/// offer more than fits: training without end, a burst, one caller with ten
-/// times its share, long answers. Without lanes, fair queues and reserved slots all
-/// wait in one line for slots that the others hold.
+/// Guards against callers whose own load fits and who wait behind others' excess.
 #[test]
 fn load_that_fits_is_answered_whatever_the_rest_offers() {
     let hot = Offer {
@@ -415,10 +412,7 @@
     assert!(play.starts_at.len() >= before + 45);
 }
 
-/// An upstream crashes and comes back while its peers have room. Everything went
-/// on to the peers for good: the one slot of an upstream on trial counted as its
-/// whole share, so it looked full beside them, and each crash cost the fleet an
-/// upstream.
+/// Guards against an upstream that is never tried again after a crash, while its peers have room.
 #[test]
 fn a_crashed_upstream_is_tried_again_while_others_have_room() {
     let sparse = |offer: Offer| Offer {
--- a/crates/policy/tests/listing.rs
+++ b/crates/policy/tests/listing.rs
@@ -128,9 +128,7 @@
     }
 }
 
-/// Trainers of a calm fleet fell behind by a quarter of a second a step: the last group of
-/// a step was there half a second before its trainer went on. It had asked just before, and
-/// had been given a sample that made no group whole.
+/// Guards against a last group that is written after its trainer has asked in vain.
 #[test]
 fn a_trainer_has_its_last_group_soon() {
     let mut late_ms = 0;
--- a/crates/policy/tests/load_limit.rs
+++ b/crates/policy/tests/load_limit.rs
@@ -20,9 +20,7 @@
 /// That a load has ended is known this much later.
 const LAG: Duration = Duration::from_millis(200);
 
-/// Of 1,000 engines 250 loaded at once from a store that serves twelve. Each took 19 s,
-/// the trainer's next step found no engine with its weights, and 39% of the samples of a
-/// day were in time.
+/// Guards against loads that crowd the weight store, so that no engine has a version in time.
 #[test]
 fn as_many_load_as_the_weight_store_serves() {
     let cases = [
--- a/crates/policy/tests/placement.rs
+++ b/crates/policy/tests/placement.rs
@@ -219,9 +219,7 @@
     placement
 }
 
-/// A step whose samples came together was placed by another way than samples that come one
-/// by one, since a look at each engine for each of them takes too long on large pools. Both
-/// ways have to end at the same engines.
+/// Guards against another placement of samples that come together than of each alone.
 #[test]
 fn samples_that_come_together_go_where_each_would_alone() {
     let now = Instant::now();
--- a/crates/policy/tests/suspect.rs
+++ b/crates/policy/tests/suspect.rs
@@ -36,9 +36,8 @@
     standing: Standing,
 }
 
-/// A caller sees its service go upstream by upstream: one request crashes what
-/// runs it, and is retried here and resent elsewhere. The counts of all VMs
-/// together must stop it at three, and an answer must clear whoever was beside it.
+/// Guards against a request that crashes upstream after upstream, and against blame for those
+/// beside it.
 #[test]
 fn a_request_is_tried_alone_then_quarantined_then_cleared() {
     let cases = [
--- a/crates/policy/tests/waves.rs
+++ b/crates/policy/tests/waves.rs
@@ -142,9 +142,7 @@
     }
 }
 
-/// A trainer's step comes as version 5 is named, and takes versions 4 and 5. With one set
-/// of engines for its model, all of them had version 4 and began to load version 5 just
-/// then: samples waited for an engine, while engines of other models did nothing.
+/// Guards against a step that finds all engines of its model loading.
 #[test]
 fn a_step_begins_on_one_set_while_the_other_loads() {
     // Six engines serve the model, by turns; all serve another model too, which has no
@@ -176,9 +174,7 @@
     assert_eq!(loaded, [3, 4, 5]);
 }
 
-/// Three trainers name versions within a second. The engines of one model were all two
-/// versions behind, those of another had a set that its step could begin on; that model's
-/// second set loaded first, and the first trainer waited for three loads in a row.
+/// Guards against a model that waits for its first engine while others' second sets load.
 #[test]
 fn the_model_without_a_usable_engine_loads_first() {
     let mut weights = Vec::new();
