All seeds are asked for a home, and the best of their offers is taken

A seed knows a third of the nodes, which does where large VMs are many (50 on the whole fleet) and not where they are few.

Change: whoever needs a home asks all seeds at once and takes the offer by which the model gets most of a VM. A home that was named and not taken is forgotten as the list of duties shows another one.

--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -112,6 +112,8 @@
 pub struct SeedsNow {
     /// Seeds to ask, without this node; none where the store is always asked.
     pub asked: Vec<SocketAddr>,
+    /// All seeds but this node, where they are asked at all.
+    pub others: Vec<SocketAddr>,
     /// This node is a seed that others ask.
     pub is_seed: bool,
 }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -257,9 +257,11 @@
     let own = settings.peer_listen;
     let is_seed = own.is_some_and(|own| settings.seeds.contains(&own));
     let seeds = settings.seeds.iter().copied();
-    let asked = seeds.filter(|_| relayed && !is_seed && own.is_some());
+    let others = seeds.filter(|seed| relayed && own.is_some_and(|own| own != *seed));
+    let others: Vec<SocketAddr> = others.collect();
     SeedsNow {
-        asked: asked.collect(),
+        asked: if is_seed { Vec::new() } else { others.clone() },
+        others,
         is_seed: relayed && is_seed,
     }
 }
--- a/crates/node/src/roster.rs
+++ b/crates/node/src/roster.rs
@@ -2,8 +2,7 @@
 //!
 //! A node that follows a seed asks it about once a second. With one of these questions it tells
 //! what its VM can bear and whether it takes steps, so that a seed knows the nodes that ask it
-//! without a call of its own. Each seed knows other nodes, and that does: a model needs one good
-//! home, not the best of all.
+//! without a call of its own. Each seed knows other nodes, and whoever needs a home asks all.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -17,6 +16,7 @@
 
 use firweir_policy::siting::Candidate;
 use firweir_policy::siting::NodeKey;
+use firweir_policy::siting::Worth;
 use firweir_policy::siting::best_home;
 use http::HeaderName;
 use http::HeaderValue;
@@ -59,6 +59,28 @@
     pub but: Option<SocketAddr>,
 }
 
+/// The home that a seed names, and what it is worth beside those that other seeds name.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct HomeOffer {
+    /// The node.
+    pub home: Runner,
+    /// Part of its VM that the model would get.
+    pub share: f64,
+    /// Tells equal offers apart.
+    pub order: u64,
+}
+
+impl HomeOffer {
+    /// What the home is worth to the model.
+    #[must_use]
+    pub const fn worth(&self) -> Worth {
+        Worth {
+            share: self.share,
+            order: self.order,
+        }
+    }
+}
+
 /// The home of a model, as the list of duties shows it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Settled {
@@ -116,6 +138,8 @@
 struct Named {
     model: String,
     address: SocketAddr,
+    /// The home that it is to replace.
+    before: Option<SocketAddr>,
     at: Instant,
 }
 
@@ -145,30 +169,32 @@
         }
     }
 
-    /// A home for a model; the same one if it was named a moment ago.
+    /// The best home for a model that is known here; the same one if it was named a moment ago.
     #[must_use]
     pub fn home_for(
         &self,
         now: Instant,
         question: &HomeQuestion,
         settled: &[Settled],
-    ) -> Option<Runner> {
+    ) -> Option<HomeOffer> {
         let mut state = self.lock();
         state.forget(now, settled);
         state.forget_member(question.but);
-        if let Some(home) = state.named_before(question) {
-            return Some(home);
-        }
-        let candidates = state.candidates(settled);
-        let best = best_home(xxh3_64(question.model.as_bytes()), &candidates)?;
+        let named = state.take_named(&question.model);
+        let candidates = state.candidates(settled, named);
+        let (best, worth) = best_home(xxh3_64(question.model.as_bytes()), &candidates)?;
         let home = state.members[best.0 as usize].member.runner.clone();
-        state.named.retain(|held| held.model != question.model);
         state.named.push(Named {
             model: question.model.clone(),
             address: home.address,
+            before: question.but,
             at: now,
         });
-        Some(home)
+        Some(HomeOffer {
+            home,
+            share: worth.share,
+            order: worth.order,
+        })
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -180,9 +206,10 @@
     fn forget(&mut self, now: Instant, settled: &[Settled]) {
         self.members
             .retain(|held| now.duration_since(held.at) < SILENT_AFTER);
+        // The model may have gone to a home that another seed has named.
         let is_settled = |named: &Named| {
             let mut settled = settled.iter();
-            settled.any(|held| held.model == named.model && held.address == named.address)
+            settled.any(|held| held.model == named.model && Some(held.address) != named.before)
         };
         self.named
             .retain(|held| now.duration_since(held.at) < NAMED_FOR && !is_settled(held));
@@ -194,11 +221,13 @@
             .retain(|held| Some(held.member.runner.address) != address);
     }
 
-    fn named_before(&self, question: &HomeQuestion) -> Option<Runner> {
-        let mut named = self.named.iter();
-        let named = named.find(|held| held.model == question.model)?;
-        let member = self.member_at(named.address)?;
-        member.takes_steps.then(|| member.runner.clone())
+    /// The home that was named for a model a moment ago, which is named anew.
+    fn take_named(&mut self, model: &str) -> Option<SocketAddr> {
+        let at = self.named.iter().position(|held| held.model == model)?;
+        let address = self.named.swap_remove(at).address;
+        self.member_at(address)
+            .is_some_and(|member| member.takes_steps)
+            .then_some(address)
     }
 
     fn member_at(&self, address: SocketAddr) -> Option<&Member> {
@@ -207,7 +236,8 @@
         found.ok().map(|at| &members[at].member)
     }
 
-    fn candidates(&self, settled: &[Settled]) -> Vec<Candidate> {
+    /// Nodes that take steps; `only` one of them if it is given.
+    fn candidates(&self, settled: &[Settled], only: Option<SocketAddr>) -> Vec<Candidate> {
         let settled = settled.iter().map(|held| held.address);
         let named = self.named.iter().map(|held| held.address);
         let mut homes: Vec<SocketAddr> = settled.chain(named).collect();
@@ -217,7 +247,10 @@
             homes[first..].partition_point(|held| *held == address)
         };
         let members = self.members.iter().enumerate();
-        let usable = members.filter(|(_, heard)| heard.member.takes_steps);
+        let usable = members.filter(|(_, heard)| {
+            let member = &heard.member;
+            member.takes_steps && only.is_none_or(|only| only == member.runner.address)
+        });
         let candidate = |(at, heard): (usize, &Heard)| {
             let address = heard.member.runner.address;
             Candidate {
--- a/crates/node/src/submission/finder.rs
+++ b/crates/node/src/submission/finder.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use firweir::process::clock::Clock;
 use firweir::process::log::Journal;
+use futures_util::future::join_all;
 use http::Method;
 use http::Request;
 use http::Uri;
@@ -16,6 +17,7 @@
 use crate::link::LinkError;
 use crate::link::Links;
 use crate::roster::HOME_PATH;
+use crate::roster::HomeOffer;
 use crate::roster::HomeQuestion;
 use crate::roster::Roster;
 use crate::submission::homes::Homes;
@@ -24,9 +26,6 @@
 /// Time for a seed's answer, which it has in memory.
 const SEED_PATIENCE: Duration = Duration::from_millis(250);
 
-/// Seeds that are asked in turn: a trainer waits.
-const SEED_TRIES: usize = 2;
-
 /// Asks seeds for homes, or names them where this node is a seed; cheap to clone.
 #[derive(Debug, Clone)]
 pub struct Finder {
@@ -53,42 +52,53 @@
             but,
         };
         let seeds = self.seeds.now();
-        if seeds.is_seed {
-            return self.answer(&question);
-        }
-        let first = rand::random_range(0..seeds.asked.len().max(1));
-        let turns = seeds.asked.iter().cycle().skip(first);
-        for seed in turns.take(SEED_TRIES.min(seeds.asked.len())) {
-            match self.ask(*seed, &question).await {
-                Ok(Some(home)) => return Some(home),
-                // It may have started a moment ago.
-                Ok(None) => {}
-                Err(error) => self.journal.event(
+        let own = seeds.is_seed.then(|| self.answer(&question)).flatten();
+        let asked = seeds
+            .others
+            .iter()
+            .map(|seed| self.offer_of(*seed, &question));
+        let offers = join_all(asked).await.into_iter().flatten().chain(own);
+        let best = offers.max_by(|a, b| a.worth().compare(&b.worth()));
+        best.map(|offer| offer.home)
+    }
+
+    /// What another seed offers, if it knows any home.
+    async fn offer_of(&self, seed: SocketAddr, question: &HomeQuestion) -> Option<HomeOffer> {
+        match self.ask(seed, question).await {
+            Ok(offer) => offer,
+            Err(error) => {
+                let model = &question.model;
+                self.journal.event(
                     "home_not_named",
-                    &[("seed", seed), ("model", &model), ("cause", &error)],
-                ),
+                    &[("seed", &seed), ("model", model), ("cause", &error)],
+                );
+                None
             }
         }
-        None
     }
 
     /// The home that this node names.
     #[must_use]
-    pub fn answer(&self, question: &HomeQuestion) -> Option<Runner> {
+    pub fn answer(&self, question: &HomeQuestion) -> Option<HomeOffer> {
         let now = self.clock.now();
-        let home = self.roster.home_for(now, question, &self.homes.settled())?;
+        let settled = self.homes.settled();
+        let offer = self.roster.home_for(now, question, &settled)?;
         self.journal.event(
             "home_named",
-            &[("model", &question.model), ("home", &home.node)],
+            &[
+                ("model", &question.model),
+                ("home", &offer.home.node),
+                ("share", &offer.share),
+            ],
         );
-        Some(home)
+        Some(offer)
     }
 
     async fn ask(
         &self,
         seed: SocketAddr,
         question: &HomeQuestion,
-    ) -> Result<Option<Runner>, LinkError> {
+    ) -> Result<Option<HomeOffer>, LinkError> {
         let body = serde_json::to_vec(question).map_err(|_never| LinkError::NotSent)?;
         let mut request = Request::new(Full::new(Bytes::from(body)));
         *request.method_mut() = Method::POST;
--- a/crates/node/tests/roster.rs
+++ b/crates/node/tests/roster.rs
@@ -99,7 +99,7 @@
             .collect();
         let now = start + Duration::from_millis(case.silent_ms);
         let home = roster.home_for(now, &question("m", case.but), &settled);
-        let home = home.map(|home| home.address);
+        let home = home.map(|offer| offer.home.address);
         assert_eq!(home, case.home.map(address), "{}", case.name);
     }
 }
@@ -140,7 +140,7 @@
     }
     let named = |but| {
         let home = roster.home_for(now, &question("m", but), &[]);
-        home.map(|home| home.address.port())
+        home.map(|offer| offer.home.address.port())
     };
     assert_eq!(named(Some(1)), Some(2));
     assert_eq!(named(Some(2)), Some(3), "not the first one again");
--- a/crates/policy/tests/siting.rs
+++ b/crates/policy/tests/siting.rs
@@ -22,7 +22,7 @@
 fn settle(fleet: &mut [Candidate], models: u64) -> Vec<NodeKey> {
     let mut homes = Vec::new();
     for model in 0..models {
-        let home = best_home(model, fleet).expect("there are nodes");
+        let (home, _) = best_home(model, fleet).expect("there are nodes");
         fleet[home.0 as usize].homes += 1;
         homes.push(home);
     }
@@ -92,9 +92,26 @@
     let fleet = fleet(50, 784);
     let mut homes: Vec<NodeKey> = (0..8)
         .filter_map(|model| best_home(model, &fleet))
+        .map(|(home, _)| home)
         .collect();
     homes.sort_unstable();
     homes.dedup();
     assert!(homes.len() >= 5, "8 models on {} nodes", homes.len());
     assert_eq!(best_home(1, &[]), None);
 }
+
+/// Guards against a small home for a model, since the one that was asked knows no large VM.
+#[test]
+fn the_best_of_several_finds_is_the_best_of_all() {
+    let fleet = fleet(3, 60);
+    for model in 0..20 {
+        let all = best_home(model, &fleet);
+        // Each of three knows a third of the nodes; the large ones are known to the first.
+        let (known, others) = fleet.split_at(21);
+        let (second, third) = others.split_at(21);
+        let finds = [known, second, third].map(|part| best_home(model, part));
+        let best = finds.into_iter().flatten();
+        let best = best.max_by(|(_, a), (_, b)| a.compare(b));
+        assert_eq!(best, all, "model {model}");
+    }
+}
