A silent runner's head is looked at before it is waited for

After all processes had started again each node knew every submission's runner from a list of before; one of them had been removed for good. A node took its step over at 39.1 s, but the others went on by the old head: each question waited 1.2 s and what the client allows for the old runner, then asked whether it is gone, then read the head, in all about as long as the client waits. The client left, its question was dropped without a line in any log, and it asked the next of 79 nodes.

Change: a runner that answers neither a question nor a ping for 0.3 s has its head read; if another node runs the submission the question goes there at once. A runner that answers late is asked again.

--- a/crates/node/src/submission/elsewhere.rs
+++ b/crates/node/src/submission/elsewhere.rs
@@ -90,7 +90,16 @@
             }
             let runner = known.head.runner.address;
             let runners = &self.shared.runners;
-            match runners.pass_on(runner, question, head).await {
+            let passing = runners.pass_on(runner, question, head);
+            let Some(answer) = runners.while_alive(runner, passing).await else {
+                // Nobody has to run a submission for it to be ended.
+                if *question == Question::End {
+                    break;
+                }
+                known = self.runner_after_silence(known).await;
+                continue;
+            };
+            match answer {
                 Ok(answer) if is_final(question, answer.status()) => {
                     let (head, body) = answer.into_parts();
                     return with_json(head.status, body);
@@ -119,6 +128,25 @@
         refusal(Outcome::NotRun(ASK_AGAIN), "runner-unreached")
     }
 
+    /// The head to go by once the runner that is known has fallen silent: another node may run
+    /// the submission by now, or takes it over. The same head if the runner answers after all.
+    ///
+    /// Without the look each node that knows an old head, as all do after they have started
+    /// together, waits for a runner that is long replaced until its client has left.
+    async fn runner_after_silence(&self, known: Known) -> Known {
+        let newest = self.shared.heads.reread(&known.id).await;
+        if let Ok(Some(now)) = newest
+            && now.head.runner != known.head.runner
+        {
+            return now;
+        }
+        let replacing = self.clone().replace_runner(known.clone(), LinkError::Late);
+        match tokio::spawn(replacing).await {
+            Ok(Some(now)) => now,
+            Ok(None) | Err(_) => known,
+        }
+    }
+
     /// Has a submission taken over if its runner, which did not answer, is gone; gives the head
     /// that holds then. A seed names the successor, since this node was asked by chance.
     ///
