--- a/crates/node/src/submission/elsewhere.rs
+++ b/crates/node/src/submission/elsewhere.rs
@@ -92,11 +92,12 @@
             let runners = &self.shared.runners;
             let passing = runners.pass_on(runner, question, head);
             let Some(answer) = runners.while_alive(runner, passing).await else {
+                let finding = tokio::spawn(self.clone().runner_after_silence(known.clone()));
                 // Nobody has to run a submission for it to be ended.
                 if *question == Question::End {
                     break;
                 }
-                known = self.runner_after_silence(known).await;
+                known = finding.await.unwrap_or(known);
                 continue;
             };
             match answer {
@@ -133,18 +134,17 @@
     ///
     /// Without the look each node that knows an old head, as all do after they have started
     /// together, waits for a runner that is long replaced until its client has left.
-    async fn runner_after_silence(&self, known: Known) -> Known {
+    ///
+    /// A task of its own, as [`Desk::replace_runner`] is.
+    async fn runner_after_silence(self, known: Known) -> Known {
         let newest = self.shared.heads.reread(&known.id).await;
         if let Ok(Some(now)) = newest
             && now.head.runner != known.head.runner
         {
             return now;
         }
-        let replacing = self.clone().replace_runner(known.clone(), LinkError::Late);
-        match tokio::spawn(replacing).await {
-            Ok(Some(now)) => now,
-            Ok(None) | Err(_) => known,
-        }
+        let replacing = self.replace_runner(known.clone(), LinkError::Late);
+        replacing.await.unwrap_or(known)
     }
 
     /// Has a submission taken over if its runner, which did not answer, is gone; gives the head
