--- a/crates/node/src/live.rs
+++ b/crates/node/src/live.rs
@@ -39,6 +39,7 @@
 use crate::connection_pool::CallError;
 use crate::connection_pool::PooledConnection;
 use crate::dialect::RoutedCall;
+use crate::fingerprint::Fingerprint;
 use crate::gates::Gates;
 use crate::mechanisms::Mechanism;
 use crate::model::Route;
@@ -107,6 +108,7 @@
     account: Option<&'a str>,
     head: &'a request::Parts,
     body: Bytes,
+    fingerprint: Fingerprint,
     started: Instant,
     deadline: Instant,
     /// Service chosen from the targets of its route.
@@ -179,6 +181,7 @@
             routed,
             account,
             head,
+            fingerprint: Fingerprint::of_call(head, account, &body),
             body,
             started,
             deadline: started + timeout,
@@ -448,6 +451,7 @@
             "try_failed",
             &[
                 ("request", &call.routed.request_id),
+                ("fingerprint", &call.fingerprint),
                 ("upstream", &upstream.instance),
                 ("outcome", &outcome),
                 ("left_ms", &call.time_left(&*self.shared.clock).as_millis()),
