Requests that crash upstreams are stopped at all nodes

Cause: the node tried each attempt up to the attempts of its route and knew nothing of attempts before or at other nodes. The quarantine of the programs of crates/firweir (policy::suspect) was never called by the node. Class of fault: a count of failures that is kept by attempt and process, where the limit is on the request in the whole fleet.

Change: FailedRequests counts lost upstreams by the request's fingerprint (method, path, account, body). Each node writes what it saw to an object of its own, of the kind that all nodes follow anyway, so that no node makes another call and a restart or a moved home forgets nothing. An upstream that several nodes see crash counts once; an answer anywhere clears the request everywhere; failures expire after 10 minutes. From two on a request is tried alone and once, from three on it is refused at once as not run.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod drafting;
 pub mod duty;
 pub mod engines;
+pub mod failed_requests;
 pub mod fingerprint;
 pub mod fleet;
 pub mod follow;
--- a/crates/node/src/live.rs
+++ b/crates/node/src/live.rs
@@ -20,6 +20,7 @@
 use firweir::request::gate::Permit;
 use firweir_policy::dispatch::Dispatcher;
 use firweir_policy::dispatch::LaneDispatcher;
+use firweir_policy::suspect::Isolation;
 use firweir_policy::tries::Tries;
 use firweir_policy::work::Class;
 use firweir_policy::work::Ending;
@@ -34,14 +35,17 @@
 use hyper::body::Body as HttpBody;
 use hyper::body::Frame;
 use hyper::body::Incoming;
+use tokio::sync::SemaphorePermit;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::connection_pool::CallError;
 use crate::connection_pool::PooledConnection;
 use crate::dialect::RoutedCall;
+use crate::failed_requests::FailedRequests;
 use crate::fingerprint::Fingerprint;
 use crate::gates::Gates;
 use crate::mechanisms::Mechanism;
+use crate::model::Instance;
 use crate::model::Route;
 use crate::model::RouteKind;
 use crate::model::Upstream;
@@ -244,6 +248,14 @@
         let mut failed_answer = None;
         let mut may_have_run = false;
         while tries.has_tries_left() {
+            let isolating = self.wait_for_isolation(call, may_have_run).await;
+            let _isolated = match isolating {
+                Ok(isolated) => isolated,
+                Err(_) if may_have_run => break,
+                Err((reason, retry_after)) => {
+                    return refusal(Outcome::NotRun(retry_after), reason);
+                }
+            };
             let asked_at = self.shared.clock.now();
             let admitted = gate.admit(call.ask(asked_at, prefix, &tries)).await;
             call.progress
@@ -289,6 +301,33 @@
         self.failure_answer(call, failed_answer, may_have_run)
     }
 
+    /// Waits until the call may be tried: one that may crash upstreams is tried once, with no other
+    /// such call at the same time, so that the next crash is its own. The error holds the reason
+    /// and the time after which the caller may retry.
+    async fn wait_for_isolation(
+        &self,
+        call: &Call<'_>,
+        may_have_run: bool,
+    ) -> Result<Option<SemaphorePermit<'_>>, (&'static str, Duration)> {
+        let failed_requests = &self.shared.failed_requests;
+        let third = call.time_left(&*self.shared.clock) / 3;
+        match failed_requests.isolation(call.fingerprint) {
+            Isolation::Free => Ok(None),
+            Isolation::Quarantined(remaining) => {
+                self.shared.journal.count("live.quarantined");
+                Err(("quarantined", remaining))
+            }
+            Isolation::Alone if may_have_run => Err(("suspect", third)),
+            Isolation::Alone => {
+                let time_left = call.time_left(&*self.shared.clock);
+                match within(time_left, failed_requests.isolated().acquire()).await {
+                    Some(Ok(isolated)) => Ok(Some(isolated)),
+                    Some(Err(_)) | None => Err(("suspect", third)),
+                }
+            }
+        }
+    }
+
     /// Counts a try that was sent to an upstream, and whether the upstream refused it.
     fn count_try(&self, call: &Call<'_>, outcome: &TryOutcome) {
         call.progress.record_try();
@@ -393,7 +432,12 @@
                         permit.finish(Ending::Unreachable, 0);
                         TryOutcome::NotSent
                     }
-                    CallError::Broken | CallError::Late => {
+                    CallError::Broken => {
+                        self.record_lost_upstream(call, upstream);
+                        permit.finish(Ending::Failed, 0);
+                        TryOutcome::Unknown
+                    }
+                    CallError::Late => {
                         permit.finish(Ending::Failed, 0);
                         TryOutcome::Unknown
                     }
@@ -424,6 +468,9 @@
                 body,
                 connection: Some(exchange.connection),
                 permit: Some(permit),
+                failed_requests: self.shared.failed_requests.clone(),
+                fingerprint: call.fingerprint,
+                upstream: upstream.instance.clone(),
             };
             let mut answer = Response::new(stream.boxed_unsync());
             *answer.status_mut() = head.status;
@@ -432,9 +479,11 @@
         }
         let Ok(body) = Limited::new(body, MAX_ANSWER_BYTES).collect().await else {
             self.log_failed_try(call, upstream, "broken-answer");
+            self.record_lost_upstream(call, upstream);
             permit.finish(Ending::Failed, 0);
             return TryOutcome::Unknown;
         };
+        self.shared.failed_requests.clear(call.fingerprint);
         exchange.connection.return_to_pool();
         let mut answer = bytes_response(head.status, body.to_bytes());
         *answer.headers_mut() = headers;
@@ -446,6 +495,11 @@
         TryOutcome::Answer(answer)
     }
 
+    fn record_lost_upstream(&self, call: &Call<'_>, upstream: &Upstream) {
+        let failed_requests = &self.shared.failed_requests;
+        failed_requests.record_lost_upstream(call.fingerprint, &upstream.instance);
+    }
+
     fn log_failed_try(&self, call: &Call<'_>, upstream: &Upstream, outcome: &str) {
         self.shared.journal.event(
             "try_failed",
@@ -511,6 +565,9 @@
     body: Incoming,
     connection: Option<PooledConnection>,
     permit: Option<Permit>,
+    failed_requests: FailedRequests,
+    fingerprint: Fingerprint,
+    upstream: Instance,
 }
 
 impl Stream {
@@ -540,10 +597,13 @@
             Poll::Ready(Some(Ok(frame))) => Poll::Ready(Some(Ok(frame))),
             // Passed on as an error: a stream that just ends would look complete to the client.
             Poll::Ready(Some(Err(error))) => {
+                self.failed_requests
+                    .record_lost_upstream(self.fingerprint, &self.upstream);
                 self.finish(Ending::Failed);
                 Poll::Ready(Some(Err(std::io::Error::other(error))))
             }
             Poll::Ready(None) => {
+                self.failed_requests.clear(self.fingerprint);
                 self.finish(Ending::Answered);
                 Poll::Ready(None)
             }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -29,6 +29,7 @@
 use crate::dialect::ObjectKind;
 use crate::drafting::Drafting;
 use crate::duty::SystemBootClock;
+use crate::failed_requests::FailedRequests;
 use crate::fleet::Fleet;
 use crate::fleet::FleetParts;
 use crate::fleet::UpstreamList;
@@ -382,7 +383,15 @@
         clock: Arc::clone(clock),
         boot_clock: Arc::clone(&context.sources.boot_clock),
     });
+    let failed_requests = FailedRequests::new(
+        context.store.clone(),
+        Arc::clone(clock),
+        journal.clone(),
+        &context.settings.node,
+    );
+    context.tasks.spawn(failed_requests.clone().run());
     let shared = Shared {
+        failed_requests: failed_requests.clone(),
         usage_counter: usage_counter.clone(),
         fleet: Arc::clone(&fleet),
         interest: Arc::clone(&context.sources.interest),
@@ -491,6 +500,7 @@
         dialect: Arc::clone(dialect),
         fleet,
         live,
+        failed_requests,
         scoring,
         submissions,
         drafting,
@@ -603,10 +613,12 @@
         request_handler.homes.clone(),
         request_handler.holder.clone(),
     );
+    let failed_requests = request_handler.failed_requests.clone();
     let options = FollowOptions::delayed;
     context.follow(ObjectKind::Duties, options, move |batch| {
         for change in batch.changes {
             holder.apply_change(&change);
+            failed_requests.apply(&change);
             homes.apply(change);
         }
     });
--- a/crates/node/src/request_handler.rs
+++ b/crates/node/src/request_handler.rs
@@ -34,6 +34,7 @@
 use crate::dialect::RoutedCall;
 use crate::drafting::Drafting;
 use crate::duty::BootClock;
+use crate::failed_requests::FailedRequests;
 use crate::fleet::Fleet;
 use crate::holder::DUTY_HOLDER_PATH;
 use crate::holder::DutyHolder;
@@ -99,6 +100,7 @@
     pub(crate) dialect: Arc<dyn Dialect>,
     pub(crate) fleet: Arc<Fleet>,
     pub(crate) live: Arc<LiveCalls>,
+    pub(crate) failed_requests: FailedRequests,
     pub(crate) scoring: Scoring,
     pub(crate) submissions: SubmissionManager,
     pub(crate) drafting: Drafting,
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -9,6 +9,7 @@
 use crate::connection_pool::ConnectionPool;
 use crate::dialect::Dialect;
 use crate::duty::BootClock;
+use crate::failed_requests::FailedRequests;
 use crate::fleet::Fleet;
 use crate::interest::Interest;
 use crate::mechanisms::EnabledMechanisms;
@@ -37,6 +38,8 @@
     pub journal: Journal,
     /// Counts requests of accounts.
     pub usage_counter: UsageCounter,
+    /// Failed runs of requests and items on all nodes.
+    pub failed_requests: FailedRequests,
     /// Mechanisms that are switched on.
     pub mechanisms: EnabledMechanisms,
 }
--- a/crates/policy/src/suspect.rs
+++ b/crates/policy/src/suspect.rs
@@ -124,10 +124,8 @@
     /// Restriction under which the request may run now.
     #[must_use]
     pub fn isolation(&self, now: Instant, fingerprint: u64) -> Isolation {
-        let own = self.find(fingerprint).ok().map(|index| self.own[index]);
-        let own = own.filter(|suspect| now < suspect.last_loss + SUSPICION_EXPIRY);
-        let losses =
-            own.map_or(0, |suspect| suspect.losses) + self.losses_elsewhere(now, fingerprint);
+        let own = self.own_suspect(now, fingerprint);
+        let losses = self.losses(now, fingerprint);
         if losses >= LOSSES_TO_QUARANTINE {
             let until = own.map_or(now, |suspect| suspect.last_loss) + SUSPICION_EXPIRY;
             Isolation::Quarantined(until.saturating_duration_since(now))
@@ -138,6 +136,13 @@
         }
     }
 
+    /// Losses of the request on all VMs.
+    #[must_use]
+    pub fn losses(&self, now: Instant, fingerprint: u64) -> u32 {
+        let own = self.own_suspect(now, fingerprint);
+        own.map_or(0, |suspect| suspect.losses) + self.losses_elsewhere(now, fingerprint)
+    }
+
     /// Reports for other VMs; `node` is the hash of this VM.
     #[must_use]
     pub fn reports(&self, now: Instant, node: u64) -> Vec<LossReport> {
@@ -175,6 +180,11 @@
         counts.iter().map(|count| count.losses).sum()
     }
 
+    fn own_suspect(&self, now: Instant, fingerprint: u64) -> Option<Suspect> {
+        let own = self.find(fingerprint).ok().map(|index| self.own[index]);
+        own.filter(|suspect| now < suspect.last_loss + SUSPICION_EXPIRY)
+    }
+
     fn find(&self, fingerprint: u64) -> Result<usize, usize> {
         self.own
             .binary_search_by_key(&fingerprint, |suspect| suspect.fingerprint)
