Failures in the store are merged, however old the read

Cause: at a restart the object of the process before was adopted from a list that may be seconds old, and a write that then met a newer object replaced it with less.

Change: what is read of this node's own object is merged at any time, also after a conflict; two writes may follow each other after 100 ms instead of 500.

--- a/crates/node/src/failed_requests.rs
+++ b/crates/node/src/failed_requests.rs
@@ -37,6 +37,11 @@
 use crate::model::Instance;
 use crate::store::Store;
 
+/// Number of steps in which an item may fail as often as its route allows. A second step gives an
+/// item another chance that failed by a fault of its engines; after that it counts as failing
+/// wherever it runs.
+pub const MAX_STEPS_WITH_FAILURES: u32 = 2;
+
 /// Prefix of the names of these objects among the duties in the store.
 const PREFIX: &str = "failures-";
 
@@ -45,7 +50,7 @@
 const FIRST_FAILURE_DELAY: Duration = Duration::from_millis(200);
 
 /// Shortest time between two writes.
-const WRITE_INTERVAL: Duration = Duration::from_millis(500);
+const WRITE_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Delay after a failed write: outages of the store last seconds, and each call costs.
 const WRITE_RETRY_DELAY: Duration = Duration::from_secs(2);
@@ -228,13 +233,13 @@
         let mut state = self.lock();
         match change {
             Change::All(objects) => {
-                let is_first = !std::mem::replace(&mut state.is_loaded, true);
+                state.is_loaded = true;
                 state.others.clear();
                 for object in objects {
-                    self.put(&mut state, object, is_first);
+                    self.put(&mut state, object);
                 }
             }
-            Change::Put(object) => self.put(&mut state, object, false),
+            Change::Put(object) => self.put(&mut state, object),
             Change::Removed(name) => state.others.retain(|(other, _)| other != name),
         }
         self.update_suspects(&mut state);
@@ -242,8 +247,9 @@
         self.inner.changed.notify_one();
     }
 
-    /// Applies one object. `adopts_own`: continues what an earlier process of this node counted.
-    fn put(&self, state: &mut State, object: &Object, adopts_own: bool) {
+    /// Applies one object. This node's own may be of an earlier process, or older than what this
+    /// one has written.
+    fn put(&self, state: &mut State, object: &Object) {
         if !object.name.starts_with(PREFIX) {
             return;
         }
@@ -255,11 +261,8 @@
             }
         };
         if object.name == self.inner.name {
-            if adopts_own {
-                state.revision = Some(object.revision);
-                state.own.adopt(seen);
-            }
-            return;
+            state.revision = state.revision.max(Some(object.revision));
+            return state.own.merge(seen);
         }
         let others = &mut state.others;
         match others.binary_search_by(|(other, _)| other.cmp(&object.name)) {
@@ -358,9 +361,7 @@
         if own.failures.is_empty() && own.cleared.is_empty() {
             return None;
         }
-        for failure in &mut own.failures {
-            failure.is_written = true;
-        }
+        own.mark_written();
         let record = FailureRecord {
             write: self.inner.store.write_id(),
             seen: own.clone(),
@@ -377,8 +378,11 @@
         if matches!(error, StoreError::Refused(_) | StoreError::Unreachable) {
             return;
         }
-        if let Ok(stored) = store.read(ObjectKind::Duties, name).await {
-            self.lock().revision = stored.map(|object| object.revision);
+        match store.read(ObjectKind::Duties, name).await {
+            Ok(Some(object)) => self.put(&mut self.lock(), &object),
+            Ok(None) => self.lock().revision = None,
+            // The next write fails as well, and is retried.
+            Err(_) => {}
         }
     }
 
@@ -415,21 +419,34 @@
         let fingerprint = clearing.fingerprint;
         self.failures
             .retain(|failure| failure.fingerprint != fingerprint);
-        self.cleared.retain(|held| held.fingerprint != fingerprint);
+        self.add_clearing(clearing);
+    }
+
+    fn add_clearing(&mut self, clearing: Clearing) {
+        self.cleared
+            .retain(|held| held.fingerprint != clearing.fingerprint);
         self.cleared.push(clearing);
         if self.cleared.len() > MAX_RECORDED {
             self.cleared.remove(0);
         }
     }
 
-    /// Adds what an earlier process of this node saw, which is older.
-    fn adopt(&mut self, mut earlier: Self) {
-        for failure in &mut earlier.failures {
+    /// Adds what is in the store.
+    fn merge(&mut self, mut stored: Self) {
+        stored.mark_written();
+        for failure in std::mem::take(&mut self.failures) {
+            stored.add_failure(failure);
+        }
+        for clearing in std::mem::take(&mut self.cleared) {
+            stored.add_clearing(clearing);
+        }
+        *self = stored;
+    }
+
+    fn mark_written(&mut self) {
+        for failure in &mut self.failures {
             failure.is_written = true;
         }
-        earlier.failures.append(&mut self.failures);
-        earlier.cleared.append(&mut self.cleared);
-        *self = earlier;
     }
 
     fn drop_before(&mut self, oldest_ms: u64) {
