Items and reward calls that always fail are stopped over all steps

What users saw: an item that fails at each run reached engines again in each step that repeated its group: five runs with 422 (three allowed) and fifteen with 500 (nine allowed) in five steps, with and without a restart of its runner between them.

Cause: failures were counted in the run of one item in one step (and set to zero when its text went into the cache), so each step, each restart and each home began at zero. The same cause stood in the second retry path, reward calls: 15 calls in five steps.

Change: failures count in FailedRequests as well, by item and by reward call. A step still gives an item the attempts of its route; over all steps and nodes it gets twice that, then it is abandoned without a run. An item that can never be run is tried in two steps.

--- a/crates/node/src/draft_jobs.rs
+++ b/crates/node/src/draft_jobs.rs
@@ -154,6 +154,11 @@
     progress.complete && scored
 }
 
+/// Id of the item of a sample.
+pub(crate) fn item_id(job: &Job) -> &str {
+    &job.submission.items[job.item_index].id
+}
+
 /// Group index of each sample of a submission; groups are numbered in the trainer's order.
 pub(crate) fn group_indices(submission: &LocalSubmission) -> Vec<usize> {
     let mut groups: Vec<&str> = Vec::new();
--- a/crates/node/src/drafting.rs
+++ b/crates/node/src/drafting.rs
@@ -33,15 +33,19 @@
 use crate::draft_jobs::group_indices;
 use crate::draft_jobs::initial_ranks;
 use crate::draft_jobs::is_done;
+use crate::draft_jobs::item_id;
 use crate::draft_run::Attempt;
 use crate::draft_run::Run;
 use crate::draft_run::RunProgress;
 use crate::engines::rollout_engines;
+use crate::failed_requests::MAX_STEPS_WITH_FAILURES;
+use crate::fingerprint::Fingerprint;
 use crate::interest::DraftedModel;
 use crate::mechanisms::Mechanism;
 use crate::model::Instance;
 use crate::model::ItemResult;
 use crate::model::ItemState;
+use crate::model::Route;
 use crate::relay::hash_of_name;
 use crate::sample_order::record_length;
 use crate::sample_order::record_step;
@@ -415,7 +419,8 @@
         let item_index = state.jobs[at].item_index;
         let config = self.shared.fleet.config();
         let route = config.route(&submission.head.host, &submission.head.path);
-        let Some(target) = route.and_then(|route| route.targets.first()) else {
+        let Some((route, target)) = route.and_then(|route| Some((route, route.targets.first()?)))
+        else {
             // Without a configuration no routes are known.
             if config.version > 0 {
                 self.abandon(state, key, "route-gone");
@@ -423,6 +428,10 @@
             return;
         };
         let item = &submission.items[item_index];
+        let failures = state.jobs[at].progress.failures;
+        if let Some(reason) = self.failure_reason(&item.id, failures, route) {
+            return self.abandon(state, key, reason);
+        }
         let model = state.model_key(&target.service, &submission.head.model);
         state.placement.enqueue(SampleRequest {
             key,
@@ -435,6 +444,21 @@
         });
     }
 
+    /// Reason for which an item must not run again: it can never be run, or its runs have failed
+    /// as often as its route allows, in this step or in all steps and at all nodes together.
+    fn failure_reason(&self, item: &str, failures: u32, route: &Route) -> Option<&'static str> {
+        let failed_requests = &self.shared.failed_requests;
+        let count = |fingerprint| failed_requests.count(fingerprint);
+        if count(Fingerprint::of_impossible_item(item)) >= MAX_STEPS_WITH_FAILURES {
+            return Some("impossible");
+        }
+        let max_attempts = route.max_attempts.max(1);
+        let max_in_all = max_attempts.saturating_mul(MAX_STEPS_WITH_FAILURES);
+        let is_failing =
+            failures >= max_attempts || count(Fingerprint::of_failing_item(item)) >= max_in_all;
+        is_failing.then_some("failed")
+    }
+
     fn abandon(&self, state: &mut State, key: SampleKey, reason: &'static str) {
         let Some(at) = state.job_index(key) else {
             return;
@@ -615,23 +639,23 @@
             Attempt::Whole => {
                 let job = &mut state.jobs[at];
                 job.progress.complete = true;
+                let fingerprint = Fingerprint::of_failing_item(item_id(job));
+                self.shared.failed_requests.clear(fingerprint);
                 job.text_completed_at = Some(self.shared.clock.now());
                 record_length(&mut state.lengths, job);
                 self.continue_sample(state, key);
             }
-            Attempt::Impossible => self.abandon(state, key, "impossible"),
+            Attempt::Impossible => {
+                let fingerprint = Fingerprint::of_impossible_item(item_id(&state.jobs[at]));
+                self.shared.failed_requests.record_failed_run(fingerprint);
+                self.abandon(state, key, "impossible");
+            }
             Attempt::Failed => {
                 let job = &mut state.jobs[at];
                 job.progress.failures += 1;
-                let head = &job.submission.head;
-                let config = self.shared.fleet.config();
-                let route = config.route(&head.host, &head.path);
-                let max_attempts = route.map_or(u32::MAX, |route| route.max_attempts.max(1));
-                if job.progress.failures >= max_attempts {
-                    self.abandon(state, key, "failed");
-                } else {
-                    self.enqueue(state, key);
-                }
+                let fingerprint = Fingerprint::of_failing_item(item_id(job));
+                self.shared.failed_requests.record_failed_run(fingerprint);
+                self.enqueue(state, key);
             }
             Attempt::VersionChanged => {
                 self.count_discarded(state, &state.jobs[at]);
--- a/crates/node/src/fingerprint.rs
+++ b/crates/node/src/fingerprint.rs
@@ -5,6 +5,8 @@
 use http::request;
 use xxhash_rust::xxh3::Xxh3;
 
+use crate::model::RewardCall;
+
 /// Hash of what makes two requests the same one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Fingerprint(pub u64);
@@ -29,6 +31,30 @@
         ])
     }
 
+    /// The fingerprint of an item, for answers that its run failed.
+    #[must_use]
+    pub fn of_failing_item(item: &str) -> Self {
+        Self::of_parts(&[b"failing item", item.as_bytes()])
+    }
+
+    /// The fingerprint of an item, for answers that it can never be run.
+    #[must_use]
+    pub fn of_impossible_item(item: &str) -> Self {
+        Self::of_parts(&[b"impossible item", item.as_bytes()])
+    }
+
+    /// The fingerprint of a reward call.
+    #[must_use]
+    pub fn of_reward_call(call: &RewardCall) -> Self {
+        let (id, path, body) = (&call.id, &call.path, &call.body_base64);
+        Self::of_parts(&[
+            b"reward call",
+            id.as_bytes(),
+            path.as_bytes(),
+            body.as_bytes(),
+        ])
+    }
+
     /// Hashes parts with their lengths, so that no two lists of parts run together.
     fn of_parts(parts: &[&[u8]]) -> Self {
         let mut hasher = Xxh3::new();
--- a/crates/node/src/scoring.rs
+++ b/crates/node/src/scoring.rs
@@ -24,6 +24,8 @@
 use crate::connection_pool::CallError;
 use crate::connection_pool::StreamingResponse;
 use crate::dialect::RewardRequest;
+use crate::failed_requests::MAX_STEPS_WITH_FAILURES;
+use crate::fingerprint::Fingerprint;
 use crate::gates::Gates;
 use crate::live::pick_target;
 use crate::mechanisms::Mechanism;
@@ -123,12 +125,20 @@
     ) -> ScoreOutcome {
         let mut avoid = Vec::new();
         let mut failures = 0;
+        let failed_requests = &self.shared.failed_requests;
+        let fingerprint = Fingerprint::of_reward_call(call);
         loop {
             if let Some(reason) = self.abandon_reason(submission) {
                 return ScoreOutcome::Abandoned(reason);
             }
+            let max_failures = self.max_failures(submission, call);
+            let max_in_all = max_failures.saturating_mul(MAX_STEPS_WITH_FAILURES);
+            if failures >= max_failures || failed_requests.count(fingerprint) >= max_in_all {
+                return ScoreOutcome::Abandoned("score-failed");
+            }
             let attempt = self.attempt(submission, call, &mut avoid).await;
             if let Attempt::Answered(proof) = attempt {
+                failed_requests.clear(fingerprint);
                 let call = call.clone();
                 return ScoreOutcome::Score(Score { call, proof });
             }
@@ -136,9 +146,7 @@
             let delay = match attempt {
                 Attempt::Failed => {
                     failures += 1;
-                    if failures >= self.max_failures(submission, call) {
-                        return ScoreOutcome::Abandoned("score-failed");
-                    }
+                    failed_requests.record_failed_run(fingerprint);
                     Duration::ZERO
                 }
                 Attempt::NoRoute | Attempt::Unusable => NO_ROUTE_RETRY_DELAY,
