The time left is stated as of the send

What an upstream saw: a retry stated the time that was left before its connection was opened. With a lost packet, or a queue of connections that is full, that is a second and more ago (the limit is 1.2 s), so that the upstream worked on after the caller had left; the wait for a node's first configuration, up to 0.2 s, was not counted at all.

Cause: the header was made with the request, before the pool had a connection, and the time of a call began when its route was known.

Change: the pool calls back when a connection is open, and the header is set there; a call begins when its head has arrived.

Measured: headers_are_set_when_the_connection_is_open has a full queue of connections and fails with the headers set before the connection (x-accepting: false), holds with the change.

--- a/crates/node/src/connection_pool.rs
+++ b/crates/node/src/connection_pool.rs
@@ -179,9 +179,24 @@
     ///
     /// If connecting failed, or the connection broke.
     pub async fn send(
+        &self,
+        to: SocketAddr,
+        request: Request<Full<Bytes>>,
+    ) -> Result<StreamingResponse, CallError> {
+        self.send_with(to, request, |_headers| {}).await
+    }
+
+    /// As [`ConnectionPool::send`]; `set_headers` is called once a connection is open, right before
+    /// the request is sent.
+    ///
+    /// # Errors
+    ///
+    /// As [`ConnectionPool::send`].
+    pub async fn send_with(
         &self,
         to: SocketAddr,
         mut request: Request<Full<Bytes>>,
+        set_headers: impl Fn(&mut HeaderMap),
     ) -> Result<StreamingResponse, CallError> {
         if !request.headers().contains_key(header::HOST) {
             let host = to
@@ -195,6 +210,7 @@
                 Some(open) => (open, false),
                 None => (connect(to).await?, true),
             };
+            set_headers(request.headers_mut());
             match open.sender.try_send_request(request).await {
                 Ok(answer) => {
                     let connection = PooledConnection {
--- a/crates/node/src/dialect.rs
+++ b/crates/node/src/dialect.rs
@@ -464,9 +464,11 @@
         headers: &HeaderMap,
         account: Option<&str>,
         upstream: &Upstream,
-        remaining: Duration,
     ) -> HeaderMap;
 
+    /// Sets the time left to a forwarded request.
+    fn set_time_left(&self, headers: &mut HeaderMap, time_left: Duration);
+
     /// Headers of an upstream's answer as returned to the client.
     fn returned_headers(&self, headers: &HeaderMap) -> HeaderMap;
 
--- a/crates/node/src/live.rs
+++ b/crates/node/src/live.rs
@@ -25,6 +25,7 @@
 use firweir_policy::work::Class;
 use firweir_policy::work::Ending;
 use firweir_policy::work::Refusal;
+use http::HeaderMap;
 use http::Request;
 use http::Response;
 use http::StatusCode;
@@ -154,22 +155,24 @@
         self.gates.tick();
     }
 
-    /// Answers one call on behalf of this account.
+    /// Answers one call on behalf of this account, whose head arrived at `started`.
     pub async fn answer(
         self: &Arc<Self>,
+        started: Instant,
         routed: &RoutedCall,
         account: Option<&str>,
         route: &Route,
         head: &request::Parts,
         body: Incoming,
     ) -> Response<Body> {
-        let started = self.shared.clock.now();
         let timeout = routed
             .timeout
             .unwrap_or(DEFAULT_TIMEOUT)
             .min(route.timeout());
         let limit = self.shared.fleet.config().max_body_bytes;
-        let body = match within(timeout, read_body(body, limit)).await {
+        let waited = self.shared.clock.now().duration_since(started);
+        let time_to_read = timeout.saturating_sub(waited);
+        let body = match within(time_to_read, read_body(body, limit)).await {
             Some(Some(body)) => body,
             Some(None) => {
                 let status = StatusCode::PAYLOAD_TOO_LARGE;
@@ -382,7 +385,7 @@
                 .max(MIN_TRY_TIMEOUT)
                 .min(remaining)
         };
-        let request = self.upstream_request(call, &upstream, remaining);
+        let request = self.upstream_request(call, &upstream);
         let tracked = self.shared.usage_counter.track_request(call.account);
         let sending = self.exchange(call, &upstream, request, permit, tracked);
         let Some(outcome) = within(timeout, sending).await else {
@@ -392,12 +395,7 @@
         outcome
     }
 
-    fn upstream_request(
-        &self,
-        call: &Call<'_>,
-        upstream: &Upstream,
-        remaining: Duration,
-    ) -> Request<Full<Bytes>> {
+    fn upstream_request(&self, call: &Call<'_>, upstream: &Upstream) -> Request<Full<Bytes>> {
         let mut request = Request::new(Full::new(call.body.clone()));
         *request.method_mut() = call.head.method.clone();
         *request.uri_mut() = call.head.uri.clone();
@@ -405,7 +403,7 @@
         *request.headers_mut() =
             self.shared
                 .dialect
-                .forwarded_headers(headers, call.account, upstream, remaining);
+                .forwarded_headers(headers, call.account, upstream);
         request
     }
 
@@ -417,12 +415,13 @@
         permit: Permit,
         tracked: TrackedRequest,
     ) -> TryOutcome {
-        let exchange = match self
-            .shared
-            .connections
-            .send(upstream.address, request)
-            .await
-        {
+        let set_time_left = |headers: &mut HeaderMap| {
+            let time_left = call.time_left(&*self.shared.clock);
+            self.shared.dialect.set_time_left(headers, time_left);
+        };
+        let connections = &self.shared.connections;
+        let sending = connections.send_with(upstream.address, request, set_time_left);
+        let exchange = match sending.await {
             Ok(exchange) => exchange,
             Err(error) => {
                 self.log_failed_try(call, upstream, "no-answer");
--- a/crates/node/src/request_handler.rs
+++ b/crates/node/src/request_handler.rs
@@ -360,6 +360,7 @@
         mut head: http::request::Parts,
         body: Incoming,
     ) -> Response<Body> {
+        let started = self.clock.now();
         let Some(config) = self.wait_for_config(routed.timeout).await else {
             return LiveCalls::not_ready();
         };
@@ -376,7 +377,9 @@
         }
         if route.kind != RouteKind::Rollout || head.method != Method::POST {
             let live = &self.live;
-            return live.answer(routed, account, route, &head, body).await;
+            return live
+                .answer(started, routed, account, route, &head, body)
+                .await;
         }
         set_account_header(&mut head.headers, account);
         let incoming = IncomingSubmission {
--- a/crates/node/tests/connection_pool.rs
+++ b/crates/node/tests/connection_pool.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -9,11 +10,13 @@
 use bytes::Bytes;
 use firweir::process::clock::SystemClock;
 use firweir_node::connection_pool::ConnectionPool;
+use http::HeaderMap;
 use http::Request;
 use http_body_util::Full;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 
 const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\nkeep-alive: timeout=60\r\n\r\n";
@@ -43,6 +46,41 @@
     address
 }
 
+/// Guards against a time left that was true before the connection was opened and is stated as if
+/// it were true when the request is sent.
+#[tokio::test]
+async fn headers_are_set_when_the_connection_is_open() {
+    let listener = TcpSocket::new_v4().expect("a socket");
+    let local = SocketAddr::from(([127, 0, 0, 1], 0));
+    listener.bind(local).expect("a port");
+    let address = listener.local_addr().expect("it is bound");
+    // A full queue of connections: the next one is opened after it has been emptied.
+    let listener = listener.listen(0).expect("it listens");
+    let _first = TcpStream::connect(address).await.expect("it is queued");
+    let connections = ConnectionPool::new(Arc::new(SystemClock));
+    let is_accepting = Arc::new(AtomicBool::new(false));
+    let seen = Arc::clone(&is_accepting);
+    let sending = tokio::spawn(async move {
+        let set_headers = |headers: &mut HeaderMap| {
+            let accepting = seen.load(Ordering::SeqCst).to_string();
+            headers.insert("x-accepting", accepting.parse().expect("a plain value"));
+        };
+        let request = Request::new(Full::new(Bytes::new()));
+        connections.send_with(address, request, set_headers).await
+    });
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    is_accepting.store(true, Ordering::SeqCst);
+    let (_first, _) = listener.accept().await.expect("it was queued");
+    let (mut second, _) = listener.accept().await.expect("it is opened now");
+    let mut request = vec![0; 1_024];
+    let length = second.read(&mut request).await.expect("a request");
+    let request = String::from_utf8_lossy(&request[..length]);
+    assert!(request.contains("x-accepting: true"), "{request}");
+    second.write_all(ANSWER).await.expect("it is connected");
+    let sent = sending.await.expect("no panic");
+    assert!(sent.is_ok(), "{sent:?}");
+}
+
 /// Guards against unbounded idle connections: a node that ordered weights at thousands of engines
 /// kept a connection to each, ran out of file descriptors as engines were added, and accepted no
 /// more callers.
