Items and reward calls that crash upstreams are held until they expire

Cause: a run whose connection broke was retried at once, with no count at all.

Change: a connection that breaks before any event or answer counts for the item or reward call if no process listens at the upstream any more (a full upstream resets connections too, and an item is dear). From the third upstream on it is held; it is abandoned when it expires, no sooner.

--- a/crates/node/src/connection_pool.rs
+++ b/crates/node/src/connection_pool.rs
@@ -37,6 +37,10 @@
 /// second.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_200);
 
+/// Time limit for [`ConnectionPool::is_listening`]: a process that listens accepts within some
+/// milliseconds.
+const LISTEN_CHECK_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// Time without a TCP acknowledgement after which the system closes a connection. A partitioned
 /// peer sends neither an answer nor a reset.
 const TCP_USER_TIMEOUT: Duration = Duration::from_millis(2_500);
@@ -256,6 +260,12 @@
             .map_err(late)?
     }
 
+    /// Whether a process listens at an address; opens a connection and closes it.
+    pub async fn is_listening(&self, address: SocketAddr) -> bool {
+        let connecting = tokio::time::timeout(LISTEN_CHECK_TIMEOUT, TcpStream::connect(address));
+        matches!(connecting.await, Ok(Ok(_)))
+    }
+
     /// Closes idle connections to an address, at which another process listens now.
     pub fn close_idle(&self, to: SocketAddr) {
         self.lock().retain(|entry| entry.to != to);
--- a/crates/node/src/draft_run.rs
+++ b/crates/node/src/draft_run.rs
@@ -48,6 +48,13 @@
     Moved,
 }
 
+impl Attempt {
+    /// Whether the connection to the engine broke.
+    pub(crate) fn is_connection_loss(self) -> bool {
+        matches!(self, Self::Broken("no-head" | "stream"))
+    }
+}
+
 /// Progress of a sample's text, earlier runs included.
 #[derive(Debug)]
 pub(crate) struct RunProgress {
--- a/crates/node/src/drafting.rs
+++ b/crates/node/src/drafting.rs
@@ -432,6 +432,13 @@
         if let Some(reason) = self.failure_reason(&item.id, failures, route) {
             return self.abandon(state, key, reason);
         }
+        if self
+            .shared
+            .is_quarantined(Fingerprint::of_crashing_item(&item.id))
+        {
+            // It waits until it expires.
+            return;
+        }
         let model = state.model_key(&target.service, &submission.head.model);
         state.placement.enqueue(SampleRequest {
             key,
@@ -575,6 +582,12 @@
             () = leave.notified() => Attempt::Moved,
         };
         let ended = self.shared.clock.now();
+        let crashing = Fingerprint::of_crashing_item(&submission.items[item_index].id);
+        if progress.events_of_run > 0 {
+            self.shared.failed_requests.clear(crashing);
+        } else if attempt.is_connection_loss() {
+            self.shared.record_if_crashed(crashing, &upstream).await;
+        }
         if attempt != Attempt::Whole {
             let outcome = format_args!("{attempt:?}");
             let took_ms = ended.duration_since(started).as_millis();
--- a/crates/node/src/fingerprint.rs
+++ b/crates/node/src/fingerprint.rs
@@ -43,16 +43,27 @@
         Self::of_parts(&[b"impossible item", item.as_bytes()])
     }
 
-    /// The fingerprint of a reward call.
+    /// The fingerprint of an item, for engines that crash under it.
     #[must_use]
-    pub fn of_reward_call(call: &RewardCall) -> Self {
+    pub fn of_crashing_item(item: &str) -> Self {
+        Self::of_parts(&[b"crashing item", item.as_bytes()])
+    }
+
+    /// The fingerprint of a reward call, for answers that it failed.
+    #[must_use]
+    pub fn of_failing_reward_call(call: &RewardCall) -> Self {
+        Self::of_reward_call(b"failing reward call", call)
+    }
+
+    /// The fingerprint of a reward call, for upstreams that crash under it.
+    #[must_use]
+    pub fn of_crashing_reward_call(call: &RewardCall) -> Self {
+        Self::of_reward_call(b"crashing reward call", call)
+    }
+
+    fn of_reward_call(kind: &[u8], call: &RewardCall) -> Self {
         let (id, path, body) = (&call.id, &call.path, &call.body_base64);
-        Self::of_parts(&[
-            b"reward call",
-            id.as_bytes(),
-            path.as_bytes(),
-            body.as_bytes(),
-        ])
+        Self::of_parts(&[kind, id.as_bytes(), path.as_bytes(), body.as_bytes()])
     }
 
     /// Hashes parts with their lengths, so that no two lists of parts run together.
--- a/crates/node/src/scoring.rs
+++ b/crates/node/src/scoring.rs
@@ -45,6 +45,9 @@
 /// configuration takes effect within seconds.
 const NO_ROUTE_RETRY_DELAY: Duration = Duration::from_secs(1);
 
+/// Interval at which a call that may not be sent checks whether its item has expired.
+const QUARANTINE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Time left that a call past its due time claims when it asks for a slot; makes it the most
 /// urgent one.
 const OVERDUE_TIME_LEFT: Duration = Duration::from_secs(1);
@@ -126,7 +129,8 @@
         let mut avoid = Vec::new();
         let mut failures = 0;
         let failed_requests = &self.shared.failed_requests;
-        let fingerprint = Fingerprint::of_reward_call(call);
+        let fingerprint = Fingerprint::of_failing_reward_call(call);
+        let crashing = Fingerprint::of_crashing_reward_call(call);
         loop {
             if let Some(reason) = self.abandon_reason(submission) {
                 return ScoreOutcome::Abandoned(reason);
@@ -136,9 +140,15 @@
             if failures >= max_failures || failed_requests.count(fingerprint) >= max_in_all {
                 return ScoreOutcome::Abandoned("score-failed");
             }
+            if self.shared.is_quarantined(crashing) {
+                // It is abandoned when the item expires.
+                tokio::time::sleep(QUARANTINE_CHECK_INTERVAL).await;
+                continue;
+            }
             let attempt = self.attempt(submission, call, &mut avoid).await;
             if let Attempt::Answered(proof) = attempt {
                 failed_requests.clear(fingerprint);
+                failed_requests.clear(crashing);
                 let call = call.clone();
                 return ScoreOutcome::Score(Score { call, proof });
             }
@@ -260,7 +270,11 @@
             Err(CallError::Refused | CallError::NotSent) => {
                 (Attempt::NotRun("not-sent"), Ending::Unreachable, None)
             }
-            Err(CallError::Broken) => (Attempt::Broken("no-answer"), Ending::Failed, None),
+            Err(CallError::Broken) => {
+                let crashing = Fingerprint::of_crashing_reward_call(call);
+                self.shared.record_if_crashed(crashing, upstream).await;
+                (Attempt::Broken("no-answer"), Ending::Failed, None)
+            }
             Err(CallError::Late) => (Attempt::Broken("late"), Ending::Failed, None),
         };
         permit.finish_with_load(ending, reported_load);
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -4,16 +4,19 @@
 
 use firweir::process::clock::Clock;
 use firweir::process::log::Journal;
+use firweir_policy::suspect::Isolation;
 use firweir_policy::work::ReportedLoad;
 
 use crate::connection_pool::ConnectionPool;
 use crate::dialect::Dialect;
 use crate::duty::BootClock;
 use crate::failed_requests::FailedRequests;
+use crate::fingerprint::Fingerprint;
 use crate::fleet::Fleet;
 use crate::interest::Interest;
 use crate::mechanisms::EnabledMechanisms;
 use crate::mechanisms::Mechanism;
+use crate::model::Upstream;
 use crate::reload::CurrentSettings;
 use crate::usage::counter::UsageCounter;
 
@@ -45,6 +48,21 @@
 }
 
 impl Shared {
+    /// Records that an upstream was lost under a request, if no process listens there any more: a
+    /// full upstream resets connections as well.
+    pub(crate) async fn record_if_crashed(&self, fingerprint: Fingerprint, upstream: &Upstream) {
+        if !self.connections.is_listening(upstream.address).await {
+            let failed_requests = &self.failed_requests;
+            failed_requests.record_lost_upstream(fingerprint, &upstream.instance);
+        }
+    }
+
+    /// Whether a request has crashed as many upstreams as one request may.
+    pub(crate) fn is_quarantined(&self, fingerprint: Fingerprint) -> bool {
+        let isolation = self.failed_requests.isolation(fingerprint);
+        matches!(isolation, Isolation::Quarantined(_))
+    }
+
     /// The load that an upstream reported, without `time_percent` if [`Mechanism::ToldSpeed`] is
     /// off. `None` if it reported none.
     #[must_use]
