Failure records, streamed answers and fingerprints in small modules

live.rs and failed_requests.rs had grown; the stream on its way to a client and the records of failures are modules of their own, and the limit on failures, written twice, is one function.

--- a/crates/node/src/dialect.rs
+++ b/crates/node/src/dialect.rs
@@ -267,7 +267,7 @@
     ResultChunks,
     /// Texts of samples that are being generated.
     UnfinishedTexts,
-    /// Holders of the duties that one VM at a time has.
+    /// Holders of the duties that one VM at a time has, and the failed runs that each node saw.
     Duties,
     /// Reported usage of accounts, by window.
     UsageReports,
--- a/crates/node/src/drafting.rs
+++ b/crates/node/src/drafting.rs
@@ -38,14 +38,12 @@
 use crate::draft_run::Run;
 use crate::draft_run::RunProgress;
 use crate::engines::rollout_engines;
-use crate::failed_requests::MAX_STEPS_WITH_FAILURES;
 use crate::fingerprint::Fingerprint;
 use crate::interest::DraftedModel;
 use crate::mechanisms::Mechanism;
 use crate::model::Instance;
 use crate::model::ItemResult;
 use crate::model::ItemState;
-use crate::model::Route;
 use crate::relay::hash_of_name;
 use crate::sample_order::record_length;
 use crate::sample_order::record_step;
@@ -428,15 +426,17 @@
             return;
         };
         let item = &submission.items[item_index];
+        let failed_requests = &self.shared.failed_requests;
         let failures = state.jobs[at].progress.failures;
-        if let Some(reason) = self.failure_reason(&item.id, failures, route) {
-            return self.abandon(state, key, reason);
+        if failed_requests.is_exhausted(Fingerprint::of_impossible_item(&item.id), 0, 1) {
+            return self.abandon(state, key, "impossible");
         }
-        if self
-            .shared
-            .is_quarantined(Fingerprint::of_crashing_item(&item.id))
-        {
-            // It waits until it expires.
+        let failing = Fingerprint::of_failing_item(&item.id);
+        if failed_requests.is_exhausted(failing, failures, route.max_attempts) {
+            return self.abandon(state, key, "failed");
+        }
+        // It may not be abandoned before it expires.
+        if failed_requests.is_quarantined(Fingerprint::of_crashing_item(&item.id)) {
             return;
         }
         let model = state.model_key(&target.service, &submission.head.model);
@@ -451,21 +451,6 @@
         });
     }
 
-    /// Reason for which an item must not run again: it can never be run, or its runs have failed
-    /// as often as its route allows, in this step or in all steps and at all nodes together.
-    fn failure_reason(&self, item: &str, failures: u32, route: &Route) -> Option<&'static str> {
-        let failed_requests = &self.shared.failed_requests;
-        let count = |fingerprint| failed_requests.count(fingerprint);
-        if count(Fingerprint::of_impossible_item(item)) >= MAX_STEPS_WITH_FAILURES {
-            return Some("impossible");
-        }
-        let max_attempts = route.max_attempts.max(1);
-        let max_in_all = max_attempts.saturating_mul(MAX_STEPS_WITH_FAILURES);
-        let is_failing =
-            failures >= max_attempts || count(Fingerprint::of_failing_item(item)) >= max_in_all;
-        is_failing.then_some("failed")
-    }
-
     fn abandon(&self, state: &mut State, key: SampleKey, reason: &'static str) {
         let Some(at) = state.job_index(key) else {
             return;
--- a/crates/node/src/failed_requests.rs
+++ b/crates/node/src/failed_requests.rs
@@ -23,16 +23,17 @@
 use firweir_policy::suspect::LossReport;
 use firweir_policy::suspect::SUSPICION_EXPIRY;
 use firweir_policy::suspect::Suspects;
-use serde::Deserialize;
-use serde::Serialize;
 use tokio::sync::Notify;
 use tokio::sync::Semaphore;
-use xxhash_rust::xxh3::xxh3_64;
 
 use crate::change::Change;
 use crate::dialect::Object;
 use crate::dialect::ObjectKind;
 use crate::dialect::StoreError;
+use crate::failure_records::Clearing;
+use crate::failure_records::Failure;
+use crate::failure_records::FailureRecord;
+use crate::failure_records::NodeFailures;
 use crate::fingerprint::Fingerprint;
 use crate::model::Instance;
 use crate::store::Store;
@@ -40,7 +41,7 @@
 /// Number of steps in which an item may fail as often as its route allows. A second step gives an
 /// item another chance that failed by a fault of its engines; after that it counts as failing
 /// wherever it runs.
-pub const MAX_STEPS_WITH_FAILURES: u32 = 2;
+const MAX_STEPS_WITH_FAILURES: u32 = 2;
 
 /// Prefix of the names of these objects among the duties in the store.
 const PREFIX: &str = "failures-";
@@ -62,48 +63,6 @@
 /// later.
 const CLOCK_TOLERANCE: Duration = Duration::from_secs(3);
 
-/// Maximum number of failures, and of clearing answers, that a node keeps; the newest stay.
-const MAX_RECORDED: usize = 512;
-
-/// One failed run of a request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-struct Failure {
-    fingerprint: u64,
-    /// Hash of the upstream that was lost, or of the run: several nodes may see the same upstream
-    /// crash under the same request, which counts once.
-    cause: u64,
-    /// Time of day in milliseconds since the Unix epoch.
-    at_ms: u64,
-    /// Whether it is in the store.
-    #[serde(skip)]
-    is_written: bool,
-}
-
-/// An answer to a request that had failed before.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-struct Clearing {
-    fingerprint: u64,
-    /// Time of day in milliseconds since the Unix epoch.
-    at_ms: u64,
-}
-
-/// What one node saw.
-#[derive(Debug, Clone, Default, Serialize, Deserialize)]
-struct NodeFailures {
-    failures: Vec<Failure>,
-    #[serde(default)]
-    cleared: Vec<Clearing>,
-}
-
-/// What one node saw, as stored.
-#[derive(Debug, Serialize, Deserialize)]
-struct FailureRecord {
-    /// Id of the write that created this value.
-    write: String,
-    #[serde(flatten)]
-    seen: NodeFailures,
-}
-
 #[derive(Debug, Default)]
 struct State {
     /// Decides by the failures that all nodes saw.
@@ -159,32 +118,31 @@
 
     /// Records that the connection to an upstream broke before it had answered the request.
     pub fn record_lost_upstream(&self, fingerprint: Fingerprint, upstream: &Instance) {
-        self.record(fingerprint, xxh3_64(upstream.to_string().as_bytes()));
+        let cause = Fingerprint::of_cause(&upstream.to_string());
+        self.record(fingerprint, cause);
     }
 
-    /// Records that an upstream reported a failure. Returns the number of failures on all nodes.
-    pub fn record_failed_run(&self, fingerprint: Fingerprint) -> u32 {
+    /// Records that an upstream reported a failure.
+    pub fn record_failed_run(&self, fingerprint: Fingerprint) {
         let run = self.inner.store.write_id();
-        self.record(fingerprint, xxh3_64(run.as_bytes()))
+        self.record(fingerprint, Fingerprint::of_cause(&run));
     }
 
-    fn record(&self, fingerprint: Fingerprint, cause: u64) -> u32 {
+    fn record(&self, fingerprint: Fingerprint, cause: Fingerprint) {
         let now = self.inner.clock.now();
         let failure = Failure {
             fingerprint: fingerprint.0,
-            cause,
+            cause: cause.0,
             at_ms: self.now_ms(),
             is_written: false,
         };
         let mut state = self.lock();
         state.own.add_failure(failure);
         self.update_suspects(&mut state);
-        let count = state.suspects.losses(now, fingerprint.0);
-        state.is_urgent |= count > 1;
+        state.is_urgent |= state.suspects.losses(now, fingerprint.0) > 1;
         state.unwritten_since.get_or_insert(now);
         drop(state);
         self.inner.changed.notify_one();
-        count
     }
 
     /// Clears the failures of a request on all nodes, after a complete answer.
@@ -215,6 +173,26 @@
         self.lock().suspects.losses(now, fingerprint.0)
     }
 
+    /// Whether a request must not run again: it has failed `failures_here` times, in the step or call
+    /// that asks, and is allowed `max_attempts` there, or it has failed too often on all nodes.
+    #[must_use]
+    pub fn is_exhausted(
+        &self,
+        fingerprint: Fingerprint,
+        failures_here: u32,
+        max_attempts: u32,
+    ) -> bool {
+        let max_attempts = max_attempts.max(1);
+        let max_in_all = max_attempts.saturating_mul(MAX_STEPS_WITH_FAILURES);
+        failures_here >= max_attempts || self.count(fingerprint) >= max_in_all
+    }
+
+    /// Whether a request has crashed as many upstreams as one request may.
+    #[must_use]
+    pub fn is_quarantined(&self, fingerprint: Fingerprint) -> bool {
+        matches!(self.isolation(fingerprint), Isolation::Quarantined(_))
+    }
+
     /// Restriction under which a request may run, by the upstreams that it may have crashed.
     #[must_use]
     pub fn isolation(&self, fingerprint: Fingerprint) -> Isolation {
@@ -402,59 +380,6 @@
     }
 }
 
-impl NodeFailures {
-    /// Adds a failure unless one with the same cause is known.
-    fn add_failure(&mut self, failure: Failure) {
-        let key = |failure: &Failure| (failure.fingerprint, failure.cause);
-        if !self.failures.iter().any(|held| key(held) == key(&failure)) {
-            self.failures.push(failure);
-        }
-        if self.failures.len() > MAX_RECORDED {
-            self.failures.remove(0);
-        }
-    }
-
-    /// Replaces the failures of a request by an answer.
-    fn clear(&mut self, clearing: Clearing) {
-        let fingerprint = clearing.fingerprint;
-        self.failures
-            .retain(|failure| failure.fingerprint != fingerprint);
-        self.add_clearing(clearing);
-    }
-
-    fn add_clearing(&mut self, clearing: Clearing) {
-        self.cleared
-            .retain(|held| held.fingerprint != clearing.fingerprint);
-        self.cleared.push(clearing);
-        if self.cleared.len() > MAX_RECORDED {
-            self.cleared.remove(0);
-        }
-    }
-
-    /// Adds what is in the store.
-    fn merge(&mut self, mut stored: Self) {
-        stored.mark_written();
-        for failure in std::mem::take(&mut self.failures) {
-            stored.add_failure(failure);
-        }
-        for clearing in std::mem::take(&mut self.cleared) {
-            stored.add_clearing(clearing);
-        }
-        *self = stored;
-    }
-
-    fn mark_written(&mut self) {
-        for failure in &mut self.failures {
-            failure.is_written = true;
-        }
-    }
-
-    fn drop_before(&mut self, oldest_ms: u64) {
-        self.failures.retain(|failure| failure.at_ms >= oldest_ms);
-        self.cleared.retain(|clearing| clearing.at_ms >= oldest_ms);
-    }
-}
-
 impl State {
     /// Whether other nodes count failures of the request, or may have read this node's.
     fn is_known_elsewhere(&self, fingerprint: Fingerprint) -> bool {
--- a/crates/node/src/fingerprint.rs
+++ b/crates/node/src/fingerprint.rs
@@ -7,13 +7,17 @@
 
 use crate::model::RewardCall;
 
+/// Bits of a hash that are dropped, so that it is exact as a JSON number, whose readers may keep 53
+/// bits.
+const DROPPED_BITS: u32 = 12;
+
 /// Hash of what makes two requests the same one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Fingerprint(pub u64);
 
 impl fmt::Display for Fingerprint {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(formatter, "{:016x}", self.0)
+        write!(formatter, "{:013x}", self.0)
     }
 }
 
@@ -66,6 +70,12 @@
         Self::of_parts(&[kind, id.as_bytes(), path.as_bytes(), body.as_bytes()])
     }
 
+    /// Hash of the cause of a failure.
+    #[must_use]
+    pub fn of_cause(name: &str) -> Self {
+        Self::of_parts(&[b"cause", name.as_bytes()])
+    }
+
     /// Hashes parts with their lengths, so that no two lists of parts run together.
     fn of_parts(parts: &[&[u8]]) -> Self {
         let mut hasher = Xxh3::new();
@@ -73,6 +83,6 @@
             hasher.update(&part.len().to_le_bytes());
             hasher.update(part);
         }
-        Self(hasher.digest())
+        Self(hasher.digest() >> DROPPED_BITS)
     }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,6 +5,7 @@
 //! and recovery are here and in `firweir-policy`.
 
 pub mod account;
+mod answer_stream;
 pub mod authentication;
 pub mod change;
 pub mod connection_pool;
@@ -17,6 +18,7 @@
 pub mod duty;
 pub mod engines;
 pub mod failed_requests;
+mod failure_records;
 pub mod fingerprint;
 pub mod fleet;
 pub mod follow;
--- a/crates/node/src/live.rs
+++ b/crates/node/src/live.rs
@@ -2,10 +2,7 @@
 //! and answered with the upstream's bytes or a typed outcome.
 
 use std::fmt::Display;
-use std::pin::Pin;
 use std::sync::Arc;
-use std::task::Context;
-use std::task::Poll;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -33,20 +30,16 @@
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::Limited;
-use hyper::body::Body as HttpBody;
-use hyper::body::Frame;
 use hyper::body::Incoming;
 use tokio::sync::SemaphorePermit;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::answer_stream::AnswerStream;
 use crate::connection_pool::CallError;
-use crate::connection_pool::PooledConnection;
 use crate::dialect::RoutedCall;
-use crate::failed_requests::FailedRequests;
 use crate::fingerprint::Fingerprint;
 use crate::gates::Gates;
 use crate::mechanisms::Mechanism;
-use crate::model::Instance;
 use crate::model::Route;
 use crate::model::RouteKind;
 use crate::model::Upstream;
@@ -463,7 +456,7 @@
         }
         let headers = self.shared.dialect.returned_headers(&head.headers);
         if matches!(call.route.kind, RouteKind::Streaming { .. }) && head.status.is_success() {
-            let stream = Stream {
+            let stream = AnswerStream {
                 body,
                 connection: Some(exchange.connection),
                 permit: Some(permit),
@@ -558,55 +551,3 @@
     }
     route.targets.first().map_or("", |target| &target.service)
 }
-
-/// A streamed answer that returns its connection and its slot when it ends.
-struct Stream {
-    body: Incoming,
-    connection: Option<PooledConnection>,
-    permit: Option<Permit>,
-    failed_requests: FailedRequests,
-    fingerprint: Fingerprint,
-    upstream: Instance,
-}
-
-impl Stream {
-    fn finish(&mut self, ending: Ending) {
-        if let Some(permit) = self.permit.take() {
-            permit.finish(ending, 0);
-        }
-        if let Some(connection) = self
-            .connection
-            .take()
-            .filter(|_| ending == Ending::Answered)
-        {
-            connection.return_to_pool();
-        }
-    }
-}
-
-impl HttpBody for Stream {
-    type Data = Bytes;
-    type Error = std::io::Error;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, std::io::Error>>> {
-        match Pin::new(&mut self.body).poll_frame(context) {
-            Poll::Ready(Some(Ok(frame))) => Poll::Ready(Some(Ok(frame))),
-            // Passed on as an error: a stream that just ends would look complete to the client.
-            Poll::Ready(Some(Err(error))) => {
-                self.failed_requests
-                    .record_lost_upstream(self.fingerprint, &self.upstream);
-                self.finish(Ending::Failed);
-                Poll::Ready(Some(Err(std::io::Error::other(error))))
-            }
-            Poll::Ready(None) => {
-                self.failed_requests.clear(self.fingerprint);
-                self.finish(Ending::Answered);
-                Poll::Ready(None)
-            }
-            Poll::Pending => Poll::Pending,
-        }
-    }
-}
--- a/crates/node/src/scoring.rs
+++ b/crates/node/src/scoring.rs
@@ -24,7 +24,6 @@
 use crate::connection_pool::CallError;
 use crate::connection_pool::StreamingResponse;
 use crate::dialect::RewardRequest;
-use crate::failed_requests::MAX_STEPS_WITH_FAILURES;
 use crate::fingerprint::Fingerprint;
 use crate::gates::Gates;
 use crate::live::pick_target;
@@ -136,12 +135,11 @@
                 return ScoreOutcome::Abandoned(reason);
             }
             let max_failures = self.max_failures(submission, call);
-            let max_in_all = max_failures.saturating_mul(MAX_STEPS_WITH_FAILURES);
-            if failures >= max_failures || failed_requests.count(fingerprint) >= max_in_all {
+            if failed_requests.is_exhausted(fingerprint, failures, max_failures) {
                 return ScoreOutcome::Abandoned("score-failed");
             }
-            if self.shared.is_quarantined(crashing) {
-                // It is abandoned when the item expires.
+            // Its item may not be abandoned before that expires.
+            if failed_requests.is_quarantined(crashing) {
                 tokio::time::sleep(QUARANTINE_CHECK_INTERVAL).await;
                 continue;
             }
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -4,7 +4,6 @@
 
 use firweir::process::clock::Clock;
 use firweir::process::log::Journal;
-use firweir_policy::suspect::Isolation;
 use firweir_policy::work::ReportedLoad;
 
 use crate::connection_pool::ConnectionPool;
@@ -57,12 +56,6 @@
         }
     }
 
-    /// Whether a request has crashed as many upstreams as one request may.
-    pub(crate) fn is_quarantined(&self, fingerprint: Fingerprint) -> bool {
-        let isolation = self.failed_requests.isolation(fingerprint);
-        matches!(isolation, Isolation::Quarantined(_))
-    }
-
     /// The load that an upstream reported, without `time_percent` if [`Mechanism::ToldSpeed`] is
     /// off. `None` if it reported none.
     #[must_use]
