--- a/crates/node/src/live.rs
+++ b/crates/node/src/live.rs
@@ -424,12 +424,10 @@
                         permit.finish(Ending::Unreachable, 0);
                         TryOutcome::NotSent
                     }
-                    CallError::Broken => {
-                        self.record_lost_upstream(call, upstream);
-                        permit.finish(Ending::Failed, 0);
-                        TryOutcome::Unknown
-                    }
-                    CallError::Late => {
+                    CallError::Broken | CallError::Late => {
+                        if error == CallError::Broken {
+                            self.record_lost_upstream(call, upstream);
+                        }
                         permit.finish(Ending::Failed, 0);
                         TryOutcome::Unknown
                     }
