--- a/crates/node/tests/connection_pool.rs
+++ b/crates/node/tests/connection_pool.rs
@@ -46,8 +46,7 @@
     address
 }
 
-/// Guards against a time left that was true before the connection was opened and is stated as if
-/// it were true when the request is sent.
+/// Guards against a stated time left that was true only before the connection was opened.
 #[tokio::test]
 async fn headers_are_set_when_the_connection_is_open() {
     let listener = TcpSocket::new_v4().expect("a socket");
