Log lines that tell why a request that crashed upstreams is sent on

The logs of an incident could not tell whether a node had not heard of earlier crashes or an answer had cleared them: 'try_failed' named no count, a clearing left no line, and a refusal named the request's id alone, which changes with each attempt. Now 'try_failed' tells the failures known, 'failures_cleared' the clearing, and a refusal as quarantined or suspect its fingerprint.

--- a/crates/node/src/failed_requests.rs
+++ b/crates/node/src/failed_requests.rs
@@ -149,9 +149,13 @@
     pub fn clear(&self, fingerprint: Fingerprint) {
         let now = self.inner.clock.now();
         let mut state = self.lock();
-        if state.suspects.losses(now, fingerprint.0) == 0 {
+        let losses = state.suspects.losses(now, fingerprint.0);
+        if losses == 0 {
             return;
         }
+        let fields: [(&str, &dyn Display); 2] =
+            [("fingerprint", &fingerprint), ("failures", &losses)];
+        self.inner.journal.event("failures_cleared", &fields);
         let is_known_elsewhere = state.is_known_elsewhere(fingerprint);
         state.own.clear(Clearing {
             fingerprint: fingerprint.0,
--- a/crates/node/src/live.rs
+++ b/crates/node/src/live.rs
@@ -70,6 +70,12 @@
 /// Time after which a client may retry while this node has no configuration.
 const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(300);
 
+/// Reason of a refusal: the request has crashed as many upstreams as one request may.
+const QUARANTINED: &str = "quarantined";
+
+/// Reason of a refusal: the request may have crashed upstreams, and cannot run alone in time.
+const SUSPECT: &str = "suspect";
+
 fn without_outlier_ejection() -> Box<dyn Dispatcher> {
     Box::new(LaneDispatcher::without_outlier_ejection())
 }
@@ -216,6 +222,9 @@
                     .map(|(name, value)| (*name, value as _)),
             );
         }
+        if matches!(reason, QUARANTINED | SUSPECT) {
+            fields.push(("fingerprint", &call.fingerprint));
+        }
         self.shared.journal.event("call", &fields);
         answer
     }
@@ -311,14 +320,14 @@
             Isolation::Free => Ok(None),
             Isolation::Quarantined(remaining) => {
                 self.shared.journal.count("live.quarantined");
-                Err(("quarantined", remaining))
+                Err((QUARANTINED, remaining))
             }
-            Isolation::Alone if may_have_run => Err(("suspect", third)),
+            Isolation::Alone if may_have_run => Err((SUSPECT, third)),
             Isolation::Alone => {
                 let time_left = call.time_left(&*self.shared.clock);
                 match within(time_left, failed_requests.isolated().acquire()).await {
                     Some(Ok(isolated)) => Ok(Some(isolated)),
-                    Some(Err(_)) | None => Err(("suspect", third)),
+                    Some(Err(_)) | None => Err((SUSPECT, third)),
                 }
             }
         }
@@ -498,6 +507,10 @@
                 ("fingerprint", &call.fingerprint),
                 ("upstream", &upstream.instance),
                 ("outcome", &outcome),
+                (
+                    "failures",
+                    &self.shared.failed_requests.count(call.fingerprint),
+                ),
                 ("left_ms", &call.time_left(&*self.shared.clock).as_millis()),
             ],
         );
