A server error no longer clears a request that crashed upstreams

Any complete answer cleared the failures of a request at all nodes, and what failed up to 3 s later as well: an upstream's 504 too, which says only that the time ran out before the crash, or the 500 of a faulty upstream. A caller that sends such a request again with little time left, or a node that held it until an upstream was back, so made it free to crash three more. Now an answer clears only if it shows that the request was run to its end: no server error, no rejection before the run.

--- a/crates/node/src/live.rs
+++ b/crates/node/src/live.rs
@@ -482,7 +482,9 @@
             permit.finish(Ending::Failed, 0);
             return TryOutcome::Unknown;
         };
-        self.shared.failed_requests.clear(call.fingerprint);
+        if shows_complete_run(head.status) {
+            self.shared.failed_requests.clear(call.fingerprint);
+        }
         exchange.connection.return_to_pool();
         let mut answer = bytes_response(head.status, body.to_bytes());
         *answer.headers_mut() = headers;
@@ -545,6 +547,20 @@
     }
 }
 
+/// Whether an answer shows that an upstream ran the request to its end and survived. A server error
+/// does not: the time may have run out, or the upstream may be faulty. Nor does a rejection before
+/// the run.
+fn shows_complete_run(status: StatusCode) -> bool {
+    let is_rejection = matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::PAYLOAD_TOO_LARGE
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+    );
+    !is_rejection && !status.is_server_error()
+}
+
 /// The service that gets this request, by the weights of the route's targets.
 pub(crate) fn pick_target<'a>(route: &'a Route, request_id: &str) -> &'a str {
     let total: u64 = route
