Failures reach the other nodes through the seeds, without the store

What callers saw: upstreams that a request had crashed came back and were crashed by it again, at nodes that had not heard of it. Failures reached other nodes through the store alone, which takes seconds while it is slow, loses writes or is away; until then each node began at zero, so that the number of lost upstreams grew with the nodes.

A node now posts its failures to every seed of the settings and has one seed answer as soon as that learns of others; seeds ask one another. The store keeps what has to outlive the nodes, as before; its writer is a module of its own.

--- a/crates/node/src/failed_requests.rs
+++ b/crates/node/src/failed_requests.rs
@@ -5,9 +5,10 @@
 //! that crashes upstreams is sent on by one node after the other, and an item that always fails
 //! runs anew in every step.
 //!
-//! A node writes the failures that it saw to an object of its own in the store, of the kind that
-//! all nodes follow anyway. An answer at any node clears the failures of the request at all nodes.
-//! While the store is away, each node counts alone.
+//! A node tells the failures that it saw to the other nodes through the seeds
+//! ([`crate::failure_exchange`]), within milliseconds and also while the store is away. It writes
+//! them to the store as well ([`crate::failure_writer`]), where they outlive the nodes. An answer at
+//! any node clears the failures of the request at all nodes.
 
 use std::fmt::Display;
 use std::sync::Arc;
@@ -28,8 +29,9 @@
 
 use crate::change::Change;
 use crate::dialect::Object;
-use crate::dialect::ObjectKind;
-use crate::dialect::StoreError;
+use crate::failure_log::FailureLog;
+use crate::failure_log::FailureNews;
+use crate::failure_log::LogPosition;
 use crate::failure_records::Clearing;
 use crate::failure_records::Failure;
 use crate::failure_records::FailureRecord;
@@ -46,49 +48,58 @@
 /// Prefix of the names of these objects among the duties in the store.
 const PREFIX: &str = "failures-";
 
-/// Time between the first failure of a request and its write: most requests succeed at another
+/// Time between the first failure of a request and its report: most requests succeed at another
 /// upstream meanwhile, which clears it.
-const FIRST_FAILURE_DELAY: Duration = Duration::from_millis(200);
-
-/// Shortest time between two writes.
-const WRITE_INTERVAL: Duration = Duration::from_millis(100);
-
-/// Delay after a failed write: outages of the store last seconds, and each call costs.
-const WRITE_RETRY_DELAY: Duration = Duration::from_secs(2);
-
-/// Interval at which expired failures are dropped.
-const EXPIRY_INTERVAL: Duration = Duration::from_secs(60);
+pub(crate) const FIRST_FAILURE_DELAY: Duration = Duration::from_millis(200);
 
 /// By how much the times of day of two nodes may differ: an answer clears failures up to this much
 /// later.
 const CLOCK_TOLERANCE: Duration = Duration::from_secs(3);
 
-#[derive(Debug, Default)]
-struct State {
+#[derive(Debug)]
+pub(crate) struct State {
     /// Decides by the failures that all nodes saw.
     suspects: Suspects,
-    own: NodeFailures,
+    pub(crate) own: NodeFailures,
     /// By name of the object, sorted.
     others: Vec<(String, NodeFailures)>,
+    /// What this node and others have told one another.
+    pub(crate) log: FailureLog,
     /// Revision of this node's object; `None` if there is none.
-    revision: Option<u64>,
+    pub(crate) revision: Option<u64>,
     /// Whether the objects of other nodes and of an earlier process of this node were read.
-    is_loaded: bool,
-    /// When the oldest unwritten change was made.
-    unwritten_since: Option<Instant>,
-    /// Whether a change is to be written without a delay.
+    pub(crate) is_loaded: bool,
+    /// When `own` is to be written to the store.
+    pub(crate) write_timer: ReportTimer,
+    /// Changes of `own` that are not in the log.
+    pub(crate) untold: NodeFailures,
+    /// When they are to be told to other nodes.
+    pub(crate) news_timer: ReportTimer,
+}
+
+/// When changes are to be reported.
+#[derive(Debug, Default)]
+pub(crate) struct ReportTimer {
+    /// When the oldest unreported change was made.
+    since: Option<Instant>,
+    /// Whether they are to be reported without a delay.
     is_urgent: bool,
 }
 
 #[derive(Debug)]
-struct Inner {
-    store: Store,
-    clock: Arc<dyn Clock>,
+pub(crate) struct Inner {
+    pub(crate) store: Store,
+    pub(crate) clock: Arc<dyn Clock>,
     journal: Journal,
     /// Name of this node's object.
-    name: String,
+    pub(crate) name: String,
     state: Mutex<State>,
-    changed: Notify,
+    /// A change is to be written to the store.
+    pub(crate) write_due: Notify,
+    /// A change is to be told to other nodes.
+    pub(crate) news_due: Notify,
+    /// The log has new entries.
+    pub(crate) log_changed: Notify,
     /// Admits one suspected request at a time.
     isolated: Semaphore,
 }
@@ -96,7 +107,29 @@
 /// Failed runs of requests and items; cheap to clone.
 #[derive(Debug, Clone)]
 pub struct FailedRequests {
-    inner: Arc<Inner>,
+    pub(crate) inner: Arc<Inner>,
+}
+
+impl ReportTimer {
+    /// Records a change.
+    pub(crate) fn start(&mut self, now: Instant, is_urgent: bool) {
+        self.since.get_or_insert(now);
+        self.is_urgent |= is_urgent;
+    }
+
+    /// Records that all changes were reported.
+    pub(crate) fn reset(&mut self) {
+        *self = Self::default();
+    }
+
+    /// Time until the changes are due; `None` if there are none.
+    pub(crate) fn delay(&self, now: Instant) -> Option<Duration> {
+        let since = self.since?;
+        if self.is_urgent {
+            return Some(Duration::ZERO);
+        }
+        Some((since + FIRST_FAILURE_DELAY).saturating_duration_since(now))
+    }
 }
 
 impl FailedRequests {
@@ -109,8 +142,10 @@
                 clock,
                 journal,
                 name: format!("{PREFIX}{node}"),
-                state: Mutex::default(),
-                changed: Notify::new(),
+                state: Mutex::new(State::new()),
+                write_due: Notify::new(),
+                news_due: Notify::new(),
+                log_changed: Notify::new(),
                 isolated: Semaphore::new(1),
             }),
         }
@@ -139,10 +174,11 @@
         let mut state = self.lock();
         state.own.add_failure(failure);
         self.update_suspects(&mut state);
-        state.is_urgent |= state.suspects.losses(now, fingerprint.0) > 1;
-        state.unwritten_since.get_or_insert(now);
+        let is_urgent = state.suspects.losses(now, fingerprint.0) > 1;
+        state.untold.add_failure(failure);
+        state.start_timers(now, is_urgent);
         drop(state);
-        self.inner.changed.notify_one();
+        self.notify_reporters();
     }
 
     /// Clears the failures of a request on all nodes, after a complete answer.
@@ -157,17 +193,72 @@
             [("fingerprint", &fingerprint), ("failures", &losses)];
         self.inner.journal.event("failures_cleared", &fields);
         let is_known_elsewhere = state.is_known_elsewhere(fingerprint);
-        state.own.clear(Clearing {
+        let clearing = Clearing {
             fingerprint: fingerprint.0,
             at_ms: self.now_ms(),
-        });
+        };
+        state.own.clear(clearing);
         self.update_suspects(&mut state);
+        state.untold.drop_failures_of(fingerprint.0);
         if is_known_elsewhere {
-            state.is_urgent = true;
-            state.unwritten_since.get_or_insert(now);
+            state.untold.add_clearing(clearing);
+            state.start_timers(now, true);
+        }
+        drop(state);
+        self.notify_reporters();
+    }
+
+    fn notify_reporters(&self) {
+        self.inner.write_due.notify_one();
+        self.inner.news_due.notify_one();
+    }
+
+    /// Waits until changes are due to be told to other nodes.
+    pub(crate) async fn wait_for_untold(&self) {
+        loop {
+            let changed = self.inner.news_due.notified();
+            let delay = self.lock().news_timer.delay(self.inner.clock.now());
+            match delay {
+                Some(Duration::ZERO) => return,
+                // Both ends of the wait are followed by another look at the timer.
+                Some(delay) => _ = tokio::time::timeout(delay, changed).await,
+                None => changed.await,
+            }
+        }
+    }
+
+    /// Takes the changes that other nodes were not told of, and adds them to the log.
+    pub(crate) fn take_untold(&self) -> NodeFailures {
+        let mut state = self.lock();
+        state.news_timer.reset();
+        let untold = std::mem::take(&mut state.untold);
+        drop(state);
+        self.add_news(&untold);
+        untold
+    }
+
+    /// Puts changes back that no other node could be told of.
+    pub(crate) fn restore_untold(&self, untold: NodeFailures) {
+        let now = self.inner.clock.now();
+        let mut state = self.lock();
+        state.untold.merge(untold);
+        state.news_timer.start(now, true);
+    }
+
+    /// What this node has learned after a position in its log.
+    pub(crate) fn news_after(&self, position: LogPosition) -> FailureNews {
+        self.lock().log.news_since(position)
+    }
+
+    /// Adds what other nodes have told.
+    pub(crate) fn add_news(&self, seen: &NodeFailures) {
+        let mut state = self.lock();
+        if !state.log.add(seen) {
+            return;
         }
+        self.update_suspects(&mut state);
         drop(state);
-        self.inner.changed.notify_one();
+        self.inner.log_changed.notify_waiters();
     }
 
     /// Number of failures on all nodes.
@@ -226,12 +317,12 @@
         }
         self.update_suspects(&mut state);
         drop(state);
-        self.inner.changed.notify_one();
+        self.inner.write_due.notify_one();
     }
 
     /// Applies one object. This node's own may be of an earlier process, or older than what this
     /// one has written.
-    fn put(&self, state: &mut State, object: &Object) {
+    pub(crate) fn put(&self, state: &mut State, object: &Object) {
         if !object.name.starts_with(PREFIX) {
             return;
         }
@@ -254,11 +345,12 @@
     }
 
     /// Passes all failures that were not cleared and have not expired to the decisions.
-    fn update_suspects(&self, state: &mut State) {
-        let oldest_ms = self.now_ms().saturating_sub(millis(SUSPICION_EXPIRY));
+    pub(crate) fn update_suspects(&self, state: &mut State) {
+        let oldest_ms = self.oldest_ms();
+        let told = state.log.all();
         let nodes = || {
             let others = state.others.iter().map(|(_, seen)| seen);
-            others.chain([&state.own])
+            others.chain([&state.own, &told])
         };
         let mut clearings: Vec<Clearing> = nodes().flat_map(|seen| seen.cleared.clone()).collect();
         clearings.sort_unstable_by_key(|clearing| clearing.fingerprint);
@@ -281,116 +373,55 @@
         state.suspects.set_reports(reports);
     }
 
-    /// Writes what this node sees to the store as it changes; never returns.
-    pub async fn run(self) {
-        loop {
-            let changed = self.inner.changed.notified();
-            // A timeout needs no handling: expired failures are dropped below.
-            _ = tokio::time::timeout(self.write_delay(), changed).await;
-            if self.write_delay().is_zero() {
-                let pause = match self.write().await {
-                    Ok(()) => WRITE_INTERVAL,
-                    Err(error) => {
-                        self.handle_failed_write(&error).await;
-                        WRITE_RETRY_DELAY
-                    }
-                };
-                tokio::time::sleep(pause).await;
-            }
-            let mut state = self.lock();
-            self.update_suspects(&mut state);
-        }
-    }
-
-    /// Time until the unwritten changes are due to be written.
-    fn write_delay(&self) -> Duration {
-        let now = self.inner.clock.now();
-        let state = self.lock();
-        match state.unwritten_since {
-            Some(_) if !state.is_loaded => EXPIRY_INTERVAL,
-            Some(_) if state.is_urgent => Duration::ZERO,
-            Some(since) => (since + FIRST_FAILURE_DELAY).saturating_duration_since(now),
-            None => EXPIRY_INTERVAL,
-        }
-    }
-
-    async fn write(&self) -> Result<(), StoreError> {
-        let Some((record, revision)) = self.take_unwritten() else {
-            return Ok(());
-        };
-        let (store, name) = (&self.inner.store, &self.inner.name);
-        let kind = ObjectKind::Duties;
-        let revision = match revision {
-            Some(revision) => {
-                let replacing = store.replace(kind, name, revision, &record, &record.write);
-                replacing.await?.revision
-            }
-            None => store.create_once(kind, name, &record).await?,
-        };
-        self.lock().revision = Some(revision);
-        Ok(())
-    }
-
-    /// The record to write, with the revision that it replaces; `None` if the changes have cancelled
-    /// each other out.
-    fn take_unwritten(&self) -> Option<(FailureRecord, Option<u64>)> {
-        let oldest_ms = self.now_ms().saturating_sub(millis(SUSPICION_EXPIRY));
-        let mut state = self.lock();
-        state.unwritten_since = None;
-        state.is_urgent = false;
-        state.own.drop_before(oldest_ms);
-        let own = &mut state.own;
-        if own.failures.is_empty() && own.cleared.is_empty() {
-            return None;
-        }
-        own.mark_written();
-        let record = FailureRecord {
-            write: self.inner.store.write_id(),
-            seen: own.clone(),
-        };
-        Some((record, state.revision))
-    }
-
-    /// Has the failures written again, on the object as it is then.
-    async fn handle_failed_write(&self, error: &StoreError) {
-        let (store, name) = (&self.inner.store, &self.inner.name);
-        self.log("failures_unwritten", name, error);
-        let now = self.inner.clock.now();
-        self.lock().unwritten_since.get_or_insert(now);
-        if matches!(error, StoreError::Refused(_) | StoreError::Unreachable) {
-            return;
-        }
-        match store.read(ObjectKind::Duties, name).await {
-            Ok(Some(object)) => self.put(&mut self.lock(), &object),
-            Ok(None) => self.lock().revision = None,
-            // The next write fails as well, and is retried.
-            Err(_) => {}
-        }
-    }
-
     fn now_ms(&self) -> u64 {
         millis(self.inner.clock.since_epoch())
     }
 
-    fn log(&self, event: &str, name: &str, cause: &dyn Display) {
+    /// Time of day before which failures have expired.
+    pub(crate) fn oldest_ms(&self) -> u64 {
+        self.now_ms().saturating_sub(millis(SUSPICION_EXPIRY))
+    }
+
+    pub(crate) fn log(&self, event: &str, name: &str, cause: &dyn Display) {
         let fields: [(&str, &dyn Display); 2] = [("object", &name), ("cause", cause)];
         self.inner.journal.event(event, &fields);
     }
 
     /// Ignores poisoning: a panic in one decision leaves the counts usable.
-    fn lock(&self) -> MutexGuard<'_, State> {
+    pub(crate) fn lock(&self) -> MutexGuard<'_, State> {
         let state = self.inner.state.lock();
         state.unwrap_or_else(PoisonError::into_inner)
     }
 }
 
 impl State {
+    fn new() -> Self {
+        Self {
+            suspects: Suspects::default(),
+            own: NodeFailures::default(),
+            others: Vec::new(),
+            log: FailureLog::new(rand::random()),
+            revision: None,
+            is_loaded: false,
+            write_timer: ReportTimer::default(),
+            untold: NodeFailures::default(),
+            news_timer: ReportTimer::default(),
+        }
+    }
+
+    fn start_timers(&mut self, now: Instant, is_urgent: bool) {
+        self.write_timer.start(now, is_urgent);
+        self.news_timer.start(now, is_urgent);
+    }
+
     /// Whether other nodes count failures of the request, or may have read this node's.
     fn is_known_elsewhere(&self, fingerprint: Fingerprint) -> bool {
         let is_of_request = |failure: &&Failure| failure.fingerprint == fingerprint.0;
         let mut own = self.own.failures.iter().filter(is_of_request);
         let mut others = self.others.iter().flat_map(|(_, seen)| &seen.failures);
-        own.any(|failure| failure.is_written) || others.any(|failure| is_of_request(&failure))
+        own.any(|failure| failure.is_written)
+            || others.any(|failure| is_of_request(&failure))
+            || self.log.has_failure_of(fingerprint.0)
     }
 }
 
--- a/crates/node/src/failure_records.rs
+++ b/crates/node/src/failure_records.rs
@@ -46,6 +46,10 @@
 }
 
 impl NodeFailures {
+    pub(crate) const fn is_empty(&self) -> bool {
+        self.failures.is_empty() && self.cleared.is_empty()
+    }
+
     /// Adds a failure; one with the same cause is replaced.
     pub(crate) fn add_failure(&mut self, failure: Failure) {
         let key = |failure: &Failure| (failure.fingerprint, failure.cause);
@@ -58,10 +62,13 @@
 
     /// Replaces the failures of a request by an answer.
     pub(crate) fn clear(&mut self, clearing: Clearing) {
-        let fingerprint = clearing.fingerprint;
+        self.drop_failures_of(clearing.fingerprint);
+        self.add_clearing(clearing);
+    }
+
+    pub(crate) fn drop_failures_of(&mut self, fingerprint: u64) {
         self.failures
             .retain(|failure| failure.fingerprint != fingerprint);
-        self.add_clearing(clearing);
     }
 
     pub(crate) fn add_clearing(&mut self, clearing: Clearing) {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -30,6 +30,7 @@
 use crate::drafting::Drafting;
 use crate::duty::SystemBootClock;
 use crate::failed_requests::FailedRequests;
+use crate::failure_exchange::FailureExchange;
 use crate::fleet::Fleet;
 use crate::fleet::FleetParts;
 use crate::fleet::UpstreamList;
@@ -389,7 +390,13 @@
         journal.clone(),
         &context.settings.node,
     );
-    context.tasks.spawn(failed_requests.clone().run());
+    context.tasks.spawn(failed_requests.clone().run_writer());
+    let failure_exchange = FailureExchange {
+        failed_requests: failed_requests.clone(),
+        settings: context.current_settings.clone(),
+        connections: context.connections.clone(),
+    };
+    context.tasks.spawn(failure_exchange.clone().run());
     let shared = Shared {
         failed_requests: failed_requests.clone(),
         usage_counter: usage_counter.clone(),
@@ -501,6 +508,7 @@
         fleet,
         live,
         failed_requests,
+        failure_exchange,
         scoring,
         submissions,
         drafting,
--- a/crates/node/src/request_handler.rs
+++ b/crates/node/src/request_handler.rs
@@ -35,6 +35,11 @@
 use crate::drafting::Drafting;
 use crate::duty::BootClock;
 use crate::failed_requests::FailedRequests;
+use crate::failure_exchange;
+use crate::failure_exchange::FAILURE_NEWS_PATH;
+use crate::failure_exchange::FAILURES_PATH;
+use crate::failure_exchange::FailureExchange;
+use crate::failure_exchange::MAX_FAILURES_BYTES;
 use crate::fleet::Fleet;
 use crate::holder::DUTY_HOLDER_PATH;
 use crate::holder::DutyHolder;
@@ -101,6 +106,7 @@
     pub(crate) fleet: Arc<Fleet>,
     pub(crate) live: Arc<LiveCalls>,
     pub(crate) failed_requests: FailedRequests,
+    pub(crate) failure_exchange: FailureExchange,
     pub(crate) scoring: Scoring,
     pub(crate) submissions: SubmissionManager,
     pub(crate) drafting: Drafting,
@@ -237,6 +243,12 @@
         if head.uri.path() == HOME_PATH {
             return self.offer_home(body).await;
         }
+        if head.uri.path() == FAILURES_PATH {
+            return self.take_failures(body).await;
+        }
+        if head.uri.path() == FAILURE_NEWS_PATH {
+            return self.tell_failures(body).await;
+        }
         let account = account_from_header(&head.headers);
         match self.dialect.client_call(&head) {
             ClientCall::Asked(question) => {
@@ -327,6 +339,32 @@
         }
     }
 
+    /// Takes failures that another node saw.
+    async fn take_failures(&self, body: Incoming) -> Response<Body> {
+        let Some(body) = read_body(body, MAX_FAILURES_BYTES).await else {
+            return empty(StatusCode::PAYLOAD_TOO_LARGE);
+        };
+        let Some(seen) = failure_exchange::decode(&body) else {
+            return empty(StatusCode::BAD_REQUEST);
+        };
+        self.failed_requests.add_news(&seen);
+        empty(StatusCode::OK)
+    }
+
+    /// Tells another node of failures as this one learns of them.
+    async fn tell_failures(&self, body: Incoming) -> Response<Body> {
+        let Some(body) = read_body(body, MAX_FAILURES_BYTES).await else {
+            return empty(StatusCode::PAYLOAD_TOO_LARGE);
+        };
+        let Some(position) = failure_exchange::decode(&body) else {
+            return empty(StatusCode::BAD_REQUEST);
+        };
+        json(
+            StatusCode::OK,
+            &self.failure_exchange.news_after(position).await,
+        )
+    }
+
     /// Answers a node that follows the store through this seed.
     async fn relay_to_follower(&self, name: &str, query: Option<&str>) -> Response<Body> {
         let request = query.and_then(RelayRequest::from_query);
