A popular call is not stopped when all upstreams end at once

What callers saw: a call in flight at three upstreams that ended together was refused for 10 minutes at all nodes, though it had crashed none, and could not clear itself since it was refused. Cause: losses were counted by upstream, with no look at whether they came one after the other.

The same count took each crash of an upstream that is still listed under an old start for the first one.

--- a/crates/node/src/failed_requests.rs
+++ b/crates/node/src/failed_requests.rs
@@ -20,6 +20,9 @@
 
 use firweir::process::clock::Clock;
 use firweir::process::log::Journal;
+use firweir_policy::crash_evidence::Loss;
+use firweir_policy::crash_evidence::crash_count;
+use firweir_policy::crash_evidence::ended_together;
 use firweir_policy::suspect::Isolation;
 use firweir_policy::suspect::LossReport;
 use firweir_policy::suspect::SUSPICION_EXPIRY;
@@ -60,6 +63,8 @@
 pub(crate) struct State {
     /// Decides by the failures that all nodes saw.
     suspects: Suspects,
+    /// These failures, sorted by request, cause and time.
+    current: Vec<Failure>,
     pub(crate) own: NodeFailures,
     /// By name of the object, sorted.
     others: Vec<(String, NodeFailures)>,
@@ -292,7 +297,13 @@
     #[must_use]
     pub fn isolation(&self, fingerprint: Fingerprint) -> Isolation {
         let now = self.inner.clock.now();
-        self.lock().suspects.isolation(now, fingerprint.0)
+        let state = self.lock();
+        match state.suspects.isolation(now, fingerprint.0) {
+            Isolation::Quarantined(_) if ended_together(&state.losses_of(fingerprint)) => {
+                Isolation::Alone
+            }
+            isolation => isolation,
+        }
     }
 
     /// Admits one suspected request at a time.
@@ -364,12 +375,16 @@
         };
         let failures = nodes().flat_map(|seen| &seen.failures);
         let current = failures.filter(|failure| failure.at_ms >= oldest_ms && !is_cleared(failure));
-        let report = |failure: &Failure| LossReport {
-            fingerprint: failure.fingerprint,
-            node: failure.cause,
-            losses: 1,
-        };
-        let reports = current.map(report).collect();
+        let mut current: Vec<Failure> = current.copied().collect();
+        current.sort_unstable_by_key(|failure| (failure.key(), failure.at_ms));
+        let by_cause = current.chunk_by(|a, b| a.key() == b.key());
+        let reports = by_cause.map(|failures| LossReport {
+            fingerprint: failures[0].fingerprint,
+            node: failures[0].cause,
+            losses: crash_count(&to_losses(failures)),
+        });
+        let reports = reports.collect();
+        state.current = current;
         state.suspects.set_reports(reports);
     }
 
@@ -398,6 +413,7 @@
     fn new() -> Self {
         Self {
             suspects: Suspects::default(),
+            current: Vec::new(),
             own: NodeFailures::default(),
             others: Vec::new(),
             log: FailureLog::new(rand::random()),
@@ -414,6 +430,15 @@
         self.news_timer.start(now, is_urgent);
     }
 
+    /// Current failures of a request, sorted by cause and time.
+    fn losses_of(&self, fingerprint: Fingerprint) -> Vec<Loss> {
+        let current = &self.current;
+        let first = current.partition_point(|failure| failure.fingerprint < fingerprint.0);
+        let count =
+            current[first..].partition_point(|failure| failure.fingerprint == fingerprint.0);
+        to_losses(&current[first..first + count])
+    }
+
     /// Whether other nodes count failures of the request, or may have read this node's.
     fn is_known_elsewhere(&self, fingerprint: Fingerprint) -> bool {
         let is_of_request = |failure: &&Failure| failure.fingerprint == fingerprint.0;
@@ -425,6 +450,14 @@
     }
 }
 
+fn to_losses(failures: &[Failure]) -> Vec<Loss> {
+    let losses = failures.iter().map(|failure| Loss {
+        upstream: failure.cause,
+        at_ms: failure.at_ms,
+    });
+    losses.collect()
+}
+
 const fn millis(duration: Duration) -> u64 {
     duration.as_millis() as u64
 }
--- a/crates/node/src/failure_records.rs
+++ b/crates/node/src/failure_records.rs
@@ -1,5 +1,6 @@
 //! Failed runs of requests, and answers that clear them, as a node keeps and stores them.
 
+use firweir_policy::crash_evidence::is_same_crash;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -20,6 +21,13 @@
     pub(crate) is_written: bool,
 }
 
+impl Failure {
+    /// Request and cause.
+    pub(crate) const fn key(&self) -> (u64, u64) {
+        (self.fingerprint, self.cause)
+    }
+}
+
 /// An answer to a request that had failed before.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Clearing {
@@ -50,10 +58,14 @@
         self.failures.is_empty() && self.cleared.is_empty()
     }
 
-    /// Adds a failure; one with the same cause is replaced.
+    /// Adds a failure unless one of the same crash is held.
     pub(crate) fn add_failure(&mut self, failure: Failure) {
-        let key = |failure: &Failure| (failure.fingerprint, failure.cause);
-        self.failures.retain(|held| key(held) != key(&failure));
+        let is_held = |held: &Failure| {
+            held.key() == failure.key() && is_same_crash(held.at_ms, failure.at_ms)
+        };
+        if self.failures.iter().any(is_held) {
+            return;
+        }
         self.failures.push(failure);
         if self.failures.len() > MAX_RECORDED {
             self.failures.remove(0);
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod aimd_limit;
 pub mod background;
+pub mod crash_evidence;
 pub mod dispatch;
 pub mod dispatcher;
 pub mod fair_queue;
