Exchange of failures: log lines, jitter, and modules of one job

A node that loses its seed, or can tell no seed, says so. A seed holds a request for 5 to 10 s, so that the nodes of a fleet that started together do not ask at the same moment. A loss that is held already is not told again, since under a popular call each crash breaks many connections at each node.

--- a/crates/node/src/failed_requests.rs
+++ b/crates/node/src/failed_requests.rs
@@ -33,14 +33,13 @@
 use crate::change::Change;
 use crate::dialect::Object;
 use crate::failure_log::FailureLog;
-use crate::failure_log::FailureNews;
-use crate::failure_log::LogPosition;
 use crate::failure_records::Clearing;
 use crate::failure_records::Failure;
 use crate::failure_records::FailureRecord;
 use crate::failure_records::NodeFailures;
 use crate::fingerprint::Fingerprint;
 use crate::model::Instance;
+use crate::report_timer::ReportTimer;
 use crate::store::Store;
 
 /// Number of steps in which an item may fail as often as its route allows. A second step gives an
@@ -51,10 +50,6 @@
 /// Prefix of the names of these objects among the duties in the store.
 const PREFIX: &str = "failures-";
 
-/// Time between the first failure of a request and its report: most requests succeed at another
-/// upstream meanwhile, which clears it.
-pub(crate) const FIRST_FAILURE_DELAY: Duration = Duration::from_millis(200);
-
 /// By how much the times of day of two nodes may differ: an answer clears failures up to this much
 /// later.
 const CLOCK_TOLERANCE: Duration = Duration::from_secs(3);
@@ -82,15 +77,6 @@
     pub(crate) news_timer: ReportTimer,
 }
 
-/// When changes are to be reported.
-#[derive(Debug, Default)]
-pub(crate) struct ReportTimer {
-    /// When the oldest unreported change was made.
-    since: Option<Instant>,
-    /// Whether they are to be reported without a delay.
-    is_urgent: bool,
-}
-
 #[derive(Debug)]
 pub(crate) struct Inner {
     pub(crate) store: Store,
@@ -115,28 +101,6 @@
     pub(crate) inner: Arc<Inner>,
 }
 
-impl ReportTimer {
-    /// Records a change.
-    pub(crate) fn start(&mut self, now: Instant, is_urgent: bool) {
-        self.since.get_or_insert(now);
-        self.is_urgent |= is_urgent;
-    }
-
-    /// Records that all changes were reported.
-    pub(crate) fn reset(&mut self) {
-        *self = Self::default();
-    }
-
-    /// Time until the changes are due; `None` if there are none.
-    pub(crate) fn delay(&self, now: Instant) -> Option<Duration> {
-        let since = self.since?;
-        if self.is_urgent {
-            return Some(Duration::ZERO);
-        }
-        Some((since + FIRST_FAILURE_DELAY).saturating_duration_since(now))
-    }
-}
-
 impl FailedRequests {
     /// Creates it without failures, for the node with this name.
     #[must_use]
@@ -177,7 +141,9 @@
             is_written: false,
         };
         let mut state = self.lock();
-        state.own.add_failure(failure);
+        if !state.own.add_failure(failure) {
+            return;
+        }
         self.update_suspects(&mut state);
         let is_urgent = state.suspects.losses(now, fingerprint.0) > 1;
         state.untold.add_failure(failure);
@@ -218,54 +184,6 @@
         self.inner.news_due.notify_one();
     }
 
-    /// Waits until changes are due to be told to other nodes.
-    pub(crate) async fn wait_for_untold(&self) {
-        loop {
-            let changed = self.inner.news_due.notified();
-            let delay = self.lock().news_timer.delay(self.inner.clock.now());
-            match delay {
-                Some(Duration::ZERO) => return,
-                // Both ends of the wait are followed by another look at the timer.
-                Some(delay) => _ = tokio::time::timeout(delay, changed).await,
-                None => changed.await,
-            }
-        }
-    }
-
-    /// Takes the changes that other nodes were not told of, and adds them to the log.
-    pub(crate) fn take_untold(&self) -> NodeFailures {
-        let mut state = self.lock();
-        state.news_timer.reset();
-        let untold = std::mem::take(&mut state.untold);
-        drop(state);
-        self.add_news(&untold);
-        untold
-    }
-
-    /// Puts changes back that no other node could be told of.
-    pub(crate) fn restore_untold(&self, untold: NodeFailures) {
-        let now = self.inner.clock.now();
-        let mut state = self.lock();
-        state.untold.merge(untold);
-        state.news_timer.start(now, true);
-    }
-
-    /// What this node has learned after a position in its log.
-    pub(crate) fn news_after(&self, position: LogPosition) -> FailureNews {
-        self.lock().log.news_since(position)
-    }
-
-    /// Adds what other nodes have told.
-    pub(crate) fn add_news(&self, seen: &NodeFailures) {
-        let mut state = self.lock();
-        if !state.log.add(seen) {
-            return;
-        }
-        self.update_suspects(&mut state);
-        drop(state);
-        self.inner.log_changed.notify_waiters();
-    }
-
     /// Number of failures on all nodes.
     #[must_use]
     pub fn count(&self, fingerprint: Fingerprint) -> u32 {
@@ -397,6 +315,7 @@
         self.now_ms().saturating_sub(millis(SUSPICION_EXPIRY))
     }
 
+    /// Logs a failure to read or report what concerns this object or node.
     pub(crate) fn log(&self, event: &str, name: &str, cause: &dyn Display) {
         let fields: [(&str, &dyn Display); 2] = [("object", &name), ("cause", cause)];
         self.inner.journal.event(event, &fields);
--- a/crates/node/src/failure_exchange.rs
+++ b/crates/node/src/failure_exchange.rs
@@ -36,7 +36,8 @@
 /// Largest body of failures: a full log.
 pub(crate) const MAX_FAILURES_BYTES: usize = 1 << 20;
 
-/// How long a seed holds a request for which it has no news.
+/// How long a seed holds a request for which it has no news; up to half as long, by a jitter that
+/// keeps the nodes apart.
 const MAX_HOLD: Duration = Duration::from_secs(10);
 
 /// Timeout of such a request.
@@ -86,7 +87,8 @@
             return news;
         }
         // A timeout needs no handling: the answer then holds nothing new.
-        _ = within(MAX_HOLD, changed).await;
+        let hold = MAX_HOLD.mul_f64(rand::rng().random_range(0.5..1.0));
+        _ = within(hold, changed).await;
         self.failed_requests.news_after(position)
     }
 
@@ -124,7 +126,13 @@
         }
         let posts = seeds.into_iter().map(|seed| self.post(seed, untold));
         let posted = futures_util::future::join_all(posts).await;
-        is_seed || posted.iter().any(Result::is_ok)
+        if is_seed || posted.iter().any(Result::is_ok) {
+            return true;
+        }
+        for error in posted.iter().filter_map(|posted| posted.as_ref().err()) {
+            self.failed_requests.log("failures_untold", "seeds", error);
+        }
+        false
     }
 
     async fn post(&self, seed: SocketAddr, untold: &NodeFailures) -> Result<(), CallError> {
@@ -153,15 +161,22 @@
                 tokio::time::sleep(MAX_HOLD).await;
                 continue;
             };
-            if let Ok(news) = self.ask(*asked, position).await {
-                failures = 0;
-                position = news.position;
-                self.failed_requests.add_news(&news.seen);
-                tokio::time::sleep(MIN_INTERVAL).await;
-            } else {
-                failures += 1;
-                offset += 1;
-                tokio::time::sleep(retry_pause(failures)).await;
+            match self.ask(*asked, position).await {
+                Ok(news) => {
+                    failures = 0;
+                    position = news.position;
+                    self.failed_requests.add_news(&news.seen);
+                    tokio::time::sleep(MIN_INTERVAL).await;
+                }
+                Err(error) => {
+                    if failures == 0 {
+                        let seed = asked.to_string();
+                        self.failed_requests.log("failure_news_lost", &seed, &error);
+                    }
+                    failures += 1;
+                    offset += 1;
+                    tokio::time::sleep(retry_pause(failures)).await;
+                }
             }
         }
     }
@@ -173,6 +188,56 @@
     }
 }
 
+impl FailedRequests {
+    /// Waits until changes are due to be told to other nodes.
+    pub(crate) async fn wait_for_untold(&self) {
+        loop {
+            let changed = self.inner.news_due.notified();
+            let delay = self.lock().news_timer.delay(self.inner.clock.now());
+            match delay {
+                Some(Duration::ZERO) => return,
+                // Both ends of the wait are followed by another look at the timer.
+                Some(delay) => _ = tokio::time::timeout(delay, changed).await,
+                None => changed.await,
+            }
+        }
+    }
+
+    /// Takes the changes that other nodes were not told of, and adds them to the log.
+    pub(crate) fn take_untold(&self) -> NodeFailures {
+        let mut state = self.lock();
+        state.news_timer.reset();
+        let untold = std::mem::take(&mut state.untold);
+        drop(state);
+        self.add_news(&untold);
+        untold
+    }
+
+    /// Puts changes back that no other node could be told of.
+    pub(crate) fn restore_untold(&self, untold: NodeFailures) {
+        let now = self.inner.clock.now();
+        let mut state = self.lock();
+        state.untold.merge(untold);
+        state.news_timer.start(now, true);
+    }
+
+    /// What this node has learned after a position in its log.
+    pub(crate) fn news_after(&self, position: LogPosition) -> FailureNews {
+        self.lock().log.news_since(position)
+    }
+
+    /// Adds what other nodes have told.
+    pub(crate) fn add_news(&self, seen: &NodeFailures) {
+        let mut state = self.lock();
+        if !state.log.add(seen) {
+            return;
+        }
+        self.update_suspects(&mut state);
+        drop(state);
+        self.inner.log_changed.notify_waiters();
+    }
+}
+
 /// Pause after a number of failed requests in a row.
 fn retry_pause(failures: u32) -> Duration {
     let factor = f64::from(failures.min(MAX_RETRY_FACTOR));
--- a/crates/node/src/failure_records.rs
+++ b/crates/node/src/failure_records.rs
@@ -58,18 +58,19 @@
         self.failures.is_empty() && self.cleared.is_empty()
     }
 
-    /// Adds a failure unless one of the same crash is held.
-    pub(crate) fn add_failure(&mut self, failure: Failure) {
+    /// Adds a failure unless one of the same crash is held; returns whether it was added.
+    pub(crate) fn add_failure(&mut self, failure: Failure) -> bool {
         let is_held = |held: &Failure| {
             held.key() == failure.key() && is_same_crash(held.at_ms, failure.at_ms)
         };
         if self.failures.iter().any(is_held) {
-            return;
+            return false;
         }
         self.failures.push(failure);
         if self.failures.len() > MAX_RECORDED {
             self.failures.remove(0);
         }
+        true
     }
 
     /// Replaces the failures of a request by an answer.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -38,6 +38,7 @@
 mod progress;
 pub mod relay;
 pub mod reload;
+mod report_timer;
 mod request_handler;
 pub mod respond;
 pub mod roster;
