--- a/crates/node/src/failed_requests.rs
+++ b/crates/node/src/failed_requests.rs
@@ -289,7 +289,9 @@
             let mut of_request = clearings[from..]
                 .iter()
                 .take_while(|clearing| clearing.fingerprint == failure.fingerprint);
-            of_request.any(|clearing| failure.at_ms <= clearing.at_ms + millis(CLOCK_TOLERANCE))
+            of_request.any(|clearing| {
+                failure.at_ms <= clearing.at_ms.saturating_add(millis(CLOCK_TOLERANCE))
+            })
         };
         let failures = nodes().flat_map(|seen| &seen.failures);
         let current = failures.filter(|failure| failure.at_ms >= oldest_ms && !is_cleared(failure));
