Exchange of failures: nothing expired is taken in, and names

Two nodes could tell one another again what each had dropped as expired, if one of them starts again meanwhile. Found by reading the diff; comments and a method that said less than it does are put right.

--- a/crates/node/src/failed_requests.rs
+++ b/crates/node/src/failed_requests.rs
@@ -258,7 +258,7 @@
         let seen = match serde_json::from_str::<FailureRecord>(object.value.get()) {
             Ok(record) => record.seen,
             Err(error) => {
-                self.log("failures_unreadable", &object.name, &error);
+                self.log_problem("failures_unreadable", &object.name, &error);
                 NodeFailures::default()
             }
         };
@@ -317,8 +317,8 @@
         self.now_ms().saturating_sub(millis(SUSPICION_EXPIRY))
     }
 
-    /// Logs a failure to read or report what concerns this object or node.
-    pub(crate) fn log(&self, event: &str, name: &str, cause: &dyn Display) {
+    /// Logs why an object could not be read or written, or a node not reached.
+    pub(crate) fn log_problem(&self, event: &str, name: &str, cause: &dyn Display) {
         let fields: [(&str, &dyn Display); 2] = [("object", &name), ("cause", cause)];
         self.inner.journal.event(event, &fields);
     }
--- a/crates/node/src/failure_exchange.rs
+++ b/crates/node/src/failure_exchange.rs
@@ -3,7 +3,7 @@
 //! The store takes seconds to spread them while it is slow or away, and meanwhile each node would
 //! send a request on that has crashed upstreams under others. A node posts its failures to every
 //! seed, and has one seed answer as soon as that learns of others; seeds ask one another. One seed
-//! that a node reaches is enough, and the requests cost a call in [`MAX_HOLD`] without failures.
+//! that a node reaches is enough. Without failures a node makes one call in some seconds.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -27,10 +27,10 @@
 use crate::failure_records::NodeFailures;
 use crate::reload::CurrentSettings;
 
-/// Path at which a node takes failures, with POST, and answers with what is new after a position.
+/// Path at which a node takes failures that another one saw.
 pub(crate) const FAILURES_PATH: &str = "/peer/failures";
 
-/// Path at which a node answers with what is new after a position.
+/// Path at which a node answers with what it learns after a [`LogPosition`].
 pub(crate) const FAILURE_NEWS_PATH: &str = "/peer/failure-news";
 
 /// Largest body of failures: a full log.
@@ -130,7 +130,8 @@
             return true;
         }
         for error in posted.iter().filter_map(|posted| posted.as_ref().err()) {
-            self.failed_requests.log("failures_untold", "seeds", error);
+            self.failed_requests
+                .log_problem("failures_untold", "seeds", error);
         }
         false
     }
@@ -171,7 +172,8 @@
                 Err(error) => {
                     if failures == 0 {
                         let seed = asked.to_string();
-                        self.failed_requests.log("failure_news_lost", &seed, &error);
+                        self.failed_requests
+                            .log_problem("failure_news_lost", &seed, &error);
                     }
                     failures += 1;
                     offset += 1;
@@ -228,8 +230,9 @@
 
     /// Adds what other nodes have told.
     pub(crate) fn add_news(&self, seen: &NodeFailures) {
+        let oldest_ms = self.oldest_ms();
         let mut state = self.lock();
-        if !state.log.add(seen) {
+        if !state.log.add(seen, oldest_ms) {
             return;
         }
         self.update_suspects(&mut state);
--- a/crates/node/src/failure_log.rs
+++ b/crates/node/src/failure_log.rs
@@ -57,13 +57,14 @@
         }
     }
 
-    /// Adds what is not in the log yet; returns whether there was any.
-    pub(crate) fn add(&mut self, seen: &NodeFailures) -> bool {
+    /// Adds what is not in the log yet and not older than this time of day; returns whether there
+    /// was any. Without the limit two nodes would tell one another for ever what each has dropped.
+    pub(crate) fn add(&mut self, seen: &NodeFailures, oldest_ms: u64) -> bool {
         let failures = seen.failures.iter().copied().map(Entry::of_failure);
         let clearings = seen.cleared.iter().copied().map(Entry::Clearing);
         let mut has_news = false;
         for entry in failures.chain(clearings) {
-            if !self.entries.contains(&entry) {
+            if entry.at_ms() >= oldest_ms && !self.entries.contains(&entry) {
                 self.entries.push_back(entry);
                 has_news = true;
             }
--- a/crates/node/src/failure_writer.rs
+++ b/crates/node/src/failure_writer.rs
@@ -92,7 +92,7 @@
     /// Has the failures written again, on the object as it is then.
     async fn handle_failed_write(&self, error: &StoreError) {
         let (store, name) = (&self.inner.store, &self.inner.name);
-        self.log("failures_unwritten", name, error);
+        self.log_problem("failures_unwritten", name, error);
         let now = self.inner.clock.now();
         self.lock().write_timer.start(now, false);
         if matches!(error, StoreError::Refused(_) | StoreError::Unreachable) {
