--- a/crates/node/src/failed_requests.rs
+++ b/crates/node/src/failed_requests.rs
@@ -6,9 +6,9 @@
 //! runs anew in every step.
 //!
 //! A node tells the failures that it saw to the other nodes through the seeds
-//! ([`crate::failure_exchange`]), within milliseconds and also while the store is away. It writes
-//! them to the store as well ([`crate::failure_writer`]), where they outlive the nodes. An answer at
-//! any node clears the failures of the request at all nodes.
+//! ([`crate::failure_exchange`]), also while the store is away. It writes them to the store as well
+//! ([`crate::failure_writer`]), where they outlive the nodes. An answer at any node clears the
+//! failures of the request at all nodes.
 
 use std::fmt::Display;
 use std::sync::Arc;
