An answer is read only once it is known to be the request's own

Callers saw a request that may run once run at two upstreams, and some answered 503 although they had run (TWICE, REFUSED).

Cause: in live calls and reward calls the promise that a request did not run was read before the id of the answer. A faulty upstream's late copy of a refusal arrives where the answer to the next request on the connection is due: that request was sent elsewhere while it ran, and the connection went back to the pool with its answer still due. A second cause, which the first one hid: a refused request was sent to the same upstream again on the same connection, where a late copy of its own refusal bears its own id.

Change: `upstream_answer.rs` sends every request to an upstream and says whose its answer is; status, load, refusal and connection can be read through `OwnAnswer` alone, by live calls, samples, reward calls, orders of weights and reports. An answer without an id, or with two that differ, is nobody's; an informational answer is no answer. A request never goes on a connection that has carried it before.

--- a/crates/node/src/connection_pool.rs
+++ b/crates/node/src/connection_pool.rs
@@ -5,6 +5,7 @@
 //! connection whose answer belongs to another request, and such a connection would keep returning
 //! wrong answers. Therefore this pool is built directly on `hyper`'s connections.
 
+use std::collections::VecDeque;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -67,6 +68,10 @@
 /// Each takes a file descriptor and buffers, which are scarce on a small VM.
 const MAX_IDLE: usize = 1_024;
 
+/// Number of requests that a connection remembers: a late copy of an answer arrives within the next
+/// few.
+const MAX_CARRIED: usize = 16;
+
 /// Larger answers are rejected. Values of the store have at most one megabyte, and lists are about
 /// as large.
 const MAX_ANSWER_BYTES: usize = 16 << 20;
@@ -99,6 +104,10 @@
         Late {
             display("late")
         }
+        /// The answer does not belong to the request, which may have been carried out.
+        Foreign {
+            display("answer to another request")
+        }
     }
 }
 
@@ -114,6 +123,33 @@
 struct OpenConnection {
     sender: SendRequest<Full<Bytes>>,
     driver: AbortHandle,
+    /// Hashes of the last requests with an id that it carried, oldest first.
+    carried: VecDeque<u64>,
+    /// Whether it carried a request without an id.
+    carried_unnamed: bool,
+}
+
+impl OpenConnection {
+    fn may_carry(&self, choice: ConnectionChoice) -> bool {
+        match choice {
+            ConnectionChoice::Any => true,
+            ConnectionChoice::NotUsedFor(request) => !self.carried.contains(&request),
+            ConnectionChoice::NotUsedUnnamed => !self.carried_unnamed,
+        }
+    }
+
+    fn record_request(&mut self, choice: ConnectionChoice) {
+        match choice {
+            ConnectionChoice::Any => {}
+            ConnectionChoice::NotUsedFor(request) => {
+                if self.carried.len() == MAX_CARRIED {
+                    self.carried.pop_front();
+                }
+                self.carried.push_back(request);
+            }
+            ConnectionChoice::NotUsedUnnamed => self.carried_unnamed = true,
+        }
+    }
 }
 
 impl Drop for OpenConnection {
@@ -142,6 +178,19 @@
     }
 }
 
+/// Which connection may carry a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ConnectionChoice {
+    /// Any idle one, or else a new one.
+    Any,
+    /// One that has not carried the request with this hash before: a late copy of the answer to an
+    /// earlier send cannot be told from the answer to this one.
+    NotUsedFor(u64),
+    /// One that has carried no request without an id before. The answer to such a request does not
+    /// name it, and a late copy of an earlier one could not be told from it.
+    NotUsedUnnamed,
+}
+
 /// A response whose body is still being received.
 #[derive(Debug)]
 pub struct StreamingResponse {
@@ -187,7 +236,8 @@
         to: SocketAddr,
         request: Request<Full<Bytes>>,
     ) -> Result<StreamingResponse, CallError> {
-        self.send_with(to, request, |_headers| {}).await
+        self.send_with(to, request, ConnectionChoice::Any, |_headers| {})
+            .await
     }
 
     /// As [`ConnectionPool::send`]; `set_headers` is called once a connection is open, right before
@@ -200,6 +250,7 @@
         &self,
         to: SocketAddr,
         mut request: Request<Full<Bytes>>,
+        choice: ConnectionChoice,
         set_headers: impl Fn(&mut HeaderMap),
     ) -> Result<StreamingResponse, CallError> {
         if !request.headers().contains_key(header::HOST) {
@@ -210,13 +261,14 @@
             request.headers_mut().insert(header::HOST, host);
         }
         loop {
-            let (mut open, is_new) = match self.take(to) {
+            let (mut open, is_new) = match self.take(to, choice) {
                 Some(open) => (open, false),
                 None => (connect(to).await?, true),
             };
             set_headers(request.headers_mut());
             match open.sender.try_send_request(request).await {
                 Ok(answer) => {
+                    open.record_request(choice);
                     let connection = PooledConnection {
                         pool: self.clone(),
                         to,
@@ -271,14 +323,14 @@
         self.lock().retain(|entry| entry.to != to);
     }
 
-    fn take(&self, to: SocketAddr) -> Option<OpenConnection> {
+    fn take(&self, to: SocketAddr, choice: ConnectionChoice) -> Option<OpenConnection> {
         let now = self.clock.now();
         let mut idle = self.lock();
         idle.retain(|entry| entry.until > now && !entry.open.sender.is_closed());
         // Takes the most recently used one, so that surplus connections expire.
-        let at = idle
-            .iter()
-            .rposition(|entry| entry.to == to && entry.open.sender.is_ready())?;
+        let at = idle.iter().rposition(|entry| {
+            entry.to == to && entry.open.sender.is_ready() && entry.open.may_carry(choice)
+        })?;
         Some(idle.remove(at).open)
     }
 
@@ -317,6 +369,8 @@
     Ok(OpenConnection {
         sender,
         driver: driver.abort_handle(),
+        carried: VecDeque::new(),
+        carried_unnamed: false,
     })
 }
 
--- a/crates/node/src/dialect.rs
+++ b/crates/node/src/dialect.rs
@@ -109,11 +109,23 @@
     pub results: &'a [ItemResult],
 }
 
+/// Which request an answer names.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub enum AnsweredId {
+    /// It names none.
+    #[default]
+    Missing,
+    /// It names one, possibly more than once.
+    One(String),
+    /// It names different requests, or the name is not readable.
+    Several,
+}
+
 /// The head of an upstream's answer, without its status.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct AnswerHead {
     /// Id of the request that is answered.
-    pub request_id: Option<String>,
+    pub answered_id: AnsweredId,
     /// The upstream's proof of origin.
     pub proof: Option<String>,
     /// Whether the upstream reports that it did not run the request.
--- a/crates/node/src/draft_run.rs
+++ b/crates/node/src/draft_run.rs
@@ -12,13 +12,14 @@
 use memchr::memmem;
 
 use crate::connection_pool::CallError;
-use crate::connection_pool::StreamingResponse;
 use crate::dialect::GenerationRequest;
 use crate::dialect::StreamEvent;
 use crate::model::Item;
 use crate::model::Upstream;
 use crate::shared::Shared;
 use crate::submission::local::LocalSubmission;
+use crate::upstream_answer::OwnAnswer;
+use crate::upstream_answer::UpstreamRequest;
 
 /// Ratio of the timeout of the first event to that of later ones: the engine first processes
 /// the prompt, and may queue the request.
@@ -124,44 +125,44 @@
                 return Attempt::Impossible;
             }
         };
-        let sending = self.shared.connections.send(self.upstream.address, request);
-        let exchange = match tokio::time::timeout(self.first_event_timeout(), sending).await {
-            Ok(Ok(exchange)) => exchange,
+        let upstream_request = UpstreamRequest {
+            to: self.upstream.address,
+            request_id: &self.item.id,
+            request,
+        };
+        let sending = self.shared.send_upstream(upstream_request, |_headers| {});
+        let own = match tokio::time::timeout(self.first_event_timeout(), sending).await {
+            Ok(Ok(own)) => own,
             Ok(Err(CallError::Refused)) => return Attempt::Broken("refused"),
             Ok(Err(CallError::NotSent)) => return Attempt::Broken("not-sent"),
+            Ok(Err(CallError::Foreign)) => return Attempt::Broken("foreign-answer"),
             Ok(Err(_)) => return Attempt::Broken("no-head"),
             Err(_elapsed) => return Attempt::Broken("head-late"),
         };
-        self.read(exchange, progress).await
+        self.read(own, progress).await
     }
 
     fn first_event_timeout(&self) -> Duration {
         self.event_timeout.mul_f64(FIRST_EVENT_TIMEOUT_FACTOR)
     }
 
-    async fn read(&mut self, exchange: StreamingResponse, progress: &mut RunProgress) -> Attempt {
-        let StreamingResponse { answer, connection } = exchange;
-        let (head, body) = answer.into_parts();
-        let reported = self.shared.dialect.answer_head(&head);
-        if reported.request_id.as_deref() != Some(self.item.id.as_str()) {
-            return Attempt::Broken("foreign-answer");
-        }
-        if let Some(load) = reported.load {
+    async fn read(&mut self, own: OwnAnswer, progress: &mut RunProgress) -> Attempt {
+        if let Some(load) = own.reported.load {
             (self.on_load)(load);
         }
-        match head.status {
-            StatusCode::OK if reported.proof.is_some() => {}
+        match own.status {
+            StatusCode::OK if own.reported.proof.is_some() => {}
             StatusCode::UNPROCESSABLE_ENTITY => return Attempt::Impossible,
-            _ if reported.not_run => {
-                if body.collect().await.is_ok() {
-                    connection.return_to_pool();
-                }
+            _ if own.reported.not_run => {
+                own.discard_refusal().await;
                 return Attempt::NotRun;
             }
             StatusCode::INTERNAL_SERVER_ERROR => return Attempt::Failed,
             _ => return Attempt::Broken("status"),
         }
-        let attempt = self.read_events(body, reported.version, progress).await;
+        let version = own.reported.version;
+        let (body, connection) = own.into_stream();
+        let attempt = self.read_events(body, version, progress).await;
         if attempt == Attempt::Whole {
             connection.return_to_pool();
         }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -50,5 +50,6 @@
 pub mod store;
 pub mod store_fallback;
 pub mod submission;
+mod upstream_answer;
 pub mod usage;
 pub mod weights;
--- a/crates/node/src/live.rs
+++ b/crates/node/src/live.rs
@@ -29,7 +29,6 @@
 use http::request;
 use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::body::Incoming;
 use tokio::sync::SemaphorePermit;
 use xxhash_rust::xxh3::xxh3_64;
@@ -48,6 +47,7 @@
 use crate::respond::reason_of;
 use crate::respond::refusal;
 use crate::shared::Shared;
+use crate::upstream_answer::UpstreamRequest;
 use crate::usage::counter::TrackedRequest;
 
 /// Timeout of a call whose client sends none.
@@ -421,19 +421,26 @@
             let time_left = call.time_left(&*self.shared.clock);
             self.shared.dialect.set_time_left(headers, time_left);
         };
-        let connections = &self.shared.connections;
-        let sending = connections.send_with(upstream.address, request, set_time_left);
-        let exchange = match sending.await {
-            Ok(exchange) => exchange,
+        let upstream_request = UpstreamRequest {
+            to: upstream.address,
+            request_id: &call.routed.request_id,
+            request,
+        };
+        let own = match self
+            .shared
+            .send_upstream(upstream_request, set_time_left)
+            .await
+        {
+            Ok(own) => own,
             Err(error) => {
-                self.log_failed_try(call, upstream, "no-answer");
+                self.log_failed_try(call, upstream, failure_name(error));
                 return match error {
                     CallError::Refused | CallError::NotSent => {
                         tracked.record_not_run();
                         permit.finish(Ending::Unreachable, 0);
                         TryOutcome::NotSent
                     }
-                    CallError::Broken | CallError::Late => {
+                    CallError::Broken | CallError::Late | CallError::Foreign => {
                         if error == CallError::Broken {
                             self.record_lost_upstream(call, upstream);
                         }
@@ -443,52 +450,47 @@
                 };
             }
         };
-        let (head, body) = exchange.answer.into_parts();
-        let answer_head = self.shared.dialect.answer_head(&head);
-        let load = self.shared.usable_load(answer_head.load);
-        let is_own_answer =
-            answer_head.request_id.as_deref().unwrap_or_default() == call.routed.request_id;
-        if answer_head.not_run {
+        let load = self.shared.usable_load(own.reported.load);
+        if own.reported.not_run {
             tracked.record_not_run();
-            if body.collect().await.is_ok() {
-                exchange.connection.return_to_pool();
-            }
+            own.discard_refusal().await;
             permit.finish_with_load(Ending::Refused, load);
             return TryOutcome::NotRun;
         }
-        if !is_own_answer || answer_head.proof.is_none() {
-            self.log_failed_try(call, upstream, "foreign-answer");
+        if own.reported.proof.is_none() {
+            self.log_failed_try(call, upstream, "no-proof");
             permit.finish(Ending::Failed, 0);
             return TryOutcome::Unknown;
         }
-        let headers = self.shared.dialect.returned_headers(&head.headers);
-        if matches!(call.route.kind, RouteKind::Streaming { .. }) && head.status.is_success() {
+        let status = own.status;
+        let headers = self.shared.dialect.returned_headers(&own.headers);
+        if matches!(call.route.kind, RouteKind::Streaming { .. }) && status.is_success() {
+            let (body, connection) = own.into_stream();
             let stream = AnswerStream {
                 body,
-                connection: Some(exchange.connection),
+                connection: Some(connection),
                 permit: Some(permit),
                 failed_requests: self.shared.failed_requests.clone(),
                 fingerprint: call.fingerprint,
                 upstream: upstream.instance.clone(),
             };
             let mut answer = Response::new(stream.boxed_unsync());
-            *answer.status_mut() = head.status;
+            *answer.status_mut() = status;
             *answer.headers_mut() = headers;
             return TryOutcome::Answer(answer);
         }
-        let Ok(body) = Limited::new(body, MAX_ANSWER_BYTES).collect().await else {
+        let Ok(body) = own.read_body(MAX_ANSWER_BYTES).await else {
             self.log_failed_try(call, upstream, "broken-answer");
             self.record_lost_upstream(call, upstream);
             permit.finish(Ending::Failed, 0);
             return TryOutcome::Unknown;
         };
-        if shows_complete_run(head.status) {
+        if shows_complete_run(status) {
             self.shared.failed_requests.clear(call.fingerprint);
         }
-        exchange.connection.return_to_pool();
-        let mut answer = bytes_response(head.status, body.to_bytes());
+        let mut answer = bytes_response(status, body);
         *answer.headers_mut() = headers;
-        if head.status.is_server_error() {
+        if status.is_server_error() {
             permit.finish_with_load(Ending::Failed, load);
             return TryOutcome::FailedAnswer(answer);
         }
@@ -547,6 +549,16 @@
     }
 }
 
+/// Name of a failure in the log.
+const fn failure_name(error: CallError) -> &'static str {
+    match error {
+        CallError::Foreign => "foreign-answer",
+        CallError::Refused | CallError::NotSent | CallError::Broken | CallError::Late => {
+            "no-answer"
+        }
+    }
+}
+
 /// Whether an answer shows that an upstream ran the request to its end and survived. A server error
 /// does not: the time may have run out, or the upstream may be faulty. Nor does a rejection before
 /// the run.
--- a/crates/node/src/scaling/scaler.rs
+++ b/crates/node/src/scaling/scaler.rs
@@ -37,6 +37,7 @@
 use crate::scaling::zone_orders::read_records;
 use crate::settings::ScalingSettings;
 use crate::store::Store;
+use crate::upstream_answer::call_upstream;
 
 /// Time between two rounds in which the holder checks whether orders are due.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
@@ -308,10 +309,15 @@
     async fn requests_at(&self, upstream: &Upstream) -> Option<u32> {
         let parts = &self.parts;
         let request = parts.dialect.engine_report_request(upstream);
-        let answer = parts
-            .connections
-            .call(upstream.address, request, REPORT_TIMEOUT);
-        let answer = answer.await.ok()?;
+        let (connections, dialect) = (&parts.connections, &*parts.dialect);
+        let calling = call_upstream(
+            connections,
+            dialect,
+            upstream.address,
+            request,
+            REPORT_TIMEOUT,
+        );
+        let answer = calling.await.ok()?;
         let report = parts.dialect.engine_report(answer.body());
         report.ok().map(|report| report.requests)
     }
--- a/crates/node/src/scoring.rs
+++ b/crates/node/src/scoring.rs
@@ -17,12 +17,9 @@
 use firweir_policy::work::ReportedLoad;
 use firweir_policy::work::UpstreamKey;
 use http::StatusCode;
-use http_body_util::BodyExt;
-use http_body_util::Limited;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::connection_pool::CallError;
-use crate::connection_pool::StreamingResponse;
 use crate::dialect::RewardRequest;
 use crate::fingerprint::Fingerprint;
 use crate::gates::Gates;
@@ -35,6 +32,8 @@
 use crate::model::Upstream;
 use crate::shared::Shared;
 use crate::submission::local::LocalSubmission;
+use crate::upstream_answer::OwnAnswer;
+use crate::upstream_answer::UpstreamRequest;
 
 /// Delay before the retry of a call that did not run or broke off: a full service has a free
 /// slot within a tenth of a second, and a restart takes seconds.
@@ -255,12 +254,13 @@
             }
         };
         let exchanging = async {
-            let exchange = self
-                .shared
-                .connections
-                .send(upstream.address, request)
-                .await?;
-            Ok(self.read(call, exchange).await)
+            let upstream_request = UpstreamRequest {
+                to: upstream.address,
+                request_id: &call.id,
+                request,
+            };
+            let sending = self.shared.send_upstream(upstream_request, |_headers| {});
+            Ok(read(sending.await?).await)
         };
         let exchanged = within(timeout, exchanging).await;
         let (attempt, ending, reported_load) = match exchanged.unwrap_or(Err(CallError::Late)) {
@@ -273,48 +273,13 @@
                 self.shared.record_if_crashed(crashing, upstream).await;
                 (Attempt::Broken("no-answer"), Ending::Failed, None)
             }
+            Err(CallError::Foreign) => (Attempt::Broken("foreign-answer"), Ending::Failed, None),
             Err(CallError::Late) => (Attempt::Broken("late"), Ending::Failed, None),
         };
         permit.finish_with_load(ending, reported_load);
         attempt
     }
 
-    /// Reads an answer to its end; returns how the attempt ended, the ending for the gate's record
-    /// of the upstream, and the load that the upstream reported.
-    async fn read(
-        &self,
-        call: &RewardCall,
-        exchange: StreamingResponse,
-    ) -> (Attempt, Ending, Option<ReportedLoad>) {
-        let (head, body) = exchange.answer.into_parts();
-        let reported = self.shared.dialect.answer_head(&head);
-        let collected = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
-        let is_complete = collected.is_ok();
-        if reported.not_run {
-            if is_complete {
-                exchange.connection.return_to_pool();
-            }
-            return (
-                Attempt::NotRun("upstream"),
-                Ending::Abandoned,
-                reported.load,
-            );
-        }
-        let is_own = reported.request_id.as_deref() == Some(call.id.as_str());
-        let Some(proof) = reported.proof.filter(|_| is_own && is_complete) else {
-            return (Attempt::Broken("answer"), Ending::Failed, reported.load);
-        };
-        exchange.connection.return_to_pool();
-        match head.status {
-            status if status.is_success() => {
-                (Attempt::Answered(proof), Ending::Answered, reported.load)
-            }
-            // The call itself fails, as some do on every upstream; the upstream is healthy.
-            StatusCode::INTERNAL_SERVER_ERROR => (Attempt::Failed, Ending::Answered, reported.load),
-            _ => (Attempt::Broken("status"), Ending::Failed, reported.load),
-        }
-    }
-
     fn log_failure(
         &self,
         submission: &LocalSubmission,
@@ -333,3 +298,24 @@
         );
     }
 }
+
+/// Reads an answer to its end; returns how the attempt ended, the ending for the gate's record
+/// of the upstream, and the load that the upstream reported.
+async fn read(own: OwnAnswer) -> (Attempt, Ending, Option<ReportedLoad>) {
+    let (status, load) = (own.status, own.reported.load);
+    if own.reported.not_run {
+        own.discard_refusal().await;
+        return (Attempt::NotRun("upstream"), Ending::Abandoned, load);
+    }
+    let proof = own.reported.proof.clone();
+    let is_complete = own.read_body(MAX_ANSWER_BYTES).await.is_ok();
+    let Some(proof) = proof.filter(|_| is_complete) else {
+        return (Attempt::Broken("answer"), Ending::Failed, load);
+    };
+    match status {
+        status if status.is_success() => (Attempt::Answered(proof), Ending::Answered, load),
+        // The call itself fails, as some do on every upstream; the upstream is healthy.
+        StatusCode::INTERNAL_SERVER_ERROR => (Attempt::Failed, Ending::Answered, load),
+        _ => (Attempt::Broken("status"), Ending::Failed, load),
+    }
+}
--- a/crates/node/src/weights.rs
+++ b/crates/node/src/weights.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use bytes::Bytes;
 use firweir::process::clock::Clock;
 use firweir::process::log::Journal;
 use firweir_policy::load_limit::LoadLimit;
@@ -18,6 +19,9 @@
 use firweir_policy::weight_loads::next_loads;
 use firweir_policy::weight_loads::next_loads_on_all_engines;
 use firweir_policy::work::UpstreamKey;
+use http::Request;
+use http::Response;
+use http_body_util::Full;
 use rand::Rng;
 
 use crate::connection_pool::CallError;
@@ -37,6 +41,7 @@
 use crate::model::ModelVersion;
 use crate::model::Upstream;
 use crate::relay::hash_of_name;
+use crate::upstream_answer::call_upstream;
 
 /// Least time between two checks whether orders are due.
 const CHECK_INTERVAL: Duration = Duration::from_millis(200);
@@ -397,10 +402,7 @@
             expected_orders_accepted,
         };
         let request = parts.dialect.weight_order(&order);
-        let answer = parts
-            .connections
-            .call(due.upstream.address, request, ORDER_TIMEOUT)
-            .await?;
+        let answer = self.call(&due.upstream, request).await?;
         Ok(parts.dialect.order_answer(answer.status()))
     }
 
@@ -409,10 +411,7 @@
     async fn fetch_accepted_orders(&self, upstream: &Upstream) -> Result<Option<u64>, CallError> {
         let parts = &self.shared.parts;
         let request = parts.dialect.engine_report_request(upstream);
-        let answer = parts
-            .connections
-            .call(upstream.address, request, ORDER_TIMEOUT)
-            .await?;
+        let answer = self.call(upstream, request).await?;
         let report = match parts.dialect.engine_report(answer.body()) {
             Ok(report) => report,
             Err(error) => {
@@ -441,6 +440,23 @@
         Ok(Some(report.orders_accepted))
     }
 
+    async fn call(
+        &self,
+        upstream: &Upstream,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Bytes>, CallError> {
+        let parts = &self.shared.parts;
+        let (connections, dialect) = (&parts.connections, &*parts.dialect);
+        call_upstream(
+            connections,
+            dialect,
+            upstream.address,
+            request,
+            ORDER_TIMEOUT,
+        )
+        .await
+    }
+
     fn record_answer(&self, due: &DueOrder, answer: Result<OrderAnswer, CallError>) {
         let now = self.shared.parts.clock.now();
         self.event(
--- a/crates/node/tests/connection_pool.rs
+++ b/crates/node/tests/connection_pool.rs
@@ -9,6 +9,7 @@
 
 use bytes::Bytes;
 use firweir::process::clock::SystemClock;
+use firweir_node::connection_pool::ConnectionChoice;
 use firweir_node::connection_pool::ConnectionPool;
 use http::HeaderMap;
 use http::Request;
@@ -65,7 +66,9 @@
             headers.insert("x-accepting", accepting.parse().expect("a plain value"));
         };
         let request = Request::new(Full::new(Bytes::new()));
-        connections.send_with(address, request, set_headers).await
+        connections
+            .send_with(address, request, ConnectionChoice::Any, set_headers)
+            .await
     });
     tokio::time::sleep(Duration::from_millis(300)).await;
     is_accepting.store(true, Ordering::SeqCst);
@@ -101,3 +104,71 @@
     }
     panic!("{} connections are open", open.load(Ordering::SeqCst));
 }
+
+/// Two sends in a row to one address, and the number of connections that they open.
+struct Reuse {
+    name: &'static str,
+    choices: [ConnectionChoice; 2],
+    connections: usize,
+}
+
+const REUSES: [Reuse; 5] = [
+    Reuse {
+        name: "any two",
+        choices: [ConnectionChoice::Any, ConnectionChoice::Any],
+        connections: 1,
+    },
+    Reuse {
+        name: "two requests",
+        choices: [
+            ConnectionChoice::NotUsedFor(1),
+            ConnectionChoice::NotUsedFor(2),
+        ],
+        connections: 1,
+    },
+    Reuse {
+        name: "one request, retried",
+        choices: [
+            ConnectionChoice::NotUsedFor(1),
+            ConnectionChoice::NotUsedFor(1),
+        ],
+        connections: 2,
+    },
+    Reuse {
+        name: "a request without an id after one that has one",
+        choices: [
+            ConnectionChoice::NotUsedFor(1),
+            ConnectionChoice::NotUsedUnnamed,
+        ],
+        connections: 1,
+    },
+    Reuse {
+        name: "two requests without an id",
+        choices: [
+            ConnectionChoice::NotUsedUnnamed,
+            ConnectionChoice::NotUsedUnnamed,
+        ],
+        connections: 2,
+    },
+];
+
+/// Guards against a late copy of an answer that cannot be told from the answer which is due.
+#[tokio::test]
+async fn a_connection_does_not_carry_a_request_twice() {
+    for case in &REUSES {
+        let open = Arc::new(AtomicUsize::new(0));
+        let to = serve(&open).await;
+        let connections = ConnectionPool::new(Arc::new(SystemClock));
+        for choice in case.choices {
+            let request = Request::new(Full::new(Bytes::new()));
+            let sent = connections.send_with(to, request, choice, |_headers| {});
+            let sent = sent.await.expect("it is answered");
+            drop(sent.answer);
+            sent.connection.return_to_pool();
+            // The connection is idle once its driver has seen the end of the answer.
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        let opened = open.load(Ordering::SeqCst);
+        assert_eq!(opened, case.connections, "{}", case.name);
+    }
+}
