A node that shuts down takes no request that may outlast it

Cause: requests were taken until 1.5 s before the exit, whatever their time; open connections were never told to close; and what was still waiting at the exit got no answer.

Change: `shutdown.rs` knows when the process ends, from the grace in the settings. Answers say `Connection: close` from SIGTERM on. Just before the exit whatever has no answer gets one: a call that waits for room is refused, one that may have run gets 502, a body that is not whole is not waited for.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -47,6 +47,7 @@
 pub mod scoring;
 pub mod settings;
 pub mod shared;
+pub mod shutdown;
 pub mod store;
 pub mod store_fallback;
 pub mod submission;
--- a/crates/node/src/live.rs
+++ b/crates/node/src/live.rs
@@ -44,6 +44,8 @@
 use crate::model::Upstream;
 use crate::progress::CallProgress;
 use crate::respond::Outcome;
+use crate::respond::SHUTDOWN_RETRY_AFTER;
+use crate::respond::SHUTTING_DOWN;
 use crate::respond::reason_of;
 use crate::respond::refusal;
 use crate::shared::Shared;
@@ -168,16 +170,10 @@
             .timeout
             .unwrap_or(DEFAULT_TIMEOUT)
             .min(route.timeout());
-        let limit = self.shared.fleet.config().max_body_bytes;
-        let waited = self.shared.clock.now().duration_since(started);
-        let time_to_read = timeout.saturating_sub(waited);
-        let body = match within(time_to_read, read_body(body, limit)).await {
-            Some(Some(body)) => body,
-            Some(None) => {
-                let status = StatusCode::PAYLOAD_TOO_LARGE;
-                return refusal(Outcome::BadRequest(status), "body-too-large");
-            }
-            None => return refusal(Outcome::NotRun(RETRY_AFTER), "body-late"),
+        let deadline = started + timeout;
+        let body = match self.read_body(body, deadline).await {
+            Ok(body) => body,
+            Err(refused) => return refused,
         };
         let service = pick_target(route, &routed.request_id);
         let call = Call {
@@ -190,7 +186,7 @@
             fingerprint: Fingerprint::of_call(head, account, &body),
             body,
             started,
-            deadline: started + timeout,
+            deadline,
         };
         let answer = self.run(&call).await;
         let took = self.shared.clock.now().duration_since(started);
@@ -229,6 +225,34 @@
         answer
     }
 
+    /// Reads the body of a call; the error is the answer to a call that is not taken.
+    async fn read_body(&self, body: Incoming, deadline: Instant) -> Result<Bytes, Response<Body>> {
+        let shutdown = &self.shared.shutdown;
+        let shutting_down = || {
+            self.shared.journal.count("live.shutting_down");
+            refusal(Outcome::NotRun(SHUTDOWN_RETRY_AFTER), SHUTTING_DOWN)
+        };
+        if !shutdown.may_take(deadline) {
+            return Err(shutting_down());
+        }
+        let limit = self.shared.fleet.config().max_body_bytes;
+        let time_to_read = deadline.saturating_duration_since(self.shared.clock.now());
+        let reading = within(time_to_read, read_body(body, limit));
+        let Some(read) = shutdown.before_answer_due(reading).await else {
+            return Err(shutting_down());
+        };
+        match read {
+            // A long body may have arrived after the beginning of a shutdown.
+            Some(Some(_)) if !shutdown.may_take(deadline) => Err(shutting_down()),
+            Some(Some(body)) => Ok(body),
+            Some(None) => {
+                let status = StatusCode::PAYLOAD_TOO_LARGE;
+                Err(refusal(Outcome::BadRequest(status), "body-too-large"))
+            }
+            None => Err(refusal(Outcome::NotRun(RETRY_AFTER), "body-late")),
+        }
+    }
+
     fn count_shared_call(&self, progress: &CallProgress, reason: &str) {
         if progress.has_waited() {
             self.shared.journal.count("live.held_for_room");
@@ -262,7 +286,10 @@
                 }
             };
             let asked_at = self.shared.clock.now();
-            let admitted = gate.admit(call.ask(asked_at, prefix, &tries)).await;
+            let admitting = gate.admit(call.ask(asked_at, prefix, &tries));
+            let Some(admitted) = self.shared.shutdown.before_answer_due(admitting).await else {
+                break;
+            };
             call.progress
                 .record_wait(self.shared.clock.now().duration_since(asked_at));
             let permit = match admitted {
@@ -282,7 +309,9 @@
                 break;
             }
             let is_last = tries.is_last() || !is_idempotent;
-            let outcome = self.try_upstream(call, service, permit, is_last).await;
+            let trying = self.try_upstream(call, service, permit, is_last);
+            let outcome = self.shared.shutdown.before_answer_due(trying).await;
+            let outcome = outcome.unwrap_or(TryOutcome::Unknown);
             if matches!(outcome, TryOutcome::NotSent) {
                 tries.record_not_sent(upstream);
             } else {
@@ -299,7 +328,8 @@
                 TryOutcome::Unknown => may_have_run = true,
             }
             let is_in_time = self.shared.clock.now() < call.deadline;
-            if !is_in_time || (may_have_run && !is_idempotent) {
+            let is_ending = self.shared.shutdown.is_answer_due();
+            if !is_in_time || is_ending || (may_have_run && !is_idempotent) {
                 break;
             }
         }
@@ -325,9 +355,10 @@
             Isolation::Alone if may_have_run => Err((SUSPECT, third)),
             Isolation::Alone => {
                 let time_left = call.time_left(&*self.shared.clock);
-                match within(time_left, failed_requests.isolated().acquire()).await {
-                    Some(Ok(isolated)) => Ok(Some(isolated)),
-                    Some(Err(_)) | None => Err((SUSPECT, third)),
+                let waiting = within(time_left, failed_requests.isolated().acquire());
+                match self.shared.shutdown.before_answer_due(waiting).await {
+                    Some(Some(Ok(isolated))) => Ok(Some(isolated)),
+                    Some(Some(Err(_)) | None) | None => Err((SUSPECT, third)),
                 }
             }
         }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -60,6 +60,7 @@
 use crate::scoring::Scoring;
 use crate::settings::NodeSettings;
 use crate::shared::Shared;
+use crate::shutdown::Shutdown;
 use crate::store::Store;
 use crate::store_fallback::StoreFallback;
 use crate::submission::home_finder::HomeFinder;
@@ -74,14 +75,6 @@
 use crate::weights::WeightUpdater;
 use crate::weights::WeightUpdaterParts;
 
-/// A draining node accepts clients until this long before its end, time enough for an answer.
-/// The balancer removes a node after two failed checks, but if few nodes are left in a zone it
-/// keeps using draining ones, so these have to keep listening.
-const CLIENT_FINISH_TIME: Duration = Duration::from_millis(1_500);
-
-/// The process ends this long before it would be killed.
-const KILL_MARGIN: Duration = Duration::from_secs(1);
-
 /// Pause between two watches of the list of upstreams on a node that has no samples to place, as
 /// a fraction of the time for which an upstream that leaves may get requests. Each load of
 /// weights changes an entry, and each answer to a watch costs every node a call. The rest of that
@@ -134,6 +127,7 @@
     sources: Sources,
     net: SharedNet,
     pub(crate) tasks: Tasks,
+    shutdown: Shutdown,
     mechanisms: EnabledMechanisms,
 }
 
@@ -169,6 +163,7 @@
             boot_clock: Arc::new(SystemBootClock),
             journal: journal.clone(),
         };
+        let shutdown = Shutdown::new(Arc::clone(&clock));
         let mechanisms = EnabledMechanisms::all_except(&settings.mechanisms_off);
         if !settings.mechanisms_off.is_empty() {
             let names = format_args!("{:?}", settings.mechanisms_off);
@@ -188,6 +183,7 @@
             store,
             net: Arc::new(TcpNet),
             tasks: Tasks::new(),
+            shutdown,
         };
         context.apply_seeds();
         context
@@ -232,6 +228,7 @@
         }
         self.journal.event("drain_started", &[]);
         self.sources.local_member.set_takes_steps(false);
+        self.shutdown.begin(self.current_settings.now().grace());
         self.tasks.drain();
         Ok(())
     }
@@ -296,52 +293,31 @@
         .ok_or(NodeError::Missing("peer_listen"))?;
     let request_handler = build_handler(&context, peer_listen);
     start_followers(&context, &request_handler);
-    let time_to_exit = settings.grace().saturating_sub(KILL_MARGIN);
-    let client_accept_time = time_to_exit.saturating_sub(CLIENT_FINISH_TIME);
-    let clients = serve(
-        &context,
-        &request_handler,
-        client_listen,
-        client_accept_time,
-        RequestHandler::handle_client,
-    )
-    .await?;
-    let ready = serve(
-        &context,
-        &request_handler,
-        ready_listen,
-        time_to_exit,
-        RequestHandler::handle_client,
-    )
-    .await?;
-    let peers = serve(
-        &context,
-        &request_handler,
-        peer_listen,
-        time_to_exit,
-        RequestHandler::handle_peer,
-    )
-    .await?;
+    let handler = Arc::clone(&request_handler);
+    let clients = listen(&context, client_listen, move |request| {
+        Arc::clone(&handler).handle_client(request)
+    });
+    let clients = clients.await?;
+    let handler = Arc::clone(&request_handler);
+    let ready = listen(&context, ready_listen, move |request| {
+        Arc::clone(&handler).handle_client(request)
+    });
+    let ready = ready.await?;
+    let handler = Arc::clone(&request_handler);
+    let peers = listen(&context, peer_listen, move |request| {
+        Arc::clone(&handler).handle_peer(request)
+    });
+    let peers = peers.await?;
     serve_metrics(&context).await?;
+    context.tasks.spawn(clients);
     context.tasks.spawn(ready);
     context.tasks.spawn(peers);
     context
         .journal
         .event("node_started", &[("address", &client_listen)]);
-    let drained = async {
-        clients.await;
-        // Submissions still run here, and other nodes forward the questions about them.
-        tokio::time::sleep(time_to_exit.saturating_sub(client_accept_time)).await;
-    };
-    let terminated = async {
-        context.wait_for_termination().await?;
-        tokio::time::sleep(time_to_exit).await;
-        Ok::<(), io::Error>(())
-    };
-    tokio::select! {
-        () = drained => {}
-        ended = terminated => ended?,
-    }
+    context.wait_for_termination().await?;
+    // Submissions still run here, and other nodes forward the questions about them.
+    context.shutdown.exit_due().await;
     context.journal.event("node_ended", &[]);
     Ok(())
 }
@@ -408,6 +384,7 @@
         boot_clock: Arc::clone(&context.sources.boot_clock),
         settings: context.current_settings.clone(),
         journal: journal.clone(),
+        shutdown: context.shutdown.clone(),
         mechanisms: context.mechanisms,
     };
     let live = LiveCalls::new(
@@ -524,6 +501,7 @@
         settings: context.current_settings.clone(),
         journal: journal.clone(),
         tasks: context.tasks.clone(),
+        shutdown: context.shutdown.clone(),
         mechanisms: context.mechanisms,
     })
 }
@@ -657,20 +635,18 @@
     });
 }
 
-async fn serve<F, A>(
+/// Listens at an address until the process ends.
+async fn listen<H, A>(
     context: &NodeContext,
-    request_handler: &Arc<RequestHandler>,
     address: SocketAddr,
-    linger: Duration,
-    handle: F,
-) -> io::Result<impl Future<Output = ()> + Send + use<F, A>>
+    handle: H,
+) -> io::Result<impl Future<Output = ()> + Send + use<H, A>>
 where
-    F: Fn(Arc<RequestHandler>, Request<Incoming>) -> A + Copy + Send + Sync + 'static,
+    H: Fn(Request<Incoming>) -> A + Clone + Send + Sync + 'static,
     A: Future<Output = Response<Body>> + Send + 'static,
 {
-    let request_handler = Arc::clone(request_handler);
-    let handler =
-        server::handler(move |request| Box::pin(handle(Arc::clone(&request_handler), request)));
+    let handler = server::handler(move |request| Box::pin(handle(request)));
+    let linger = context.settings.grace();
     let (_, serving) =
         server::serve(&context.net, &context.tasks, address, linger, handler).await?;
     Ok(serving)
--- a/crates/node/src/request_handler.rs
+++ b/crates/node/src/request_handler.rs
@@ -55,6 +55,8 @@
 use crate::relay::kind_from_path_name;
 use crate::reload::CurrentSettings;
 use crate::respond::Outcome;
+use crate::respond::SHUTDOWN_RETRY_AFTER;
+use crate::respond::SHUTTING_DOWN;
 use crate::respond::empty;
 use crate::respond::refusal;
 use crate::respond::with_json;
@@ -63,6 +65,7 @@
 use crate::roster::MEMBER_HEADER;
 use crate::roster::Member;
 use crate::scoring::Scoring;
+use crate::shutdown::Shutdown;
 use crate::store_fallback::store_uri_from_peer;
 use crate::submission::accept::SubmissionRequest;
 use crate::submission::home_finder::HomeFinder;
@@ -123,6 +126,7 @@
     pub(crate) settings: CurrentSettings,
     pub(crate) journal: Journal,
     pub(crate) tasks: Tasks,
+    pub(crate) shutdown: Shutdown,
     pub(crate) mechanisms: EnabledMechanisms,
 }
 
@@ -133,6 +137,21 @@
         request: Request<Incoming>,
     ) -> Response<Body> {
         let (head, body) = request.into_parts();
+        let mut answer = if self.shutdown.is_answer_due() {
+            refusal(Outcome::NotRun(SHUTDOWN_RETRY_AFTER), SHUTTING_DOWN)
+        } else {
+            let answering = self.answer_client(head, body);
+            let answered = self.shutdown.before_answer_due(answering).await;
+            answered.unwrap_or_else(|| refusal(Outcome::Unknown, SHUTTING_DOWN))
+        };
+        if self.shutdown.has_begun() {
+            let close = HeaderValue::from_static("close");
+            answer.headers_mut().insert(header::CONNECTION, close);
+        }
+        answer
+    }
+
+    async fn answer_client(&self, head: http::request::Parts, body: Incoming) -> Response<Body> {
         match self.dialect.client_call(&head) {
             ClientCall::Ready => self.readiness(),
             ClientCall::Routed(routed) => self.answer_routed(&routed, head, body).await,
--- a/crates/node/src/respond.rs
+++ b/crates/node/src/respond.rs
@@ -12,6 +12,13 @@
 use http::header;
 use serde::Serialize;
 
+/// Reason of an answer: this process ends before the request could.
+pub const SHUTTING_DOWN: &str = "shutting-down";
+
+/// Time after which a client may retry a request that a process which shuts down has refused; its
+/// new connection goes to another node.
+pub const SHUTDOWN_RETRY_AFTER: Duration = Duration::from_millis(50);
+
 /// Outcome of a request without an answer of an upstream, as reported to the client.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Outcome {
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -17,6 +17,7 @@
 use crate::mechanisms::Mechanism;
 use crate::model::Upstream;
 use crate::reload::CurrentSettings;
+use crate::shutdown::Shutdown;
 use crate::usage::counter::UsageCounter;
 
 /// Shared dependencies; cheap to clone.
@@ -42,6 +43,8 @@
     pub usage_counter: UsageCounter,
     /// Failed runs of requests and items on all nodes.
     pub failed_requests: FailedRequests,
+    /// The shutdown of this process.
+    pub shutdown: Shutdown,
     /// Mechanisms that are switched on.
     pub mechanisms: EnabledMechanisms,
 }
