--- a/crates/node/src/live.rs
+++ b/crates/node/src/live.rs
@@ -2,6 +2,7 @@
 //! and answered with the upstream's bytes or a typed outcome.
 
 use std::fmt::Display;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -237,7 +238,7 @@
         }
         let limit = self.shared.fleet.config().max_body_bytes;
         let time_to_read = deadline.saturating_duration_since(self.shared.clock.now());
-        let reading = within(time_to_read, read_body(body, limit));
+        let reading = pin!(within(time_to_read, read_body(body, limit)));
         let Some(read) = shutdown.before_answer_due(reading).await else {
             return Err(shutting_down());
         };
@@ -286,7 +287,7 @@
                 }
             };
             let asked_at = self.shared.clock.now();
-            let admitting = gate.admit(call.ask(asked_at, prefix, &tries));
+            let admitting = pin!(gate.admit(call.ask(asked_at, prefix, &tries)));
             let Some(admitted) = self.shared.shutdown.before_answer_due(admitting).await else {
                 break;
             };
@@ -309,7 +310,7 @@
                 break;
             }
             let is_last = tries.is_last() || !is_idempotent;
-            let trying = self.try_upstream(call, service, permit, is_last);
+            let trying = pin!(self.try_upstream(call, service, permit, is_last));
             let outcome = self.shared.shutdown.before_answer_due(trying).await;
             let outcome = outcome.unwrap_or(TryOutcome::Unknown);
             if matches!(outcome, TryOutcome::NotSent) {
@@ -355,7 +356,7 @@
             Isolation::Alone if may_have_run => Err((SUSPECT, third)),
             Isolation::Alone => {
                 let time_left = call.time_left(&*self.shared.clock);
-                let waiting = within(time_left, failed_requests.isolated().acquire());
+                let waiting = pin!(within(time_left, failed_requests.isolated().acquire()));
                 match self.shared.shutdown.before_answer_due(waiting).await {
                     Some(Some(Ok(isolated))) => Ok(Some(isolated)),
                     Some(Some(Err(_)) | None) | None => Err((SUSPECT, third)),
--- a/crates/node/src/request_handler.rs
+++ b/crates/node/src/request_handler.rs
@@ -1,6 +1,7 @@
 //! Handles the requests of clients, the balancer and other nodes, and authenticates clients.
 
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -140,7 +141,7 @@
         let mut answer = if self.shutdown.is_answer_due() {
             refusal(Outcome::NotRun(SHUTDOWN_RETRY_AFTER), SHUTTING_DOWN)
         } else {
-            let answering = self.answer_client(head, body);
+            let answering = pin!(self.answer_client(head, body));
             let answered = self.shutdown.before_answer_due(answering).await;
             answered.unwrap_or_else(|| refusal(Outcome::Unknown, SHUTTING_DOWN))
         };
--- a/crates/node/src/shutdown.rs
+++ b/crates/node/src/shutdown.rs
@@ -6,6 +6,7 @@
 //! at once would refuse what it can still serve. One that took all to the end would break off
 //! answers that last longer than the time which is left.
 
+use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -107,7 +108,7 @@
     }
 
     /// The output of a future; `None` if requests get their final answer before it is there.
-    pub async fn before_answer_due<F: Future>(&self, future: F) -> Option<F::Output> {
+    pub async fn before_answer_due<F: Future>(&self, future: Pin<&mut F>) -> Option<F::Output> {
         tokio::select! {
             biased;
             output = future => Some(output),
