A detour to the store ends with its cause, and a silent watch is noticed in time

Cause: each success of a call that took the detour extended it, and a call that ended after a direct success set it up again, so that with several watches at a time a node went on through a seed for as long as it ran. A watch through a seed that lost power was given up after 3 s, then came a pause of 0.6 to 0.9 s before the list, while a configuration has 2 s. The same pause stood after a watch on a connection that fell silent, 3.9 s and up to 1.2 s of pause before the watch, while a node counts as in touch after 3 s; and the list took another idle connection, which was silent as well.

Change: only a failed direct call begins or extends a detour; after 3 s one call probes the store. `watch_limits.rs` derives the times of watches from the settings (`contact_ms` is new): wait, answer and list of the store fit into the contact time, a watch through a node with its answer into half of the propagation time. After it a watch only asks for what is there. A watch without an answer is followed by a list at once; only refused calls pause. A call that timed out closes the idle connections to its address.

--- a/crates/node/src/connection_pool.rs
+++ b/crates/node/src/connection_pool.rs
@@ -306,10 +306,13 @@
             response.connection.return_to_pool();
             Ok(Response::from_parts(head, body))
         };
-        let late = |_elapsed| CallError::Late;
         tokio::time::timeout(timeout, complete)
             .await
-            .map_err(late)?
+            .unwrap_or_else(|_elapsed| {
+                // Its other connections may have fallen silent as well, while new ones work.
+                self.close_idle(to);
+                Err(CallError::Late)
+            })
     }
 
     /// Whether a process listens at an address; opens a connection and closes it.
@@ -318,7 +321,8 @@
         matches!(connecting.await, Ok(Ok(_)))
     }
 
-    /// Closes idle connections to an address, at which another process listens now.
+    /// Closes idle connections to an address: another process listens there now, or they may have
+    /// fallen silent.
     pub fn close_idle(&self, to: SocketAddr) {
         self.lock().retain(|entry| entry.to != to);
     }
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -32,11 +32,6 @@
 use crate::roster::LocalMember;
 use crate::store::Store;
 
-/// Longest wait of one watch. A store that compacts its history leaves some waiting watches open
-/// without answering them, so this wait plus a list must fit into the time limit for a change to
-/// come into force.
-const WATCH_WAIT: Duration = Duration::from_secs(2);
-
 /// Longest wait of a watch whose answers may be seconds old. Such an answer costs a tenth of a
 /// fresh one; while the store is disturbed it may be older than this.
 const STALE_WATCH_WAIT: Duration = Duration::from_secs(3);
@@ -46,6 +41,10 @@
 /// that is compacting its history fails calls immediately, for seconds.
 const RETRY_PAUSE: Duration = Duration::from_millis(600);
 
+/// Longest pause after a call without an answer, before the first list: nothing speaks against a list
+/// at once but that other nodes may lose the store at the same time.
+const LIST_JITTER: Duration = Duration::from_millis(100);
+
 /// Tries of one page of a list. Without them one failed page restarts the whole list, which
 /// then never completes while the store is busy.
 const MAX_PAGE_TRIES: u32 = 3;
@@ -371,6 +370,12 @@
         } else {
             options.pause
         };
+        // While calls go through a node that may fail, nothing may be noticed any later.
+        let pause = if self.sources.store.is_detoured() {
+            Duration::ZERO
+        } else {
+            pause
+        };
         tokio::time::sleep(pause).await;
         // Other nodes rely on a seed's data to be fresh, except for the homes of models.
         let freshness = if is_seed && self.kind != ObjectKind::Duties {
@@ -383,7 +388,10 @@
             _ if is_seed => SEED_WATCH_WAIT.saturating_sub(pause),
             // Nodes that use seeds try them again soon.
             _ if has_seeds => SEED_WATCH_WAIT,
-            Freshness::Newest => WATCH_WAIT,
+            Freshness::Newest => {
+                let max_wait = self.sources.store.watch_limits().wait;
+                max_wait.saturating_sub(pause)
+            }
             Freshness::Seconds => STALE_WATCH_WAIT,
         };
         let wait = options
@@ -423,6 +431,7 @@
     async fn record_failure(&mut self, error: &StoreError) {
         let kind = format!("{:?}", self.kind);
         let journal = &self.sources.journal;
+        let was_watching = self.since.is_some() && !self.has_gap;
         self.has_gap = true;
         self.sources.outage.record_failure(self.kind, error);
         if matches!(error, StoreError::HistoryGone) {
@@ -438,6 +447,12 @@
             self.store_lost = true;
             journal.event("store_lost", &[("kind", &kind), ("cause", error)]);
         }
+        // What a watch without an answer should have told may be overdue. Calls that were refused
+        // would be refused again.
+        if was_watching && !matches!(error, StoreError::Refused(_)) {
+            let jitter = LIST_JITTER.mul_f64(rand::rng().random_range(0.0..1.0));
+            return tokio::time::sleep(jitter).await;
+        }
         self.pause().await;
     }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -53,4 +53,5 @@
 pub mod submission;
 mod upstream_answer;
 pub mod usage;
+pub mod watch_limits;
 pub mod weights;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -193,6 +193,7 @@
     fn apply_seeds(&self) {
         let settings = self.current_settings.now();
         self.fallback.set_nodes(fallback_nodes(&settings));
+        self.store.set_watch_limits(settings.watch_limits());
         let seeds = seed_set(&settings);
         let follows_store = seeds.polled.is_empty();
         self.sources.seeds.set(seeds);
--- a/crates/node/src/reload.rs
+++ b/crates/node/src/reload.rs
@@ -57,6 +57,7 @@
         applied_settings.seeds.clone_from(&new.seeds);
         applied_settings.lease_ms = new.lease_ms;
         applied_settings.config_apply_ms = new.config_apply_ms;
+        applied_settings.contact_ms = new.contact_ms;
         applied_settings.revoke_ms = new.revoke_ms;
         applied_settings.end_applies_ms = new.end_applies_ms;
         applied_settings.keep_results_s = new.keep_results_s;
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -13,6 +13,7 @@
 use crate::authentication::ConfigWaitLimits;
 use crate::mechanisms::Mechanism;
 use crate::submission::head_view::HeadLimits;
+use crate::watch_limits::WatchLimits;
 
 quick_error! {
     /// Why a settings file cannot be used.
@@ -76,6 +77,9 @@
     /// Time in ms within which a configuration takes effect on all nodes.
     #[serde(default = "default_config_apply_ms")]
     pub config_apply_ms: u64,
+    /// Time in ms after a disturbance of its connections within which a node is up to date again.
+    #[serde(default = "default_contact_ms")]
+    pub contact_ms: u64,
     /// Time in ms after the revocation of a key from which no newly sent call with it may run,
     /// even on nodes that are cut off; `None` if only nodes in contact with the store have to
     /// apply it.
@@ -147,6 +151,10 @@
     2_000
 }
 
+const fn default_contact_ms() -> u64 {
+    3_000
+}
+
 const fn default_store_reads_per_s() -> f64 {
     2_000.0
 }
@@ -268,6 +276,7 @@
                 "config_apply_ms",
                 self.config_apply_ms != other.config_apply_ms,
             ),
+            ("contact_ms", self.contact_ms != other.contact_ms),
             ("revoke_ms", self.revoke_ms != other.revoke_ms),
             ("usage", self.usage != other.usage),
             ("scaling", self.scaling != other.scaling),
@@ -316,6 +325,13 @@
         Duration::from_millis(self.config_apply_ms)
     }
 
+    /// Times of watches of the store.
+    #[must_use]
+    pub fn watch_limits(&self) -> WatchLimits {
+        let contact = Duration::from_millis(self.contact_ms);
+        WatchLimits::new(contact, self.max_propagation_delay())
+    }
+
     /// Time within which nodes have to learn of any change in the store.
     #[must_use]
     pub fn max_propagation_delay(&self) -> Duration {
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use arc_swap::ArcSwap;
 use firweir::process::clock::Clock;
 use firweir::process::log::Journal;
 use serde::Deserialize;
@@ -23,13 +24,19 @@
 use crate::dialect::StoreAnswer;
 use crate::dialect::StoreCall;
 use crate::dialect::StoreError;
+use crate::store_fallback::CallPath;
 use crate::store_fallback::FallbackFailure;
 use crate::store_fallback::StoreFallback;
 use crate::store_fallback::to_peer_uri;
+use crate::watch_limits::WatchLimits;
 
 /// Timeout of a call; the store normally answers within milliseconds.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Times from which the limits of watches follow until others are set.
+const DEFAULT_CONTACT: Duration = Duration::from_secs(3);
+const DEFAULT_PROPAGATION: Duration = Duration::from_secs(2);
+
 /// First and longest delay before the retry of a failed write. Calls have a cost even during an
 /// outage, and an outage lasts for seconds.
 const INITIAL_RETRY_DELAY: Duration = Duration::from_millis(100);
@@ -61,6 +68,7 @@
     next_write: Arc<AtomicU64>,
     journal: Journal,
     fallback: StoreFallback,
+    watch_limits: Arc<ArcSwap<WatchLimits>>,
 }
 
 impl Store {
@@ -76,6 +84,7 @@
         writer_id: &str,
         fallback: StoreFallback,
     ) -> Self {
+        let watch_limits = WatchLimits::new(DEFAULT_CONTACT, DEFAULT_PROPAGATION);
         Self {
             dialect,
             connections,
@@ -85,6 +94,7 @@
             next_write: Arc::default(),
             journal,
             fallback,
+            watch_limits: Arc::new(ArcSwap::from_pointee(watch_limits)),
         }
     }
 
@@ -107,44 +117,86 @@
     ///
     /// Any [`StoreError`].
     pub async fn call(&self, call: &StoreCall) -> Result<StoreAnswer, StoreError> {
-        let timeout = match call {
-            StoreCall::Watch { wait, .. } => *wait + CALL_TIMEOUT,
-            _ => CALL_TIMEOUT,
-        };
         let started = self.clock.now();
-        let answer = self.call_with_fallback(call, timeout).await;
+        let answer = self.call_with_fallback(call).await;
         self.record_call(call, started, &answer);
         answer
     }
 
+    /// Whether calls go through another node, since the store is unavailable to this one.
+    #[must_use]
+    pub fn is_detoured(&self) -> bool {
+        self.fallback.is_active()
+    }
+
+    /// Replaces the times of watches.
+    pub fn set_watch_limits(&self, limits: WatchLimits) {
+        self.watch_limits.store(Arc::new(limits));
+    }
+
+    /// The times of watches.
+    #[must_use]
+    pub fn watch_limits(&self) -> WatchLimits {
+        **self.watch_limits.load()
+    }
+
     /// Makes a call directly, or through another node if the store is unavailable to this one.
-    async fn call_with_fallback(
-        &self,
-        call: &StoreCall,
-        timeout: Duration,
-    ) -> Result<StoreAnswer, StoreError> {
-        if let Some(node) = self.fallback.current(self.clock.now()) {
-            let answer = self.call_through_node(node, call, timeout).await;
+    async fn call_with_fallback(&self, call: &StoreCall) -> Result<StoreAnswer, StoreError> {
+        let limits = self.watch_limits();
+        let path = self.fallback.path(self.clock.now());
+        if let CallPath::Through(node) = path {
+            let shortened = limited_to(call, limits.detour_wait);
+            let answer = self.call_through_node(node, &shortened, &limits).await;
             if !is_unavailable(&answer) {
                 return answer;
             }
         }
-        let direct = self.call_at(self.address, call, timeout, false).await;
+        let is_watch = matches!(call, StoreCall::Watch { .. });
+        if path == CallPath::Direct {
+            let direct = self.call_directly(call, limits.answer_time).await;
+            // A watch that broke off is handled by its follower, which lists again.
+            if is_watch || !is_unavailable(&direct) {
+                return direct;
+            }
+            return self.call_through_next(call, direct, &limits).await;
+        }
+        // A watch must not wait on a way that may be cut: it only asks for what is there.
+        let call = limited_to(call, Duration::ZERO);
+        let direct = self.call_directly(&call, limits.detour_answer_time).await;
         if !is_unavailable(&direct) {
-            self.fallback.record_direct_success();
             return direct;
         }
-        // A watch that broke off is handled by its follower, which lists again.
-        if matches!(call, StoreCall::Watch { .. }) {
-            return direct;
+        self.call_through_next(&call, direct, &limits).await
+    }
+
+    async fn call_directly(
+        &self,
+        call: &StoreCall,
+        watch_answer_time: Duration,
+    ) -> Result<StoreAnswer, StoreError> {
+        let timeout = timeout_of(call, watch_answer_time);
+        let direct = self.call_at(self.address, call, timeout, false).await;
+        if !is_unavailable(&direct) {
+            self.fallback.record_direct_success();
         }
+        direct
+    }
+
+    /// Makes a call that has failed directly through the next node.
+    async fn call_through_next(
+        &self,
+        call: &StoreCall,
+        direct: Result<StoreAnswer, StoreError>,
+        limits: &WatchLimits,
+    ) -> Result<StoreAnswer, StoreError> {
         let Some(node) = self.fallback.next_node(self.clock.now()) else {
             return direct;
         };
-        let answer = self.call_through_node(node, call, timeout).await;
+        let answer = self.call_through_node(node, call, limits).await;
         if is_unavailable(&answer) {
             return direct;
         }
+        self.fallback.record_detour(self.clock.now(), node);
         self.journal.event("store_detour", &[("through", &node)]);
         answer
     }
@@ -153,8 +205,9 @@
         &self,
         node: SocketAddr,
         call: &StoreCall,
-        timeout: Duration,
+        limits: &WatchLimits,
     ) -> Result<StoreAnswer, StoreError> {
+        let timeout = timeout_of(call, limits.detour_answer_time);
         let answer = self.call_at(node, call, timeout, true).await;
         let now = self.clock.now();
         match &answer {
@@ -166,7 +219,7 @@
                 self.fallback
                     .record_failure(now, node, FallbackFailure::NoAnswer);
             }
-            Ok(_) | Err(_) => self.fallback.record_success(now, node),
+            Ok(_) | Err(_) => {}
         }
         answer
     }
@@ -422,6 +475,23 @@
 const MAX_REPLACE_TRIES: u32 = 3;
 
 /// Whether the call was not carried out, or not answered; it may succeed through another node.
+/// The call, whose wait is at most `max_wait` if it is a watch.
+fn limited_to(call: &StoreCall, max_wait: Duration) -> StoreCall {
+    let mut call = call.clone();
+    if let StoreCall::Watch { wait, .. } = &mut call {
+        *wait = max_wait.min(*wait);
+    }
+    call
+}
+
+/// Timeout of a call; a watch may be answered this long after its wait.
+fn timeout_of(call: &StoreCall, watch_answer_time: Duration) -> Duration {
+    match call {
+        StoreCall::Watch { wait, .. } => *wait + watch_answer_time,
+        _ => CALL_TIMEOUT,
+    }
+}
+
 const fn is_unavailable(answer: &Result<StoreAnswer, StoreError>) -> bool {
     let refused = matches!(answer, Err(StoreError::Refused(_)));
     refused || matches!(answer, Err(StoreError::Unreachable | StoreError::Unknown))
--- a/crates/node/src/store_fallback.rs
+++ b/crates/node/src/store_fallback.rs
@@ -4,8 +4,10 @@
 //! all others. Without a fallback such a node stores no results of the steps that it runs,
 //! gets no configuration and cannot order weights until that is over, and its trainers wait.
 //!
-//! A call that fails is repeated through a seed, and for a while all calls take that way. Seeds
-//! may be cut off too: one that does not answer is not tried for a while, while calls through
+//! A call that fails is repeated through a seed, and for a while all calls take that way. After it
+//! one call tries the store directly: if that fails, the detour goes on for as long again, else it
+//! ends. Only a failed direct call begins or extends it, never the success of a call that took it: a
+//! detour that outlives its cause depends on one more node for nothing. Seeds may be cut off too: one that does not answer is not tried for a while, while calls through
 //! other seeds go on. If the store refuses a seed as well, it is assumed to be down. Every write
 //! is conditional and its outcome is confirmed by its writer, so a repeated write does nothing.
 
@@ -35,6 +37,17 @@
 /// each try costs a call or a second.
 const FAILED_NODE_PAUSE: Duration = Duration::from_millis(1_500);
 
+/// Way that a call of the store takes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CallPath {
+    /// Directly to the store.
+    Direct,
+    /// Through this node.
+    Through(SocketAddr),
+    /// Directly, to find out whether the store serves this node again.
+    Probe,
+}
+
 /// How a call through a node failed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum FallbackFailure {
@@ -75,16 +88,24 @@
         self.lock().nodes = nodes;
     }
 
-    /// The node that this call goes through; `None` if it goes directly to the store.
+    /// The way that this call takes.
     #[must_use]
-    pub fn current(&self, now: Instant) -> Option<SocketAddr> {
+    pub fn path(&self, now: Instant) -> CallPath {
         let mut state = self.lock();
-        let (node, until) = state.active?;
-        if until > now {
-            return Some(node);
+        match state.active {
+            None => CallPath::Direct,
+            Some((node, until)) if until > now => CallPath::Through(node),
+            Some((node, _)) => {
+                state.active = Some((node, now + DIRECT_TRY_TIME));
+                CallPath::Probe
+            }
         }
-        state.active = Some((node, now + DIRECT_TRY_TIME));
-        None
+    }
+
+    /// Whether calls go through another node.
+    #[must_use]
+    pub fn is_active(&self) -> bool {
+        self.lock().active.is_some()
     }
 
     /// A node to try after a direct call has failed: the one that answered last, or else the
@@ -105,15 +126,9 @@
         Some(state.nodes[index])
     }
 
-    /// Records that a call through this node was answered.
-    pub fn record_success(&self, now: Instant, node: SocketAddr) {
-        let mut state = self.lock();
-        if state
-            .active
-            .is_none_or(|(active, until)| active != node || until <= now + DIRECT_TRY_TIME)
-        {
-            state.active = Some((node, now + FALLBACK_TIME));
-        }
+    /// Records that a call was answered through this node after it had failed directly.
+    pub fn record_detour(&self, now: Instant, node: SocketAddr) {
+        self.lock().active = Some((node, now + FALLBACK_TIME));
     }
 
     /// Records that a call through this node failed.
--- a/crates/node/tests/store_fallback.rs
+++ b/crates/node/tests/store_fallback.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use firweir_node::store_fallback::CallPath;
 use firweir_node::store_fallback::FallbackFailure;
 use firweir_node::store_fallback::StoreFallback;
 
@@ -23,9 +24,12 @@
     let first = fallback.next_node(start).expect("a node");
     let second = fallback.next_node(after(start, 5)).expect("a node");
     assert_ne!(first, second, "two calls at once try two nodes");
-    fallback.record_success(after(start, 20), second);
+    fallback.record_detour(after(start, 20), second);
     fallback.record_failure(after(start, 1_000), first, FallbackFailure::NoAnswer);
-    assert_eq!(fallback.current(after(start, 1_100)), Some(second));
+    assert_eq!(
+        fallback.path(after(start, 1_100)),
+        CallPath::Through(second)
+    );
 }
 
 #[test]
@@ -33,22 +37,31 @@
     let start = Instant::now();
     let fallback = StoreFallback::new(vec![node(1), node(2)]);
     let through = fallback.next_node(start).expect("a node");
-    fallback.record_success(start, through);
-    assert_eq!(fallback.current(after(start, 2_900)), Some(through));
+    fallback.record_detour(start, through);
+    assert_eq!(
+        fallback.path(after(start, 2_900)),
+        CallPath::Through(through)
+    );
     assert_eq!(
-        fallback.current(after(start, 3_100)),
-        None,
+        fallback.path(after(start, 3_100)),
+        CallPath::Probe,
         "this one tries"
     );
-    assert_eq!(fallback.current(after(start, 3_200)), Some(through));
+    assert_eq!(
+        fallback.path(after(start, 3_200)),
+        CallPath::Through(through)
+    );
     // The path is still cut: the call goes through the node that answered.
     assert_eq!(fallback.next_node(after(start, 4_100)), Some(through));
-    fallback.record_success(after(start, 4_110), through);
-    assert_eq!(fallback.current(after(start, 6_000)), Some(through));
+    fallback.record_detour(after(start, 4_110), through);
+    assert_eq!(
+        fallback.path(after(start, 6_000)),
+        CallPath::Through(through)
+    );
     // The path is back.
-    assert_eq!(fallback.current(after(start, 7_200)), None);
+    assert_eq!(fallback.path(after(start, 7_200)), CallPath::Probe);
     fallback.record_direct_success();
-    assert_eq!(fallback.current(after(start, 7_300)), None);
+    assert_eq!(fallback.path(after(start, 7_300)), CallPath::Direct);
 }
 
 struct Case {
