Items under which upstreams were lost are paced, never held

Trainers would have waited for good: an item under which three engines crashed in a burst was not placed again, though engines had room, until its count expired after ten minutes or it was abandoned.

Cause: the count that stops calls which crash upstreams also held items and reward calls; it was told to other nodes, kept in the store and read back at a restart, and nothing queued a held item again.

Change: losses under an item or reward call are counted by its runner alone (`crash_pacing.rs`): from the third in a row each further run starts a second after the loss. Calls keep their protection.

--- a/crates/node/src/draft_jobs.rs
+++ b/crates/node/src/draft_jobs.rs
@@ -16,6 +16,7 @@
 use firweir_policy::work::UpstreamKey;
 use tokio::sync::Notify;
 
+use crate::crash_pacing::CrashPacing;
 use crate::fleet::Fleet;
 use crate::interest::DraftedModel;
 use crate::model::Config;
@@ -60,6 +61,10 @@
     /// Runs in a row that timed out before their first event; at least 1 after a run that timed
     /// out later.
     pub(crate) timeouts_in_row: u32,
+    /// Engines that were lost in a row under it.
+    pub(crate) pacing: CrashPacing,
+    /// It is not queued for an engine before this time.
+    pub(crate) paced_until: Option<Instant>,
     /// Tells the run to leave its engine.
     pub(crate) leave: Arc<Notify>,
     /// Reason for which its run is to leave its engine; `None` unless it is moved.
@@ -100,6 +105,8 @@
     /// Waiting samples are not checked for expiry before this time.
     pub(crate) next_expiry_check: Option<Instant>,
     pub(crate) config_version: u64,
+    /// Samples that are to be queued at these times.
+    pub(crate) paced: Vec<(Instant, SampleKey)>,
     /// Texts of samples that ended or were removed, in case their items are submitted again.
     pub(crate) texts: TextCache,
     /// Whether waiting samples are ordered by the slack of their steps.
--- a/crates/node/src/drafting.rs
+++ b/crates/node/src/drafting.rs
@@ -24,6 +24,7 @@
 use tokio::sync::Notify;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::crash_pacing::CrashPacing;
 use crate::dialect::StreamEvent;
 use crate::draft_jobs::Assignment;
 use crate::draft_jobs::FleetSnapshot;
@@ -175,6 +176,8 @@
             text_completed_at: None,
             runs: 0,
             timeouts_in_row: 0,
+            pacing: CrashPacing::default(),
+            paced_until: None,
             leave: Arc::default(),
             move_reason: None,
         });
@@ -289,6 +292,7 @@
             self.update_engines(&mut state);
         }
         self.abandon_expired(&mut state);
+        self.queue_paced(&mut state, now);
         self.order_waiting(&mut state, now);
         while let Some((key, engine)) = state.placement.next(now) {
             self.start_run(&mut state, key, engine);
@@ -408,6 +412,19 @@
         }
     }
 
+    /// Queues the samples whose pause is over.
+    fn queue_paced(&self, state: &mut State, now: Instant) {
+        let paced = std::mem::take(&mut state.paced);
+        let (due, waiting): (Vec<_>, Vec<_>) = paced.into_iter().partition(|(at, _)| *at <= now);
+        state.paced = waiting;
+        for (_, key) in due {
+            if let Some(at) = state.job_index(key) {
+                state.jobs[at].paced_until = None;
+                self.enqueue(state, key);
+            }
+        }
+    }
+
     /// Queues a sample for an engine, or abandons it if its route no longer exists.
     fn enqueue(&self, state: &mut State, key: SampleKey) {
         let Some(at) = state.job_index(key) else {
@@ -435,8 +452,7 @@
         if failed_requests.is_exhausted(failing, failures, route.max_attempts) {
             return self.abandon(state, key, "failed");
         }
-        // It may not be abandoned before it expires.
-        if failed_requests.is_quarantined(Fingerprint::of_crashing_item(&item.id)) {
+        if state.jobs[at].paced_until.is_some() {
             return;
         }
         let model = state.model_key(&target.service, &submission.head.model);
@@ -567,12 +583,9 @@
             () = leave.notified() => Attempt::Moved,
         };
         let ended = self.shared.clock.now();
-        let crashing = Fingerprint::of_crashing_item(&submission.items[item_index].id);
-        if progress.events_of_run > 0 {
-            self.shared.failed_requests.clear(crashing);
-        } else if attempt.is_connection_loss() {
-            self.shared.record_if_crashed(crashing, &upstream).await;
-        }
+        let has_lost_upstream = progress.events_of_run == 0
+            && attempt.is_connection_loss()
+            && self.shared.has_crashed(&upstream).await;
         if attempt != Attempt::Whole {
             let outcome = format_args!("{attempt:?}");
             let took_ms = ended.duration_since(started).as_millis();
@@ -606,11 +619,19 @@
             let timed_out = matches!(attempt, Attempt::Broken("silent" | "head-late"));
             let job = &mut state.jobs[at];
             job.running = false;
+            if progress.events_of_run > 0 {
+                job.pacing.record_answer();
+            } else if has_lost_upstream {
+                job.pacing.record_loss();
+            }
             job.timeouts_in_row = match (timed_out, progress.events_of_run) {
                 (true, 0) => job.timeouts_in_row + 1,
                 (true, _) => job.timeouts_in_row.max(1),
                 (false, _) => 0,
             };
+            if has_lost_upstream {
+                pace(&mut state, at, ended);
+            }
             self.handle_attempt(&mut state, key, at, attempt);
         }
         drop(state);
@@ -756,3 +777,13 @@
         state.unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+/// Keeps a sample out of the queue for its pause, if it has one.
+fn pace(state: &mut State, at: usize, now: Instant) {
+    let job = &mut state.jobs[at];
+    let pause = job.pacing.pause();
+    if !pause.is_zero() {
+        job.paced_until = Some(now + pause);
+        state.paced.push((now + pause, job.key));
+    }
+}
--- a/crates/node/src/failed_requests.rs
+++ b/crates/node/src/failed_requests.rs
@@ -205,12 +205,6 @@
         failures_here >= max_attempts || self.count(fingerprint) >= max_in_all
     }
 
-    /// Whether a request has crashed as many upstreams as one request may.
-    #[must_use]
-    pub fn is_quarantined(&self, fingerprint: Fingerprint) -> bool {
-        matches!(self.isolation(fingerprint), Isolation::Quarantined(_))
-    }
-
     /// Restriction under which a request may run, by the upstreams that it may have crashed.
     #[must_use]
     pub fn isolation(&self, fingerprint: Fingerprint) -> Isolation {
--- a/crates/node/src/fingerprint.rs
+++ b/crates/node/src/fingerprint.rs
@@ -47,24 +47,12 @@
         Self::of_parts(&[b"impossible item", item.as_bytes()])
     }
 
-    /// The fingerprint of an item, for engines that crash under it.
-    #[must_use]
-    pub fn of_crashing_item(item: &str) -> Self {
-        Self::of_parts(&[b"crashing item", item.as_bytes()])
-    }
-
     /// The fingerprint of a reward call, for answers that it failed.
     #[must_use]
     pub fn of_failing_reward_call(call: &RewardCall) -> Self {
         Self::of_reward_call(b"failing reward call", call)
     }
 
-    /// The fingerprint of a reward call, for upstreams that crash under it.
-    #[must_use]
-    pub fn of_crashing_reward_call(call: &RewardCall) -> Self {
-        Self::of_reward_call(b"crashing reward call", call)
-    }
-
     fn of_reward_call(kind: &[u8], call: &RewardCall) -> Self {
         let (id, path, body) = (&call.id, &call.path, &call.body_base64);
         Self::of_parts(&[kind, id.as_bytes(), path.as_bytes(), body.as_bytes()])
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod authentication;
 pub mod change;
 pub mod connection_pool;
+mod crash_pacing;
 pub mod demand;
 pub mod dialect;
 pub mod disk;
--- a/crates/node/src/scoring.rs
+++ b/crates/node/src/scoring.rs
@@ -20,6 +20,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::connection_pool::CallError;
+use crate::crash_pacing::CrashPacing;
 use crate::dialect::RewardRequest;
 use crate::fingerprint::Fingerprint;
 use crate::gates::Gates;
@@ -43,9 +44,6 @@
 /// configuration takes effect within seconds.
 const NO_ROUTE_RETRY_DELAY: Duration = Duration::from_secs(1);
 
-/// Interval at which a call that may not be sent checks whether its item has expired.
-const QUARANTINE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
-
 /// Time left that a call past its due time claims when it asks for a slot; makes it the most
 /// urgent one.
 const OVERDUE_TIME_LEFT: Duration = Duration::from_secs(1);
@@ -73,6 +71,8 @@
     NotRun(&'static str),
     /// The call may have run, and there is no usable answer.
     Broken(&'static str),
+    /// The upstream was lost before it had answered.
+    Crashed,
     /// There is no route for the call.
     NoRoute,
     /// No request can be made of the call.
@@ -128,7 +128,7 @@
         let mut failures = 0;
         let failed_requests = &self.shared.failed_requests;
         let fingerprint = Fingerprint::of_failing_reward_call(call);
-        let crashing = Fingerprint::of_crashing_reward_call(call);
+        let mut pacing = CrashPacing::default();
         loop {
             if let Some(reason) = self.abandon_reason(submission) {
                 return ScoreOutcome::Abandoned(reason);
@@ -137,19 +137,18 @@
             if failed_requests.is_exhausted(fingerprint, failures, max_failures) {
                 return ScoreOutcome::Abandoned("score-failed");
             }
-            // Its item may not be abandoned before that expires.
-            if failed_requests.is_quarantined(crashing) {
-                tokio::time::sleep(QUARANTINE_CHECK_INTERVAL).await;
-                continue;
-            }
             let attempt = self.attempt(submission, call, &mut avoid).await;
             if let Attempt::Answered(proof) = attempt {
                 failed_requests.clear(fingerprint);
-                failed_requests.clear(crashing);
                 let call = call.clone();
                 return ScoreOutcome::Score(Score { call, proof });
             }
             self.log_failure(submission, item, call, &attempt);
+            match attempt {
+                Attempt::Crashed => pacing.record_loss(),
+                Attempt::Failed => pacing.record_answer(),
+                _ => {}
+            }
             let delay = match attempt {
                 Attempt::Failed => {
                     failures += 1;
@@ -158,6 +157,7 @@
                 }
                 Attempt::NoRoute | Attempt::Unusable => NO_ROUTE_RETRY_DELAY,
                 Attempt::NotRun(_) | Attempt::Broken(_) | Attempt::Answered(_) => RETRY_DELAY,
+                Attempt::Crashed => RETRY_DELAY.max(pacing.pause()),
             };
             tokio::time::sleep(delay).await;
         }
@@ -269,9 +269,12 @@
                 (Attempt::NotRun("not-sent"), Ending::Unreachable, None)
             }
             Err(CallError::Broken) => {
-                let crashing = Fingerprint::of_crashing_reward_call(call);
-                self.shared.record_if_crashed(crashing, upstream).await;
-                (Attempt::Broken("no-answer"), Ending::Failed, None)
+                let attempt = if self.shared.has_crashed(upstream).await {
+                    Attempt::Crashed
+                } else {
+                    Attempt::Broken("no-answer")
+                };
+                (attempt, Ending::Failed, None)
             }
             Err(CallError::Foreign) => (Attempt::Broken("foreign-answer"), Ending::Failed, None),
             Err(CallError::Late) => (Attempt::Broken("late"), Ending::Failed, None),
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -10,7 +10,6 @@
 use crate::dialect::Dialect;
 use crate::duty::BootClock;
 use crate::failed_requests::FailedRequests;
-use crate::fingerprint::Fingerprint;
 use crate::fleet::Fleet;
 use crate::interest::Interest;
 use crate::mechanisms::EnabledMechanisms;
@@ -50,13 +49,10 @@
 }
 
 impl Shared {
-    /// Records that an upstream was lost under a request, if no process listens there any more: a
+    /// Whether an upstream whose connection broke has crashed: no process listens there any more. A
     /// full upstream resets connections as well.
-    pub(crate) async fn record_if_crashed(&self, fingerprint: Fingerprint, upstream: &Upstream) {
-        if !self.connections.is_listening(upstream.address).await {
-            let failed_requests = &self.failed_requests;
-            failed_requests.record_lost_upstream(fingerprint, &upstream.instance);
-        }
+    pub(crate) async fn has_crashed(&self, upstream: &Upstream) -> bool {
+        !self.connections.is_listening(upstream.address).await
     }
 
     /// The load that an upstream reported, without `time_percent` if [`Mechanism::ToldSpeed`] is
