An empty list of accounts denies every key

Once an operator removed the last account, requests with the removed key, and with any other, ran, and the key was passed on to the upstream.

Cause: a configuration with an empty list was taken for one without accounts. Change: accounts that are declared require a key even if there are none; only a configuration without the list is open to all. The test of authentication that stood for "no accounts" used an empty list; it uses an undeclared one now, and the empty list has a test of its own.

--- a/crates/node/src/account.rs
+++ b/crates/node/src/account.rs
@@ -53,6 +53,8 @@
 /// The accounts of a configuration and their keys.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Accounts {
+    /// Whether the operator lists accounts, even if the list is empty.
+    are_declared: bool,
     names: Vec<String>,
     /// Sorted by digest.
     keys: Vec<(KeyDigest, AccountIndex)>,
@@ -85,22 +87,18 @@
             .collect();
         keys.retain(|(digest, _)| ambiguous.binary_search(digest).is_err());
         Self {
+            are_declared: true,
             names,
             keys,
             priorities,
         }
     }
 
-    /// Whether no account is declared; then no call needs a key.
+    /// Whether the operator declares accounts; if not, no call needs a key. An empty list declares
+    /// that no key is valid.
     #[must_use]
-    pub const fn is_empty(&self) -> bool {
-        self.names.is_empty()
-    }
-
-    /// Number of accounts.
-    #[must_use]
-    pub const fn len(&self) -> usize {
-        self.names.len()
+    pub const fn are_declared(&self) -> bool {
+        self.are_declared
     }
 
     /// Priority of the calls of an account; 0 is the highest. `None` if the account has none.
--- a/crates/node/src/authentication.rs
+++ b/crates/node/src/authentication.rs
@@ -124,7 +124,7 @@
     age: Option<Duration>,
     limits: &ConfigAgeLimits,
 ) -> Result<Option<&'a str>, Denied> {
-    if config.accounts.is_empty() {
+    if !config.accounts.are_declared() {
         return Ok(None);
     }
     let account = access.key.and_then(|key| config.accounts.find_by_key(key));
--- a/crates/node/src/model.rs
+++ b/crates/node/src/model.rs
@@ -136,7 +136,7 @@
     pub services: Vec<Service>,
     /// Largest body that a client may send.
     pub max_body_bytes: usize,
-    /// Accounts that may call; empty if calls are not restricted.
+    /// Accounts that may call; not declared if calls are not restricted.
     pub accounts: Accounts,
 }
 
@@ -148,7 +148,7 @@
     /// slot is likely free. True if any account is declared.
     #[must_use]
     pub const fn shares_services(&self) -> bool {
-        !self.accounts.is_empty()
+        self.accounts.are_declared()
     }
 
     /// Whether calls of a service are ordered by priority.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -520,7 +520,7 @@
     let (local_member, tasks) = (context.sources.local_member.clone(), context.tasks.clone());
     let (relay, config_fleet) = (Arc::clone(&context.sources.relay), Arc::clone(&fleet));
     let options = move || {
-        let has_accounts = !config_fleet.config().accounts.is_empty();
+        let has_accounts = config_fleet.config().accounts.are_declared();
         let limits = has_accounts.then(|| settings.now().config_wait_limits());
         relay.set_max_hold(
             ObjectKind::Configuration,
--- a/crates/node/src/request_handler.rs
+++ b/crates/node/src/request_handler.rs
@@ -403,7 +403,7 @@
     fn readiness(&self) -> Response<Body> {
         let config = self.fleet.config();
         let may_serve_keys = || self.age_limits().may_serve(self.fleet.config_age());
-        let has_recent_config = config.accounts.is_empty() || may_serve_keys();
+        let has_recent_config = !config.accounts.are_declared() || may_serve_keys();
         let is_ready = config.version > 0 && has_recent_config && !self.tasks.is_draining();
         empty(if is_ready {
             StatusCode::OK
@@ -430,7 +430,7 @@
             Ok(account) => account,
             Err(denied) => return denial_answer(denied),
         };
-        if !config.accounts.is_empty() {
+        if config.accounts.are_declared() {
             head.headers.remove(header::AUTHORIZATION);
         }
         if route.kind != RouteKind::Rollout || head.method != Method::POST {
--- a/crates/node/tests/authentication.rs
+++ b/crates/node/tests/authentication.rs
@@ -174,8 +174,8 @@
         purpose: Purpose::Run,
     };
     let limits = ConfigAgeLimits::new(APPLY, Some(REVOCATION));
-    let nobody = config(Vec::new());
-    assert_eq!(authenticate(&nobody, access, None, &limits), Ok(None));
+    let undeclared = Config::default();
+    assert_eq!(authenticate(&undeclared, access, None, &limits), Ok(None));
     let limits = ConfigAgeLimits::new(APPLY, None);
     let config = two_accounts();
     assert_eq!(
@@ -184,6 +184,23 @@
     );
 }
 
+/// Guards against an empty list of accounts that lets every key in.
+#[test]
+fn an_empty_list_of_accounts_denies_every_key() {
+    let nobody = config(Vec::new());
+    let limits = ConfigAgeLimits::new(APPLY, Some(REVOCATION));
+    let key = ApiKey::new(b"k1");
+    for (key, denied) in [(Some(&key), Denied::UnknownKey), (None, Denied::NoKey)] {
+        let access = AccessRequest {
+            key,
+            is_public: false,
+            purpose: Purpose::Run,
+        };
+        let account = authenticate(&nobody, access, Some(Duration::ZERO), &limits);
+        assert_eq!(account, Err(denied));
+    }
+}
+
 /// A node whose polls are all answered must never refuse calls, which it would if a configuration
 /// could get older between two answers than the age limits allow.
 #[test]
