Answers without end are cut off by bytes and time

An upstream may send bytes that are no answer without end, until the caller closes. Calls, samples and scores had a time limit, but not against all: bytes that trickled in put off the timeout of an event, a live stream had no deadline of its own, a refusal's body was read without a bound, and interim answers and sizes of chunks were read for as long as they came.

Change: a connection counts the bytes below the HTTP library (`metered_stream.rs`): some for the head phase, twice the limit of the body and its framing after it, none while it is idle. Heads have at most 64 KB, here and for clients. What is no answer is a failure of its own (`CallError::Malformed`): it closes the connection and counts against the upstream where it is chosen, not as a crash under the request.

--- a/crates/firweir/src/connection/server.rs
+++ b/crates/firweir/src/connection/server.rs
@@ -37,6 +37,9 @@
 /// requests as well, and callers reuse connections that were idle for 12 s.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(15);
 
+/// Largest head of a request; a longer one is answered with 431.
+const MAX_HEAD_BYTES: usize = 64 << 10;
+
 /// Pause after a connection could not be accepted. Out of file descriptors, the
 /// next attempt fails as well, and without a pause the loop would take a core.
 pub const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -87,6 +90,7 @@
             builder
                 .http1()
                 .timer(TokioTimer::new())
+                .max_buf_size(MAX_HEAD_BYTES)
                 .header_read_timeout(HEADER_TIMEOUT);
             let service = TowerToHyperService::new(handler.clone());
             let connection = builder
--- a/crates/node/src/answer_stream.rs
+++ b/crates/node/src/answer_stream.rs
@@ -10,6 +10,7 @@
 use hyper::body::Body as HttpBody;
 use hyper::body::Frame;
 use hyper::body::Incoming;
+use tokio::time::Sleep;
 
 use crate::connection_pool::PooledConnection;
 use crate::failed_requests::FailedRequests;
@@ -24,6 +25,8 @@
     pub(crate) failed_requests: FailedRequests,
     pub(crate) fingerprint: Fingerprint,
     pub(crate) upstream: Instance,
+    /// The answer is broken off then.
+    pub(crate) deadline: Pin<Box<Sleep>>,
 }
 
 impl AnswerStream {
@@ -49,6 +52,11 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, std::io::Error>>> {
+        // An upstream that never ends its answer, or sends nothing more, says nothing of the request.
+        if self.deadline.as_mut().poll(context).is_ready() {
+            self.finish(Ending::Failed);
+            return Poll::Ready(Some(Err(std::io::ErrorKind::TimedOut.into())));
+        }
         match Pin::new(&mut self.body).poll_frame(context) {
             Poll::Ready(Some(Ok(frame))) => Poll::Ready(Some(Ok(frame))),
             // Passed on as an error: a stream that just ends would look complete to the client.
--- a/crates/node/src/connection_pool.rs
+++ b/crates/node/src/connection_pool.rs
@@ -6,6 +6,7 @@
 //! wrong answers. Therefore this pool is built directly on `hyper`'s connections.
 
 use std::collections::VecDeque;
+use std::error::Error;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -34,6 +35,9 @@
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
+use crate::metered_stream::ByteAllowance;
+use crate::metered_stream::MeteredStream;
+
 /// Connecting normally takes a few milliseconds, and a lost SYN packet is retransmitted after one
 /// second.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_200);
@@ -72,6 +76,16 @@
 /// few.
 const MAX_CARRIED: usize = 16;
 
+/// Largest head of an answer.
+const MAX_HEAD_BYTES: usize = 64 << 10;
+
+/// Bytes that a peer may send until the head of its final answer is there: interim answers, the head,
+/// and what is read along with it.
+const MAX_HEAD_PHASE_BYTES: usize = 3 * MAX_HEAD_BYTES;
+
+/// Bytes that the framing of a body may take besides as many as the body.
+const MAX_FRAMING_BYTES: usize = 64 << 10;
+
 /// Larger answers are rejected. Values of the store have at most one megabyte, and lists are about
 /// as large.
 const MAX_ANSWER_BYTES: usize = 16 << 20;
@@ -104,6 +118,11 @@
         Late {
             display("late")
         }
+        /// The peer sent bytes that are no answer, or more than an answer may have; the request may
+        /// have been carried out.
+        Malformed {
+            display("malformed answer")
+        }
         /// The answer does not belong to the request, which may have been carried out.
         Foreign {
             display("answer to another request")
@@ -123,6 +142,8 @@
 struct OpenConnection {
     sender: SendRequest<Full<Bytes>>,
     driver: AbortHandle,
+    /// What the peer may still send.
+    allowance: ByteAllowance,
     /// Hashes of the last requests with an id that it carried, oldest first.
     carried: VecDeque<u64>,
     /// Whether it carried a request without an id.
@@ -169,6 +190,13 @@
 }
 
 impl PooledConnection {
+    /// Sets how many bytes of body the peer may still send, framing apart.
+    pub fn allow_body(&self, limit_bytes: usize) {
+        if let Some(open) = &self.open {
+            let framing = limit_bytes.saturating_add(MAX_FRAMING_BYTES);
+            open.allowance.set(limit_bytes.saturating_add(framing));
+        }
+    }
     /// Returns the connection to the pool for the next request. The answer must belong to the
     /// request and have been read to its end.
     pub fn return_to_pool(mut self) {
@@ -266,6 +294,7 @@
                 None => (connect(to).await?, true),
             };
             set_headers(request.headers_mut());
+            open.allowance.set(MAX_HEAD_PHASE_BYTES);
             match open.sender.try_send_request(request).await {
                 Ok(answer) => {
                     open.record_request(choice);
@@ -281,6 +310,7 @@
                     // The peer has closed this idle connection.
                     Some(unsent) if !is_new => request = unsent,
                     Some(_) => return Err(CallError::NotSent),
+                    None if is_malformed(failed.error()) => return Err(CallError::Malformed),
                     None => return Err(CallError::Broken),
                 },
             }
@@ -301,6 +331,7 @@
         let complete = async {
             let response = self.send(to, request).await?;
             let (head, body) = response.answer.into_parts();
+            response.connection.allow_body(MAX_ANSWER_BYTES);
             let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
             let body = body.map_err(|_broken| CallError::Broken)?.to_bytes();
             response.connection.return_to_pool();
@@ -339,6 +370,8 @@
     }
 
     fn put(&self, to: SocketAddr, open: OpenConnection, idle_timeout: Duration) {
+        // Nothing may come on an idle connection; what does closes it.
+        open.allowance.set(0);
         let until = self.clock.now() + idle_timeout;
         let mut idle = self.lock();
         if idle.iter().filter(|entry| entry.to == to).count() < MAX_IDLE_PER_ADDRESS {
@@ -363,7 +396,11 @@
             _ => CallError::NotSent,
         })?;
     set_keepalive(&stream);
-    let (sender, driver) = http1::handshake(TokioIo::new(stream))
+    let allowance = ByteAllowance::default();
+    let stream = MeteredStream::new(stream, allowance.clone());
+    let (sender, driver) = http1::Builder::new()
+        .max_buf_size(MAX_HEAD_BYTES)
+        .handshake(TokioIo::new(stream))
         .await
         .map_err(|_closed| CallError::NotSent)?;
     let driver = tokio::spawn(async move {
@@ -373,11 +410,19 @@
     Ok(OpenConnection {
         sender,
         driver: driver.abort_handle(),
+        allowance,
         carried: VecDeque::new(),
         carried_unnamed: false,
     })
 }
 
+/// Whether a peer sent bytes that are no answer.
+fn is_malformed(error: &hyper::Error) -> bool {
+    let cause = error.source().and_then(|cause| cause.downcast_ref());
+    let is_over_allowance = |cause: &io::Error| cause.kind() == io::ErrorKind::InvalidData;
+    error.is_parse() || cause.is_some_and(is_over_allowance)
+}
+
 /// Makes the system close dead connections. Unsupported socket options are ignored: the timeouts
 /// of each request still apply.
 fn set_keepalive(stream: &TcpStream) {
--- a/crates/node/src/draft_run.rs
+++ b/crates/node/src/draft_run.rs
@@ -10,6 +10,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use memchr::memmem;
+use tokio::time::Instant;
 
 use crate::connection_pool::CallError;
 use crate::dialect::GenerationRequest;
@@ -28,6 +29,9 @@
 /// Largest event of a stream; a longer one breaks the run.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
+/// Largest answer with the events of a sample.
+const MAX_SAMPLE_BYTES: usize = 16 << 20;
+
 /// How a run on an engine ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Attempt {
@@ -135,6 +139,7 @@
             Ok(Ok(own)) => own,
             Ok(Err(CallError::Refused)) => return Attempt::Broken("refused"),
             Ok(Err(CallError::NotSent)) => return Attempt::Broken("not-sent"),
+            Ok(Err(CallError::Malformed)) => return Attempt::Broken("malformed-answer"),
             Ok(Err(CallError::Foreign)) => return Attempt::Broken("foreign-answer"),
             Ok(Err(_)) => return Attempt::Broken("no-head"),
             Err(_elapsed) => return Attempt::Broken("head-late"),
@@ -161,7 +166,7 @@
             _ => return Attempt::Broken("status"),
         }
         let version = own.reported.version;
-        let (body, connection) = own.into_stream();
+        let (body, connection) = own.into_stream(MAX_SAMPLE_BYTES);
         let attempt = self.read_events(body, version, progress).await;
         if attempt == Attempt::Whole {
             connection.return_to_pool();
@@ -176,13 +181,13 @@
         progress: &mut RunProgress,
     ) -> Attempt {
         let mut buffer = BytesMut::new();
+        // Bytes that do not complete an event do not put off its timeout.
+        let mut event_due = Instant::now() + self.first_event_timeout();
+        if self.has_first_event {
+            event_due = Instant::now() + self.event_timeout;
+        }
         loop {
-            let timeout = if self.has_first_event {
-                self.event_timeout
-            } else {
-                self.first_event_timeout()
-            };
-            let frame = match tokio::time::timeout(timeout, body.frame()).await {
+            let frame = match tokio::time::timeout_at(event_due, body.frame()).await {
                 Ok(Some(Ok(frame))) => frame,
                 Ok(Some(Err(_broken))) => return Attempt::Broken("stream"),
                 Ok(None) if buffer.is_empty() && progress.last_event > 0 => return Attempt::Whole,
@@ -207,6 +212,7 @@
                     return unusable;
                 }
                 self.has_first_event = true;
+                event_due = Instant::now() + self.event_timeout;
                 progress.add(event.number, version);
                 (self.on_event)(event, version);
             }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod live;
 pub mod load_logger;
 pub mod mechanisms;
+mod metered_stream;
 pub mod model;
 pub mod node;
 pub mod outage;
--- a/crates/node/src/live.rs
+++ b/crates/node/src/live.rs
@@ -54,11 +54,14 @@
 use crate::usage::counter::TrackedRequest;
 
 /// Timeout of a call whose client sends none.
-const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
+pub(crate) const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// Largest body of an answer that is not streamed.
 const MAX_ANSWER_BYTES: usize = 32 << 20;
 
+/// Largest body of a streamed answer.
+const MAX_STREAM_BYTES: usize = 64 << 20;
+
 /// Fraction of the remaining time that a try may take unless it is the last one: if the upstream
 /// does not answer, there is time left to try another.
 const TRY_TIME_FRACTION: f64 = 0.4;
@@ -472,7 +475,10 @@
                         permit.finish(Ending::Unreachable, 0);
                         TryOutcome::NotSent
                     }
-                    CallError::Broken | CallError::Late | CallError::Foreign => {
+                    CallError::Broken
+                    | CallError::Late
+                    | CallError::Malformed
+                    | CallError::Foreign => {
                         if error == CallError::Broken {
                             self.record_lost_upstream(call, upstream);
                         }
@@ -497,7 +503,7 @@
         let status = own.status;
         let headers = self.shared.dialect.returned_headers(&own.headers);
         if matches!(call.route.kind, RouteKind::Streaming { .. }) && status.is_success() {
-            let (body, connection) = own.into_stream();
+            let (body, connection) = own.into_stream(MAX_STREAM_BYTES);
             let stream = AnswerStream {
                 body,
                 connection: Some(connection),
@@ -505,6 +511,7 @@
                 failed_requests: self.shared.failed_requests.clone(),
                 fingerprint: call.fingerprint,
                 upstream: upstream.instance.clone(),
+                deadline: Box::pin(tokio::time::sleep_until(call.deadline.into())),
             };
             let mut answer = Response::new(stream.boxed_unsync());
             *answer.status_mut() = status;
@@ -585,6 +592,7 @@
 const fn failure_name(error: CallError) -> &'static str {
     match error {
         CallError::Foreign => "foreign-answer",
+        CallError::Malformed => "malformed-answer",
         CallError::Refused | CallError::NotSent | CallError::Broken | CallError::Late => {
             "no-answer"
         }
--- a/crates/node/src/request_handler.rs
+++ b/crates/node/src/request_handler.rs
@@ -44,6 +44,7 @@
 use crate::fleet::Fleet;
 use crate::holder::DUTY_HOLDER_PATH;
 use crate::holder::DutyHolder;
+use crate::live::DEFAULT_TIMEOUT;
 use crate::live::LiveCalls;
 use crate::mechanisms::EnabledMechanisms;
 use crate::mechanisms::Mechanism;
@@ -477,7 +478,11 @@
 
     async fn submit(&self, incoming: IncomingSubmission<'_>, body: Incoming) -> Response<Body> {
         let IncomingSubmission { routed, head, .. } = incoming;
-        let Some(body) = read_body(body, incoming.limit_bytes).await else {
+        let timeout = routed.timeout.unwrap_or(DEFAULT_TIMEOUT);
+        let Some(body) = within(timeout, read_body(body, incoming.limit_bytes)).await else {
+            return refusal(Outcome::NotRun(RETRY_AFTER), "body-late");
+        };
+        let Some(body) = body else {
             let status = StatusCode::PAYLOAD_TOO_LARGE;
             return refusal(Outcome::BadRequest(status), "body-too-large");
         };
--- a/crates/node/src/scoring.rs
+++ b/crates/node/src/scoring.rs
@@ -277,6 +277,9 @@
                 (attempt, Ending::Failed, None)
             }
             Err(CallError::Foreign) => (Attempt::Broken("foreign-answer"), Ending::Failed, None),
+            Err(CallError::Malformed) => {
+                (Attempt::Broken("malformed-answer"), Ending::Failed, None)
+            }
             Err(CallError::Late) => (Attempt::Broken("late"), Ending::Failed, None),
         };
         permit.finish_with_load(ending, reported_load);
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -238,9 +238,9 @@
         match self.connections.call(to, request, timeout).await {
             Ok(answer) => self.dialect.store_answer(call, &answer),
             Err(CallError::Refused | CallError::NotSent) => Err(StoreError::Unreachable),
-            Err(CallError::Broken | CallError::Late | CallError::Foreign) => {
-                Err(StoreError::Unknown)
-            }
+            Err(
+                CallError::Broken | CallError::Late | CallError::Malformed | CallError::Foreign,
+            ) => Err(StoreError::Unknown),
         }
     }
 
--- a/crates/node/src/upstream_answer.rs
+++ b/crates/node/src/upstream_answer.rs
@@ -164,6 +164,7 @@
 
     /// Reads the body to its end and returns the connection to the pool.
     pub(crate) async fn read_body(self, limit_bytes: usize) -> Result<Bytes, BrokenBody> {
+        self.connection.allow_body(limit_bytes);
         let body = Limited::new(self.body, limit_bytes).collect().await;
         let body = body.map_err(|_broken| BrokenBody)?;
         self.connection.return_to_pool();
@@ -177,8 +178,9 @@
         _ = within(REFUSAL_BODY_TIMEOUT, self.read_body(MAX_REFUSAL_BYTES)).await;
     }
 
-    /// The body, to be read as it arrives, and its connection.
-    pub(crate) fn into_stream(self) -> (Incoming, PooledConnection) {
+    /// The body, to be read as it arrives and of at most about this size, and its connection.
+    pub(crate) fn into_stream(self, limit_bytes: usize) -> (Incoming, PooledConnection) {
+        self.connection.allow_body(limit_bytes);
         (self.body, self.connection)
     }
 }
