A step that its home may have accepted is not refused

A trainer was told that a step never runs, and it ran (REFUSED): the home that a node had forwarded it to did not answer, the node then could not accept it itself and answered 503, as if no one had.

Cause: only a draining node looked at whether the step had been forwarded. Change: a forwarded step is accepted, refused or unknown; after an unknown outcome a refusal of this node's own becomes 502, which promises nothing. A home that was not reached, or answered 503, has not accepted it.

--- a/crates/node/src/submission/accept.rs
+++ b/crates/node/src/submission/accept.rs
@@ -44,6 +44,17 @@
 /// seconds, and the retry is at most a second late after one.
 const SUBMIT_RETRY_AFTER: Duration = Duration::from_millis(700);
 
+/// What became of a submission that was forwarded.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Forwarded {
+    /// The home has accepted it.
+    Accepted,
+    /// The home has not accepted it and never will.
+    Refused,
+    /// There is no answer that tells; the home may have accepted it, or may do so later.
+    Unknown,
+}
+
 /// A client's request that submits a step.
 #[derive(Debug)]
 pub struct SubmissionRequest<'a> {
@@ -79,36 +90,42 @@
         if known.as_ref() == Some(&self.shared.this_node) {
             return self.accept_here(posted, submission, draining, false).await;
         }
-        if let Some(home) = &known
-            && self.forward_to_home(home, posted).await
-        {
-            return empty(StatusCode::ACCEPTED);
+        let mut may_be_accepted = false;
+        if let Some(home) = &known {
+            match self.forward_to_home(home, posted).await {
+                Forwarded::Accepted => return empty(StatusCode::ACCEPTED),
+                Forwarded::Refused => {}
+                Forwarded::Unknown => may_be_accepted = true,
+            }
         }
         let samples = submission.items.len() as u32;
         let failed_home = known.map(|home| home.address);
         let found = self.shared.home_finder.find(&model, failed_home).await;
         let found = found.filter(|home| *home != self.shared.this_node);
-        if let Some(home) = &found
-            && self.forward_to_home(home, posted).await
-        {
-            self.assign_home(&model, home.clone(), samples);
-            return empty(StatusCode::ACCEPTED);
+        if let Some(home) = found {
+            match self.forward_to_home(&home, posted).await {
+                Forwarded::Accepted => {
+                    self.assign_home(&model, home, samples);
+                    return empty(StatusCode::ACCEPTED);
+                }
+                Forwarded::Refused => {}
+                Forwarded::Unknown => may_be_accepted = true,
+            }
         }
-        let was_forwarded = failed_home.is_some() || found.is_some();
-        self.accept_here(posted, submission, draining, was_forwarded)
+        self.accept_here(posted, submission, draining, may_be_accepted)
             .await
     }
 
     /// Accepts a submission on this node, which then becomes the home of its model if homes are
-    /// enabled. If it `was_forwarded`, another node may have accepted it without an answer.
+    /// enabled. If it `may_be_accepted` by another node, which has not answered, it is not refused.
     async fn accept_here(
         &self,
         posted: &SubmissionRequest<'_>,
         submission: Submission,
         draining: bool,
-        was_forwarded: bool,
+        may_be_accepted: bool,
     ) -> Response<Body> {
-        if draining && was_forwarded {
+        if draining && may_be_accepted {
             return refusal(Outcome::Unknown, "draining");
         }
         if draining {
@@ -122,6 +139,9 @@
         if answer.status() == StatusCode::ACCEPTED && !is_home && has_homes {
             self.assign_home(&model, self.shared.this_node.clone(), samples);
         }
+        if may_be_accepted && answer.status() == StatusCode::SERVICE_UNAVAILABLE {
+            return refusal(Outcome::Unknown, "may-be-accepted");
+        }
         answer
     }
 
@@ -133,8 +153,8 @@
         }));
     }
 
-    /// Forwards a submission to the home of its model; returns whether that has accepted it.
-    async fn forward_to_home(&self, home: &NodeRef, posted: &SubmissionRequest<'_>) -> bool {
+    /// Forwards a submission to the home of its model.
+    async fn forward_to_home(&self, home: &NodeRef, posted: &SubmissionRequest<'_>) -> Forwarded {
         let mut request = Request::new(Full::new(posted.body.clone()));
         *request.method_mut() = posted.head.method.clone();
         *request.uri_mut() = posted.head.uri.clone();
@@ -150,9 +170,15 @@
         } else {
             Some(call.await)
         };
-        let accepted =
-            matches!(&answer, Some(Ok(answer)) if answer.status() == StatusCode::ACCEPTED);
-        if !accepted {
+        let forwarded = match &answer {
+            Some(Ok(answer)) if answer.status() == StatusCode::ACCEPTED => Forwarded::Accepted,
+            Some(Ok(answer)) if answer.status() == StatusCode::SERVICE_UNAVAILABLE => {
+                Forwarded::Refused
+            }
+            Some(Err(error)) if error.is_not_sent() => Forwarded::Refused,
+            Some(Ok(_) | Err(_)) | None => Forwarded::Unknown,
+        };
+        if forwarded != Forwarded::Accepted {
             let outcome = answer.map(|answer| answer.map(|answer| answer.status()));
             self.shared.journal.event(
                 "home_failed",
@@ -162,7 +188,7 @@
                 ],
             );
         }
-        accepted
+        forwarded
     }
 
     /// Accepts a submission on this node unless it was accepted before, and logs a refusal.
