--- a/crates/node/src/account.rs
+++ b/crates/node/src/account.rs
@@ -101,6 +101,12 @@
         self.are_declared
     }
 
+    /// Whether there is no account.
+    #[must_use]
+    pub const fn is_empty(&self) -> bool {
+        self.names.is_empty()
+    }
+
     /// Priority of the calls of an account; 0 is the highest. `None` if the account has none.
     #[must_use]
     pub fn priority_of(&self, name: &str) -> Option<u32> {
--- a/crates/node/src/model.rs
+++ b/crates/node/src/model.rs
@@ -148,7 +148,7 @@
     /// slot is likely free. True if any account is declared.
     #[must_use]
     pub const fn shares_services(&self) -> bool {
-        self.accounts.are_declared()
+        !self.accounts.is_empty()
     }
 
     /// Whether calls of a service are ordered by priority.
