A watch that fails again and again is paced again

The list at once after a failed watch also followed a watch whose history was gone right after its list, and would have followed watches that break off one after the other. It now comes after a watch without an answer, and only if the last list is older than the pause. `end_to_end` and `detours` pass with it.

--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -434,13 +434,14 @@
         let was_watching = self.since.is_some() && !self.has_gap;
         self.has_gap = true;
         self.sources.outage.record_failure(self.kind, error);
+        let now = self.sources.clock.now();
+        let list_age = self.last_listed.map(|listed| now.duration_since(listed));
+        let is_list_old = list_age.is_none_or(|age| age > RETRY_PAUSE);
         if matches!(error, StoreError::HistoryGone) {
             journal.event("history_gone", &[("kind", &kind)]);
-            let now = self.sources.clock.now();
-            let list_age = self.last_listed.map(|listed| now.duration_since(listed));
             // Lists immediately at first, but pauses if the revision of that list is already gone
             // too.
-            if list_age.is_none_or(|age| age > RETRY_PAUSE) {
+            if is_list_old {
                 return;
             }
         } else if !self.store_lost {
@@ -448,8 +449,9 @@
             journal.event("store_lost", &[("kind", &kind), ("cause", error)]);
         }
         // What a watch without an answer should have told may be overdue. Calls that were refused
-        // would be refused again.
-        if was_watching && !matches!(error, StoreError::Refused(_)) {
+        // would be refused again, and watches that break off one after the other are paused.
+        let has_no_answer = matches!(error, StoreError::Unknown | StoreError::Unreachable);
+        if was_watching && has_no_answer && is_list_old {
             let jitter = LIST_JITTER.mul_f64(rand::rng().random_range(0.0..1.0));
             return tokio::time::sleep(jitter).await;
         }
