Review of the diff: a comment in its place, one default, the queue of paced samples beside the others

Reading the whole change as a newcomer: the comment of `is_unavailable` stood on another function; the contact time had two defaults; three listeners were written out with the same closure; `drafting.rs` held what belongs to the state of the samples. No behaviour changes; the tests of crates/node pass.

--- a/crates/node/src/connection_pool.rs
+++ b/crates/node/src/connection_pool.rs
@@ -190,13 +190,14 @@
 }
 
 impl PooledConnection {
-    /// Sets how many bytes of body the peer may still send, framing apart.
+    /// Sets how many bytes of body the peer may still send; as many and some more may be framing.
     pub fn allow_body(&self, limit_bytes: usize) {
         if let Some(open) = &self.open {
-            let framing = limit_bytes.saturating_add(MAX_FRAMING_BYTES);
-            open.allowance.set(limit_bytes.saturating_add(framing));
+            let max_framing = limit_bytes.saturating_add(MAX_FRAMING_BYTES);
+            open.allowance.set(limit_bytes.saturating_add(max_framing));
         }
     }
+
     /// Returns the connection to the pool for the next request. The answer must belong to the
     /// request and have been read to its end.
     pub fn return_to_pool(mut self) {
--- a/crates/node/src/draft_jobs.rs
+++ b/crates/node/src/draft_jobs.rs
@@ -207,6 +207,30 @@
 }
 
 impl State {
+    /// Keeps a sample out of the queue for its pause, if it has one.
+    pub(crate) fn pace(&mut self, at: usize, now: Instant) {
+        let job = &mut self.jobs[at];
+        let pause = job.pacing.pause();
+        if !pause.is_zero() {
+            job.paced_until = Some(now + pause);
+            self.paced.push((now + pause, job.key));
+        }
+    }
+
+    /// Removes and returns the samples whose pause is over.
+    pub(crate) fn take_paced(&mut self, now: Instant) -> Vec<SampleKey> {
+        let paced = std::mem::take(&mut self.paced);
+        let (due, waiting): (Vec<_>, Vec<_>) = paced.into_iter().partition(|(at, _)| *at <= now);
+        self.paced = waiting;
+        let due: Vec<SampleKey> = due.into_iter().map(|(_, key)| key).collect();
+        for key in &due {
+            if let Some(at) = self.job_index(*key) {
+                self.jobs[at].paced_until = None;
+            }
+        }
+        due
+    }
+
     pub(crate) fn job_index(&self, key: SampleKey) -> Option<usize> {
         self.jobs.binary_search_by_key(&key, |job| job.key).ok()
     }
--- a/crates/node/src/drafting.rs
+++ b/crates/node/src/drafting.rs
@@ -414,14 +414,8 @@
 
     /// Queues the samples whose pause is over.
     fn queue_paced(&self, state: &mut State, now: Instant) {
-        let paced = std::mem::take(&mut state.paced);
-        let (due, waiting): (Vec<_>, Vec<_>) = paced.into_iter().partition(|(at, _)| *at <= now);
-        state.paced = waiting;
-        for (_, key) in due {
-            if let Some(at) = state.job_index(key) {
-                state.jobs[at].paced_until = None;
-                self.enqueue(state, key);
-            }
+        for key in state.take_paced(now) {
+            self.enqueue(state, key);
         }
     }
 
@@ -630,7 +624,7 @@
                 (false, _) => 0,
             };
             if has_lost_upstream {
-                pace(&mut state, at, ended);
+                state.pace(at, ended);
             }
             self.handle_attempt(&mut state, key, at, attempt);
         }
@@ -777,13 +771,3 @@
         state.unwrap_or_else(PoisonError::into_inner)
     }
 }
-
-/// Keeps a sample out of the queue for its pause, if it has one.
-fn pace(state: &mut State, at: usize, now: Instant) {
-    let job = &mut state.jobs[at];
-    let pause = job.pacing.pause();
-    if !pause.is_zero() {
-        job.paced_until = Some(now + pause);
-        state.paced.push((now + pause, job.key));
-    }
-}
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -294,20 +294,26 @@
         .ok_or(NodeError::Missing("peer_listen"))?;
     let request_handler = build_handler(&context, peer_listen);
     start_followers(&context, &request_handler);
-    let handler = Arc::clone(&request_handler);
-    let clients = listen(&context, client_listen, move |request| {
-        Arc::clone(&handler).handle_client(request)
-    });
+    let clients = serve(
+        &context,
+        &request_handler,
+        client_listen,
+        RequestHandler::handle_client,
+    );
     let clients = clients.await?;
-    let handler = Arc::clone(&request_handler);
-    let ready = listen(&context, ready_listen, move |request| {
-        Arc::clone(&handler).handle_client(request)
-    });
+    let ready = serve(
+        &context,
+        &request_handler,
+        ready_listen,
+        RequestHandler::handle_client,
+    );
     let ready = ready.await?;
-    let handler = Arc::clone(&request_handler);
-    let peers = listen(&context, peer_listen, move |request| {
-        Arc::clone(&handler).handle_peer(request)
-    });
+    let peers = serve(
+        &context,
+        &request_handler,
+        peer_listen,
+        RequestHandler::handle_peer,
+    );
     let peers = peers.await?;
     serve_metrics(&context).await?;
     context.tasks.spawn(clients);
@@ -636,17 +642,20 @@
     });
 }
 
-/// Listens at an address until the process ends.
-async fn listen<H, A>(
+/// Serves an address until the process ends.
+async fn serve<F, A>(
     context: &NodeContext,
+    request_handler: &Arc<RequestHandler>,
     address: SocketAddr,
-    handle: H,
-) -> io::Result<impl Future<Output = ()> + Send + use<H, A>>
+    handle: F,
+) -> io::Result<impl Future<Output = ()> + Send + use<F, A>>
 where
-    H: Fn(Request<Incoming>) -> A + Clone + Send + Sync + 'static,
+    F: Fn(Arc<RequestHandler>, Request<Incoming>) -> A + Copy + Send + Sync + 'static,
     A: Future<Output = Response<Body>> + Send + 'static,
 {
-    let handler = server::handler(move |request| Box::pin(handle(request)));
+    let request_handler = Arc::clone(request_handler);
+    let handler =
+        server::handler(move |request| Box::pin(handle(Arc::clone(&request_handler), request)));
     let linger = context.settings.grace();
     let (_, serving) =
         server::serve(&context.net, &context.tasks, address, linger, handler).await?;
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -13,6 +13,7 @@
 use crate::authentication::ConfigWaitLimits;
 use crate::mechanisms::Mechanism;
 use crate::submission::head_view::HeadLimits;
+use crate::watch_limits::DEFAULT_CONTACT;
 use crate::watch_limits::WatchLimits;
 
 quick_error! {
@@ -152,7 +153,7 @@
 }
 
 const fn default_contact_ms() -> u64 {
-    3_000
+    DEFAULT_CONTACT.as_millis() as u64
 }
 
 const fn default_store_reads_per_s() -> f64 {
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -33,10 +33,6 @@
 /// Timeout of a call; the store normally answers within milliseconds.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Times from which the limits of watches follow until others are set.
-const DEFAULT_CONTACT: Duration = Duration::from_secs(3);
-const DEFAULT_PROPAGATION: Duration = Duration::from_secs(2);
-
 /// First and longest delay before the retry of a failed write. Calls have a cost even during an
 /// outage, and an outage lasts for seconds.
 const INITIAL_RETRY_DELAY: Duration = Duration::from_millis(100);
@@ -84,7 +80,6 @@
         writer_id: &str,
         fallback: StoreFallback,
     ) -> Self {
-        let watch_limits = WatchLimits::new(DEFAULT_CONTACT, DEFAULT_PROPAGATION);
         Self {
             dialect,
             connections,
@@ -94,7 +89,7 @@
             next_write: Arc::default(),
             journal,
             fallback,
-            watch_limits: Arc::new(ArcSwap::from_pointee(watch_limits)),
+            watch_limits: Arc::new(ArcSwap::from_pointee(WatchLimits::default())),
         }
     }
 
@@ -474,7 +469,6 @@
 /// answers can be lost for a while, so that three losses in a row are rare.
 const MAX_REPLACE_TRIES: u32 = 3;
 
-/// Whether the call was not carried out, or not answered; it may succeed through another node.
 /// The call, whose wait is at most `max_wait` if it is a watch.
 fn limited_to(call: &StoreCall, max_wait: Duration) -> StoreCall {
     let mut call = call.clone();
@@ -492,6 +486,7 @@
     }
 }
 
+/// Whether the call was not carried out, or not answered; it may succeed through another node.
 const fn is_unavailable(answer: &Result<StoreAnswer, StoreError>) -> bool {
     let refused = matches!(answer, Err(StoreError::Refused(_)));
     refused || matches!(answer, Err(StoreError::Unreachable | StoreError::Unknown))
--- a/crates/node/src/watch_limits.rs
+++ b/crates/node/src/watch_limits.rs
@@ -24,6 +24,10 @@
 const DETOUR_WAIT_FRACTION: f64 = 0.3;
 const DETOUR_ANSWER_FRACTION: f64 = 0.2;
 
+/// Times from which the limits follow where an installation states none.
+pub const DEFAULT_CONTACT: Duration = Duration::from_secs(3);
+const DEFAULT_PROPAGATION: Duration = Duration::from_secs(2);
+
 /// Times of the watches of a node.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct WatchLimits {
@@ -37,6 +41,12 @@
     pub detour_answer_time: Duration,
 }
 
+impl Default for WatchLimits {
+    fn default() -> Self {
+        Self::new(DEFAULT_CONTACT, DEFAULT_PROPAGATION)
+    }
+}
+
 impl WatchLimits {
     /// Limits of a node that has to be up to date `contact` after a disturbance of its own
     /// connections, and otherwise `propagation` after any change.
