A node gives up silent relay seeds in time, and follows seeds only where that suits

Callers would have got 404 for routes in force (CONFIG) at a node whose relay seeds all fell silent.

A round of polls waited 1.3 s for each silent seed, 3.9 s for three, and whether nodes follow seeds was decided by the time that upstreams leave alone, not by that of a configuration.

Evidence: `silent_relay_seeds_do_not_delay_the_configuration` (three seeds suspended, then a new route) got 404 after 2.95 s before, 200 now.

--- a/crates/node/src/follow_seeds.rs
+++ b/crates/node/src/follow_seeds.rs
@@ -28,6 +28,10 @@
 /// meanwhile the node reads the store.
 const SEEDS_PAUSE: Duration = Duration::from_secs(3);
 
+/// A round of polls in which seeds were silent for this long is given up: with one more silent seed
+/// the node would learn of a change too late, while it can read the store.
+const MAX_SILENT_TIME: Duration = Duration::from_millis(2 * POLL_TIMEOUT.as_millis() as u64);
+
 /// After its start a node waits this long for its seeds before it reads the store: they may have
 /// started at the same time and need a list of their own first.
 const SEEDS_START_TIMEOUT: Duration = Duration::from_millis(2_500);
@@ -68,6 +72,9 @@
         self.any_seed_answered = false;
         let mut outdated = None;
         for _ in 0..self.sources.seeds.current().polled.len() {
+            if self.sources.clock.now().duration_since(now) >= MAX_SILENT_TIME {
+                break;
+            }
             let seed = self.sources.seeds.round_robin(self.next_seed)?;
             let relay_answer = self.poll_seed(seed, name).await;
             // The subscription has changed, so the answer does not match it.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -86,9 +86,9 @@
 /// has loaded weights.
 const SEED_PAUSE: Duration = Duration::from_millis(200);
 
-/// Nodes follow seeds if upstreams that leave may get requests for at least this long: what a
-/// node gets from a seed is older, and a dead seed is noticed late (see `relay`).
-const MIN_LEAVING_TO_RELAY: Duration = Duration::from_millis(2_800);
+/// Nodes follow seeds if they may learn of a change this late: what a node gets from a seed is older,
+/// and two seeds in a row may be silent (see `relay`).
+const MIN_PROPAGATION_TO_RELAY: Duration = Duration::from_millis(2_800);
 
 /// Time between two checks of decisions that depend on the time.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
@@ -255,12 +255,12 @@
         .collect()
 }
 
-/// Seeds through which this node follows the store; none unless upstreams that leave may get
-/// requests for at least as long as a dead seed goes unnoticed.
+/// Seeds through which this node follows the store; none unless it may learn of changes as late as
+/// dead seeds let it.
 fn seed_set(settings: &NodeSettings) -> SeedSet {
     let is_on =
         EnabledMechanisms::all_except(&settings.mechanisms_off).is_enabled(Mechanism::Seeds);
-    let is_relayed = is_on && settings.leaving() >= MIN_LEAVING_TO_RELAY;
+    let is_relayed = is_on && settings.max_propagation_delay() >= MIN_PROPAGATION_TO_RELAY;
     let this_address = settings.peer_listen;
     let is_seed = this_address.is_some_and(|this_address| settings.seeds.contains(&this_address));
     let seeds = settings.seeds.iter().copied();
