A score does not wait for an upstream that refuses for ever

A trainer would have waited for an item whose text is whole: its reward call had failed once at the upstream that works, and was sent from then on to another one that refuses everything.

Cause: upstreams that failed a call were avoided for good; once all were, only their record decided, and a refusal does not count against an upstream, while a failure does. Change: when a call comes to an upstream that it has avoided, the others get another chance, in turn.

--- a/crates/node/src/scoring.rs
+++ b/crates/node/src/scoring.rs
@@ -210,7 +210,11 @@
         };
         let key = permit.upstream();
         let attempt = self.send(route, call, &upstream, permit).await;
-        if !matches!(attempt, Attempt::Answered(_)) && !avoid.contains(&key) {
+        if !matches!(attempt, Attempt::Answered(_)) {
+            // Every upstream with room has failed the call: each gets another chance, in turn.
+            if avoid.contains(&key) {
+                avoid.clear();
+            }
             avoid.push(key);
         }
         attempt
