A write without an answer on one of two ways is never called refused

Cause: a write through a node got no answer, the store then refused this node directly, or the other way round, and the refusal was returned as the outcome. And a creation that met an object, whose owner the store then refused to show, was called refused although its own earlier send may have made it.

Change: of two tries without success the unknown one decides for writes (`outcome_of_two`); an unreadable owner is unknown and tried again. Reads keep the refusal, by which followers tell an outage.

--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -138,30 +138,42 @@
     /// Makes a call directly, or through another node if the store is unavailable to this one.
     async fn call_with_fallback(&self, call: &StoreCall) -> Result<StoreAnswer, StoreError> {
         let limits = self.watch_limits();
-        let path = self.fallback.path(self.clock.now());
-        if let CallPath::Through(node) = path {
-            let shortened = limited_to(call, limits.detour_wait);
-            let answer = self.call_through_node(node, &shortened, &limits).await;
-            if !is_unavailable(&answer) {
-                return answer;
+        match self.fallback.path(self.clock.now()) {
+            CallPath::Direct => {
+                let direct = self.call_directly(call, limits.answer_time).await;
+                // A watch that broke off is handled by its follower, which lists again.
+                let is_watch = matches!(call, StoreCall::Watch { .. });
+                if is_watch || !is_unavailable(&direct) {
+                    return direct;
+                }
+                self.call_through_next(call, direct, &limits).await
             }
-        }
-        let is_watch = matches!(call, StoreCall::Watch { .. });
-        if path == CallPath::Direct {
-            let direct = self.call_directly(call, limits.answer_time).await;
-            // A watch that broke off is handled by its follower, which lists again.
-            if is_watch || !is_unavailable(&direct) {
-                return direct;
+            CallPath::Probe => self.probe(call, &limits).await,
+            CallPath::Through(node) => {
+                let shortened = limited_to(call, limits.detour_wait);
+                let answer = self.call_through_node(node, &shortened, &limits).await;
+                if !is_unavailable(&answer) {
+                    return answer;
+                }
+                let probed = self.probe(call, &limits).await;
+                outcome_of_two(call, &answer, probed)
             }
-            return self.call_through_next(call, direct, &limits).await;
         }
-        // A watch must not wait on a way that may be cut: it only asks for what is there.
+    }
+
+    /// Makes a call directly while a detour is active, or else through the next node. A watch must
+    /// not wait on a way that may be cut: it only asks for what is there.
+    async fn probe(
+        &self,
+        call: &StoreCall,
+        limits: &WatchLimits,
+    ) -> Result<StoreAnswer, StoreError> {
         let call = limited_to(call, Duration::ZERO);
         let direct = self.call_directly(&call, limits.detour_answer_time).await;
         if !is_unavailable(&direct) {
             return direct;
         }
-        self.call_through_next(&call, direct, &limits).await
+        self.call_through_next(&call, direct, limits).await
     }
 
     async fn call_directly(
@@ -189,7 +201,7 @@
         };
         let answer = self.call_through_node(node, call, limits).await;
         if is_unavailable(&answer) {
-            return direct;
+            return outcome_of_two(call, &answer, direct);
         }
         self.fallback.record_detour(self.clock.now(), node);
         self.journal.event("store_detour", &[("through", &node)]);
@@ -362,6 +374,8 @@
                     }
                     Ok(Some(_)) => return Ok(CreateOutcome::AlreadyExists),
                     Ok(None) => StoreError::Conflict,
+                    // The object is there, and this write may have made it.
+                    Err(StoreError::Refused(_) | StoreError::Unreachable) => StoreError::Unknown,
                     Err(error) => error,
                 },
                 Err(error) => error,
@@ -478,6 +492,24 @@
     call
 }
 
+/// Outcome of a call that was tried on two ways, neither of which was answered with success: a write
+/// without an answer may still be carried out, whatever came of the other try.
+fn outcome_of_two(
+    call: &StoreCall,
+    one: &Result<StoreAnswer, StoreError>,
+    other: Result<StoreAnswer, StoreError>,
+) -> Result<StoreAnswer, StoreError> {
+    let is_read = matches!(
+        call,
+        StoreCall::Read { .. } | StoreCall::List { .. } | StoreCall::Watch { .. }
+    );
+    let may_be_done = !is_read && matches!(one, Err(StoreError::Unknown));
+    if may_be_done && is_unavailable(&other) {
+        return Err(StoreError::Unknown);
+    }
+    other
+}
+
 /// Timeout of a call; a watch may be answered this long after its wait.
 fn timeout_of(call: &StoreCall, watch_answer_time: Duration) -> Duration {
     match call {
