Whether a run has its first event is told by its due time alone

`Run::has_first_event` was false at each start of a run and read only before the first event. It goes, and with it the mutable borrow of the run.

--- a/crates/node/src/draft_run.rs
+++ b/crates/node/src/draft_run.rs
@@ -81,8 +81,6 @@
     pub(crate) submission: &'a LocalSubmission,
     pub(crate) item: &'a Item,
     pub(crate) upstream: &'a Upstream,
-    /// Whether a first event has arrived.
-    pub(crate) has_first_event: bool,
     /// Timeout of each event after the first.
     pub(crate) event_timeout: Duration,
 }
@@ -100,7 +98,7 @@
 impl Run<'_> {
     /// Runs the item to the end of its stream. Waits first for a recent read of the submission's
     /// head, so that no run starts for a submission that has ended.
-    pub(crate) async fn attempt(&mut self, progress: &mut RunProgress) -> Attempt {
+    pub(crate) async fn attempt(&self, progress: &mut RunProgress) -> Attempt {
         let limits = self.shared.settings.now().head_limits();
         let clock = &*self.shared.boot_clock;
         let is_over = || !self.submission.is_running();
@@ -151,7 +149,7 @@
         self.event_timeout.mul_f64(FIRST_EVENT_TIMEOUT_FACTOR)
     }
 
-    async fn read(&mut self, own: OwnAnswer, progress: &mut RunProgress) -> Attempt {
+    async fn read(&self, own: OwnAnswer, progress: &mut RunProgress) -> Attempt {
         if let Some(load) = own.reported.load {
             (self.on_load)(load);
         }
@@ -175,7 +173,7 @@
     }
 
     async fn read_events(
-        &mut self,
+        &self,
         mut body: Incoming,
         mut version: Option<u64>,
         progress: &mut RunProgress,
@@ -183,9 +181,6 @@
         let mut buffer = BytesMut::new();
         // Bytes that do not complete an event do not put off its timeout.
         let mut event_due = Instant::now() + self.first_event_timeout();
-        if self.has_first_event {
-            event_due = Instant::now() + self.event_timeout;
-        }
         loop {
             let frame = match tokio::time::timeout_at(event_due, body.frame()).await {
                 Ok(Some(Ok(frame))) => frame,
@@ -211,7 +206,6 @@
                 if let Err(unusable) = self.check(&event, version, progress) {
                     return unusable;
                 }
-                self.has_first_event = true;
                 event_due = Instant::now() + self.event_timeout;
                 progress.add(event.number, version);
                 (self.on_event)(event, version);
--- a/crates/node/src/drafting.rs
+++ b/crates/node/src/drafting.rs
@@ -562,14 +562,13 @@
         let started = self.shared.clock.now();
         let on_event = |event, version| self.record_event(key, event, version);
         let on_load = |load| self.record_load(&upstream.instance, load);
-        let mut run = Run {
+        let run = Run {
             shared: &self.shared,
             on_event: &on_event,
             on_load: &on_load,
             submission: &submission,
             item: &submission.items[item_index],
             upstream: &upstream,
-            has_first_event: false,
             event_timeout,
         };
         let attempt = tokio::select! {
