node_load tells how many calls of the store a node has sent

`Store` counts what it sends, directly or through another node, and the line that tells a node's roles shows it.

--- a/crates/node/src/load_logger.rs
+++ b/crates/node/src/load_logger.rs
@@ -1,5 +1,5 @@
-//! Logs the memory and CPU time of the process together with its roles, so that operators see
-//! what a role costs compared with a node that only serves clients.
+//! Logs the memory, CPU time and store calls of the process together with its roles, so that
+//! operators see what a role costs compared with a node that only serves clients.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -9,6 +9,7 @@
 use crate::fleet::Fleet;
 use crate::follow::Seeds;
 use crate::holder::DutyHolder;
+use crate::store::Store;
 use crate::submission::homes::Homes;
 use crate::submission::records::NodeRef;
 
@@ -39,6 +40,8 @@
     pub holder: DutyHolder,
     /// Tells how many upstreams it knows.
     pub fleet: Arc<Fleet>,
+    /// Tells how many calls it has sent to the store.
+    pub store: Store,
     /// Log that the lines are written to.
     pub journal: Journal,
 }
@@ -73,6 +76,7 @@
                 // Zero if the system does not show it.
                 ("peak_memory_mb", &memory_mb.unwrap_or_default()),
                 ("cpu_ms", &cpu_ms.unwrap_or_default()),
+                ("store_calls", &self.store.calls_sent()),
             ],
         );
     }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -484,6 +484,7 @@
         homes: homes.clone(),
         holder: holder.clone(),
         fleet: Arc::clone(&fleet),
+        store: context.store.clone(),
         journal: journal.clone(),
     };
     context.tasks.spawn(load_logger.run());
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -65,6 +65,8 @@
     journal: Journal,
     fallback: StoreFallback,
     watch_limits: Arc<ArcSwap<WatchLimits>>,
+    /// Number of calls sent, directly or through another node.
+    calls_sent: Arc<AtomicU64>,
 }
 
 impl Store {
@@ -90,6 +92,7 @@
             journal,
             fallback,
             watch_limits: Arc::new(ArcSwap::from_pointee(WatchLimits::default())),
+            calls_sent: Arc::default(),
         }
     }
 
@@ -124,6 +127,12 @@
         self.fallback.is_active()
     }
 
+    /// Number of calls that this node has sent, directly or through another node.
+    #[must_use]
+    pub fn calls_sent(&self) -> u64 {
+        self.calls_sent.load(Ordering::Relaxed)
+    }
+
     /// Replaces the times of watches.
     pub fn set_watch_limits(&self, limits: WatchLimits) {
         self.watch_limits.store(Arc::new(limits));
@@ -238,6 +247,7 @@
         timeout: Duration,
         is_through_node: bool,
     ) -> Result<StoreAnswer, StoreError> {
+        self.calls_sent.fetch_add(1, Ordering::Relaxed);
         let mut request = self.dialect.store_request(call);
         if is_through_node {
             to_peer_uri(&mut request);
