--- a/crates/node/src/store_fallback.rs
+++ b/crates/node/src/store_fallback.rs
@@ -7,9 +7,10 @@
 //! A call that fails is repeated through a seed, and for a while all calls take that way. After it
 //! one call tries the store directly: if that fails, the detour goes on for as long again, else it
 //! ends. Only a failed direct call begins or extends it, never the success of a call that took it: a
-//! detour that outlives its cause depends on one more node for nothing. Seeds may be cut off too: one that does not answer is not tried for a while, while calls through
-//! other seeds go on. If the store refuses a seed as well, it is assumed to be down. Every write
-//! is conditional and its outcome is confirmed by its writer, so a repeated write does nothing.
+//! detour that outlives its cause depends on one more node for nothing. Seeds may be cut off too:
+//! one that does not answer is not tried for a while, while calls through other seeds go on. If the
+//! store refuses a seed as well, it is assumed to be down. Every write is conditional and its
+//! outcome is confirmed by its writer, so a repeated write does nothing.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
