Logs say which configuration decided a request, how old its news were and whence

Cause: no line of a node said which version it held, how old its news of that were, or by which way it had come, so the record of a request that an old configuration decided could tell none of the hypotheses apart. Change: the lines of calls, submissions, unknown routes and denials carry config, news_ms and news_from; config_taken has the store's revision, its way and for how long the store may have had it; config.unseen is a histogram of that.

--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -18,6 +18,9 @@
 use tokio::sync::Notify;
 
 use crate::change::Change;
+use crate::config_news::ConfigBasis;
+use crate::config_news::NewsAge;
+use crate::config_news::NewsSource;
 use crate::demand::ModelDemands;
 use crate::dialect::BadMessage;
 use crate::dialect::Dialect;
@@ -77,6 +80,8 @@
     /// When the configuration was the store's newest, in milliseconds since the system
     /// started; 0 if it never was.
     config_as_of_ms: AtomicU64,
+    /// The way by which it was last confirmed to be the newest.
+    config_source: ArcSwap<NewsSource>,
     /// Sorted by instance.
     upstreams: ArcSwap<Vec<Arc<Upstream>>>,
     /// Sorted by model.
@@ -218,6 +223,7 @@
             config_confirmed_at: ArcSwapOption::empty(),
             boot_clock: parts.boot_clock,
             config_as_of_ms: AtomicU64::new(0),
+            config_source: ArcSwap::default(),
             upstreams: ArcSwap::default(),
             latest_versions: ArcSwap::default(),
             demands: Arc::default(),
@@ -233,9 +239,10 @@
         self.config.load_full()
     }
 
-    /// Records that this configuration is the newest, and was so in the store at `as_of` (time
-    /// since boot; `None` if unknown).
-    pub fn record_config_confirmed(&self, as_of: Option<Duration>) {
+    /// Records that this configuration is the newest, was so in the store at `as_of` (time since
+    /// boot; `None` if unknown), and by which way this is known.
+    pub fn record_config_confirmed(&self, as_of: Option<Duration>, source: NewsSource) {
+        self.config_source.store(Arc::new(source));
         self.config_confirmed_at
             .store(Some(Arc::new(self.clock.now())));
         let as_of_ms = as_of.map_or(0, |as_of| as_of.as_millis() as u64);
@@ -255,6 +262,16 @@
         (as_of_ms > 0).then(age)
     }
 
+    /// What decides a request by this configuration, for its log line.
+    #[must_use]
+    pub fn config_basis(&self, config: &Config) -> ConfigBasis {
+        ConfigBasis {
+            version: config.version,
+            age: NewsAge(self.config_age()),
+            source: **self.config_source.load(),
+        }
+    }
+
     /// Whether the configuration was confirmed to be the newest within [`CONFIG_FRESH_FOR`].
     ///
     /// A node that was partitioned or overloaded may have missed a new route. If it answered that
@@ -341,22 +358,32 @@
     }
 
     /// Applies a configuration if it is newer than the one in force: a stale read from before an
-    /// outage must not revert what callers have seen.
-    pub fn apply_config(&self, change: Change) {
+    /// outage must not revert what callers have seen. `source` is the way by which it came.
+    pub fn apply_config(&self, change: Change, source: NewsSource) {
         for object in change.into_objects() {
-            self.apply_config_object(&object);
+            self.apply_config_object(&object, source);
         }
     }
 
-    fn apply_config_object(&self, object: &Object) {
+    fn apply_config_object(&self, object: &Object, source: NewsSource) {
         match self.dialect.config(object) {
             Ok(mut config) if config.version > self.config.load().version => {
                 config.sort();
                 let (version, routes) = (config.version, config.routes.len());
                 self.config.store(Arc::new(config));
+                let unseen = self.config_age();
+                if let Some(unseen) = unseen {
+                    self.journal.time("config.unseen", unseen);
+                }
                 self.journal.event(
                     "config_taken",
-                    &[("version", &version), ("routes", &routes)],
+                    &[
+                        ("version", &version),
+                        ("routes", &routes),
+                        ("revision", &object.revision),
+                        ("unseen_ms", &NewsAge(unseen)),
+                        ("from", &source),
+                    ],
                 );
                 self.changed.notify_waiters();
             }
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -13,6 +13,7 @@
 use rand::Rng;
 
 use crate::change::Change;
+use crate::config_news::NewsSource;
 use crate::connection_pool::ConnectionPool;
 use crate::dialect::Dialect;
 use crate::dialect::Freshness;
@@ -30,6 +31,7 @@
 use crate::relay::SEED_WATCH_WAIT;
 use crate::relay::path_name_of;
 use crate::roster::LocalMember;
+use crate::store::Sourced;
 use crate::store::Store;
 
 /// Longest wait of a watch whose answers may be seconds old. Such an answer costs a tenth of a
@@ -163,6 +165,8 @@
     /// time; `None` if the answer may be old. For a watch this is when it was sent, since a
     /// waiting watch may receive nothing while the store compacts its history.
     pub as_of: Option<Duration>,
+    /// The way by which they came.
+    pub source: NewsSource,
     /// Which part of the kind's list is followed.
     pub extent: Extent,
 }
@@ -303,8 +307,12 @@
             // stale list is already gone, and no watch could start from it.
             None => {
                 let sent = self.sources.boot_clock.since_boot();
-                let (mut objects, revision) =
-                    list(&self.sources.store, self.kind, Freshness::Newest).await?;
+                let listed = list_sourced(&self.sources.store, self.kind, Freshness::Newest);
+                let Listed {
+                    mut objects,
+                    revision,
+                    source,
+                } = listed.await?;
                 self.last_listed = Some(self.sources.clock.now());
                 let extent = Extent {
                     total_objects: Some(objects.len()),
@@ -317,6 +325,7 @@
                         extent,
                         changes: vec![Change::All(objects)],
                         as_of: Some(sent),
+                        source,
                     },
                 }
             }
@@ -404,7 +413,8 @@
             freshness,
         };
         let sent = self.sources.boot_clock.since_boot();
-        match self.sources.store.call(&watch).await? {
+        let Sourced { answer, source } = self.sources.store.call_sourced(&watch).await?;
+        match answer {
             StoreAnswer::Changes {
                 changes, revision, ..
             } => {
@@ -421,6 +431,7 @@
                         extent: Extent::default(),
                         changes: changes.collect(),
                         as_of: (freshness == Freshness::Newest).then_some(sent),
+                        source,
                     },
                 })
             }
@@ -465,10 +476,10 @@
 }
 
 /// Requests one page of a list. Pages after the first are tried up to [`MAX_PAGE_TRIES`] times.
-async fn page(store: &Store, call: &StoreCall, is_later: bool) -> Result<StoreAnswer, StoreError> {
+async fn page(store: &Store, call: &StoreCall, is_later: bool) -> Result<Sourced, StoreError> {
     let mut tries = if is_later { MAX_PAGE_TRIES } else { 1 };
     loop {
-        let answer = store.call(call).await;
+        let answer = store.call_sourced(call).await;
         tries -= 1;
         if answer.is_ok() || tries == 0 {
             return answer;
@@ -478,9 +489,16 @@
     }
 }
 
-/// Lists all objects of a kind, and returns the revision to watch from. With several pages that
-/// is the revision of the first page: changes between pages are then seen twice, but none is
-/// missed.
+/// All objects of a kind.
+pub(crate) struct Listed {
+    pub(crate) objects: Vec<Object>,
+    /// Revision to watch from.
+    pub(crate) revision: u64,
+    /// The way by which the last page came.
+    pub(crate) source: NewsSource,
+}
+
+/// Lists all objects of a kind, and returns the revision to watch from.
 ///
 /// # Errors
 ///
@@ -490,6 +508,17 @@
     kind: ObjectKind,
     freshness: Freshness,
 ) -> Result<(Vec<Object>, u64), StoreError> {
+    let listed = list_sourced(store, kind, freshness).await?;
+    Ok((listed.objects, listed.revision))
+}
+
+/// Lists all objects of a kind. With several pages the revision is that of the first page: changes
+/// between pages are then seen twice, but none is missed.
+async fn list_sourced(
+    store: &Store,
+    kind: ObjectKind,
+    freshness: Freshness,
+) -> Result<Listed, StoreError> {
     let mut all: Vec<Object> = Vec::new();
     let mut since = None;
     loop {
@@ -500,7 +529,8 @@
                 .map_or_else(String::new, |last| last.name.clone()),
             freshness,
         };
-        match page(store, &call, !all.is_empty()).await? {
+        let Sourced { answer, source } = page(store, &call, !all.is_empty()).await?;
+        match answer {
             StoreAnswer::Page {
                 objects,
                 more,
@@ -509,9 +539,13 @@
             } => {
                 let ended = !more || objects.is_empty();
                 all.extend(objects);
-                let since = *since.get_or_insert(revision);
+                let revision = *since.get_or_insert(revision);
                 if ended {
-                    return Ok((all, since));
+                    return Ok(Listed {
+                        objects: all,
+                        revision,
+                        source,
+                    });
                 }
             }
             _ => return Err(StoreError::Unknown),
--- a/crates/node/src/follow_seeds.rs
+++ b/crates/node/src/follow_seeds.rs
@@ -10,6 +10,7 @@
 use http_body_util::Full;
 use rand::Rng;
 
+use crate::config_news::NewsSource;
 use crate::dialect::ObjectKind;
 use crate::follow::ChangeBatch;
 use crate::follow::Extent;
@@ -39,6 +40,14 @@
 /// Pause between two polls of seeds after a start.
 const SEEDS_START_RETRY_PAUSE: Duration = Duration::from_millis(250);
 
+/// What a seed answered.
+struct PolledAnswer {
+    seed: SocketAddr,
+    /// Time since boot at which it was polled.
+    sent: Duration,
+    answer: RelayAnswer,
+}
+
 impl Follower {
     /// Waits up to [`SEEDS_START_TIMEOUT`] for the first update from a seed; `None` if none came.
     pub(crate) async fn first_seed_update(&mut self) -> Option<Update> {
@@ -46,12 +55,11 @@
         let name = path_name_of(self.kind)?;
         while self.sources.clock.now() < until {
             let seed = self.sources.seeds.round_robin(self.next_seed)?;
-            let relay_answer = self.poll_seed(seed, name).await;
+            let polled = self.poll_seed(seed, name).await;
             if self.update_subscription() {
                 continue;
             }
-            let update = relay_answer
-                .and_then(|(relay_answer, sent)| self.update_if_fresh(relay_answer, sent));
+            let update = polled.and_then(|polled| self.update_if_fresh(polled));
             if update.is_some() {
                 return update;
             }
@@ -76,22 +84,22 @@
                 break;
             }
             let seed = self.sources.seeds.round_robin(self.next_seed)?;
-            let relay_answer = self.poll_seed(seed, name).await;
+            let polled = self.poll_seed(seed, name).await;
             // The subscription has changed, so the answer does not match it.
             if self.update_subscription() {
                 continue;
             }
-            if let Some((relay_answer, sent)) = relay_answer {
-                if self.is_up_to_date(&relay_answer) {
+            if let Some(polled) = polled {
+                if self.is_up_to_date(&polled.answer) {
                     self.relist.cancel();
-                    return self.update_if_fresh(relay_answer, sent);
+                    return self.update_if_fresh(polled);
                 }
-                outdated = Some(relay_answer);
+                outdated = Some(polled);
             }
             self.next_seed += 1;
         }
         self.seeds_paused_until = Some(now + SEEDS_PAUSE);
-        outdated.and_then(|relay_answer| self.first_outdated_update(relay_answer))
+        outdated.and_then(|polled| self.first_outdated_update(polled))
     }
 
     /// Whether this node waits for its seeds instead of listing all upstreams itself, because the
@@ -133,40 +141,40 @@
             && relay_answer.revision >= self.newest_revision
     }
 
-    /// The update in a seed's answer to a request sent at `sent` (time since boot); `None` if the
-    /// answer is outdated.
-    fn update_if_fresh(&self, relay_answer: RelayAnswer, sent: Duration) -> Option<Update> {
-        let as_of = relay_answer.as_of_on_requester_clock(sent);
-        let is_up_to_date = self.is_up_to_date(&relay_answer);
-        is_up_to_date.then(|| self.to_update(relay_answer, as_of))
+    /// The update in a seed's answer; `None` if the answer is outdated.
+    fn update_if_fresh(&self, polled: PolledAnswer) -> Option<Update> {
+        let as_of = polled.answer.as_of_on_requester_clock(polled.sent);
+        let is_up_to_date = self.is_up_to_date(&polled.answer);
+        is_up_to_date.then(|| self.to_update(polled, as_of))
     }
 
     /// An outdated list of upstreams, for a node that has just started and knows none: without
     /// it, its callers would be refused until the store is back.
-    fn first_outdated_update(&self, relay_answer: RelayAnswer) -> Option<Update> {
+    fn first_outdated_update(&self, polled: PolledAnswer) -> Option<Update> {
         let knows_none = self.kind == ObjectKind::Upstreams && self.newest_revision == 0;
-        (knows_none && relay_answer.revision > 0).then(|| self.to_update(relay_answer, None))
+        (knows_none && polled.answer.revision > 0).then(|| self.to_update(polled, None))
     }
 
-    fn to_update(&self, relay_answer: RelayAnswer, as_of: Option<Duration>) -> Update {
+    fn to_update(&self, polled: PolledAnswer, as_of: Option<Duration>) -> Update {
+        let PolledAnswer { seed, answer, .. } = polled;
         Update {
-            revision: relay_answer.revision,
+            revision: answer.revision,
             batch: ChangeBatch {
                 extent: Extent {
-                    total_objects: Some(relay_answer.total_objects),
-                    is_complete: relay_answer
+                    total_objects: Some(answer.total_objects),
+                    is_complete: answer
                         .is_full_list
                         .then_some(self.subscription == Subscription::All),
                 },
                 as_of,
-                changes: relay_answer.into_changes(),
+                source: NewsSource::Seed(seed),
+                changes: answer.into_changes(),
             },
         }
     }
 
-    /// The answer of a seed, and the time since boot at which it was polled; `None` if it did not
-    /// answer or the subscription has changed.
-    async fn poll_seed(&mut self, seed: SocketAddr, name: &str) -> Option<(RelayAnswer, Duration)> {
+    /// The answer of a seed; `None` if it did not answer or the subscription has changed.
+    async fn poll_seed(&mut self, seed: SocketAddr, name: &str) -> Option<PolledAnswer> {
         let sent = self.sources.boot_clock.since_boot();
         let query = self.relay_request().to_query();
         let mut request = Request::new(Full::new(Bytes::new()));
@@ -183,15 +191,15 @@
             // The seed may hold its answer for long, while the new subscription is urgent.
             () = interest.changed(), if self.kind == ObjectKind::Upstreams => return None,
         };
-        let relay_answer: RelayAnswer = serde_json::from_slice(answer.body()).ok()?;
+        let answer: RelayAnswer = serde_json::from_slice(answer.body()).ok()?;
         self.any_seed_answered = true;
         // A seed counts only the nodes that poll it; nodes are spread evenly over the seeds.
         let seeds = self.sources.seeds.current().polled.len();
         self.fleet_size = Some(FleetSize {
-            nodes: relay_answer.nodes.saturating_mul(seeds),
-            objects: relay_answer.total_objects,
+            nodes: answer.nodes.saturating_mul(seeds),
+            objects: answer.total_objects,
         });
-        Some((relay_answer, sent))
+        Some(PolledAnswer { seed, sent, answer })
     }
 
     fn relay_request(&self) -> RelayRequest {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -8,6 +8,7 @@
 mod answer_stream;
 pub mod authentication;
 pub mod change;
+pub mod config_news;
 pub mod connection_pool;
 mod crash_pacing;
 pub mod demand;
--- a/crates/node/src/live.rs
+++ b/crates/node/src/live.rs
@@ -35,6 +35,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::answer_stream::AnswerStream;
+use crate::config_news::ConfigBasis;
 use crate::connection_pool::CallError;
 use crate::dialect::RoutedCall;
 use crate::fingerprint::Fingerprint;
@@ -97,6 +98,15 @@
     gates: Gates,
 }
 
+/// When a request arrived, and what decides it.
+#[derive(Debug, Clone, Copy)]
+pub struct Arrival {
+    /// When its head arrived.
+    pub at: Instant,
+    /// The configuration by which it is routed.
+    pub basis: ConfigBasis,
+}
+
 /// Outcome of one try.
 enum TryOutcome {
     /// A complete answer, or the head of a stream.
@@ -160,10 +170,10 @@
         self.gates.tick();
     }
 
-    /// Answers one call on behalf of this account, whose head arrived at `started`.
+    /// Answers one call on behalf of this account.
     pub async fn answer(
         self: &Arc<Self>,
-        started: Instant,
+        arrival: Arrival,
         routed: &RoutedCall,
         account: Option<&str>,
         route: &Route,
@@ -174,6 +184,7 @@
             .timeout
             .unwrap_or(DEFAULT_TIMEOUT)
             .min(route.timeout());
+        let Arrival { at: started, basis } = arrival;
         let deadline = started + timeout;
         let body = match self.read_body(body, deadline).await {
             Ok(body) => body,
@@ -213,6 +224,7 @@
             ("took_ms", &took_ms),
             ("patience_ms", &timeout_ms),
         ];
+        fields.extend(basis.fields());
         let shared_fields = call.progress.fields();
         if call.progress.is_shared {
             self.count_shared_call(&call.progress, reason);
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -540,9 +540,9 @@
     };
     context.follow(ObjectKind::Configuration, options, move |batch| {
         for change in batch.changes {
-            fleet.apply_config(change);
+            fleet.apply_config(change, batch.source);
         }
-        fleet.record_config_confirmed(batch.as_of);
+        fleet.record_config_confirmed(batch.as_of, batch.source);
         interest.set_config(&fleet.config());
         local_member.set_takes_steps(!tasks.is_draining());
         live.update_upstreams();
--- a/crates/node/src/request_handler.rs
+++ b/crates/node/src/request_handler.rs
@@ -1,5 +1,6 @@
 //! Handles the requests of clients, the balancer and other nodes, and authenticates clients.
 
+use std::fmt::Display;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
@@ -28,6 +29,7 @@
 use crate::authentication::Denied;
 use crate::authentication::Purpose;
 use crate::authentication::authenticate;
+use crate::config_news::ConfigBasis;
 use crate::connection_pool::ConnectionPool;
 use crate::dialect::AskedCall;
 use crate::dialect::ClientCall;
@@ -44,6 +46,7 @@
 use crate::fleet::Fleet;
 use crate::holder::DUTY_HOLDER_PATH;
 use crate::holder::DutyHolder;
+use crate::live::Arrival;
 use crate::live::DEFAULT_TIMEOUT;
 use crate::live::LiveCalls;
 use crate::mechanisms::EnabledMechanisms;
@@ -60,6 +63,7 @@
 use crate::respond::SHUTDOWN_RETRY_AFTER;
 use crate::respond::SHUTTING_DOWN;
 use crate::respond::empty;
+use crate::respond::reason_of;
 use crate::respond::refusal;
 use crate::respond::with_json;
 use crate::roster::HOME_PATH;
@@ -210,10 +214,10 @@
         access: AccessRequest<'_>,
         call: &str,
     ) -> Result<Option<&'a str>, Denied> {
-        let age = self.fleet.config_age();
-        let account = authenticate(config, access, age, &self.age_limits());
+        let basis = self.fleet.config_basis(config);
+        let account = authenticate(config, access, basis.age.0, &self.age_limits());
         if let Err(denied) = account {
-            self.log_denied(denied, config.version, age, call);
+            self.log_denied(denied, &basis, call);
         }
         account
     }
@@ -223,23 +227,16 @@
         ConfigAgeLimits::new(settings.config_apply(), settings.revocation())
     }
 
-    fn log_denied(&self, denied: Denied, version: u64, age: Option<Duration>, call: &str) {
+    fn log_denied(&self, denied: Denied, basis: &ConfigBasis, call: &str) {
         let reason = denial_reason(denied);
         self.journal.count(match denied {
             Denied::NoKey => "door.no_key",
             Denied::UnknownKey => "door.unknown_key",
             Denied::StaleConfig => "door.unsure",
         });
-        let age_ms = age.map_or(-1, |age| age.as_millis() as i64);
-        self.journal.event(
-            "call_denied",
-            &[
-                ("request", &call),
-                ("reason", &reason),
-                ("version", &version),
-                ("age_ms", &age_ms),
-            ],
-        );
+        let mut fields: Vec<(&str, &dyn Display)> = vec![("request", &call), ("reason", &reason)];
+        fields.extend(basis.fields());
+        self.journal.event("call_denied", &fields);
     }
 
     /// Answers a request of another node.
@@ -423,8 +420,9 @@
         let Some(config) = self.wait_for_config(routed.timeout).await else {
             return LiveCalls::not_ready();
         };
+        let basis = self.fleet.config_basis(&config);
         let Some(route) = config.route(&routed.host, head.uri.path()) else {
-            return self.no_route_answer();
+            return self.no_route_answer(routed, &basis);
         };
         let access = access_request_of(route, routed);
         let account = match self.authenticate(&config, access, &routed.request_id) {
@@ -436,8 +434,9 @@
         }
         if route.kind != RouteKind::Rollout || head.method != Method::POST {
             let live = &self.live;
+            let arrival = Arrival { at: started, basis };
             return live
-                .answer(started, routed, account, route, &head, body)
+                .answer(arrival, routed, account, route, &head, body)
                 .await;
         }
         set_account_header(&mut head.headers, account);
@@ -448,15 +447,37 @@
             head: &head,
             limit_bytes: config.max_body_bytes,
         };
-        self.submit(incoming, body).await
+        let answer = self.submit(incoming, body).await;
+        self.log_routed("submission", routed, &basis, &answer);
+        answer
     }
 
-    fn no_route_answer(&self) -> Response<Body> {
-        if self.fleet.is_config_fresh() {
+    fn no_route_answer(&self, routed: &RoutedCall, basis: &ConfigBasis) -> Response<Body> {
+        let answer = if self.fleet.is_config_fresh() {
             refusal(Outcome::BadRequest(StatusCode::NOT_FOUND), "no-route")
         } else {
             refusal(Outcome::NotRun(RETRY_AFTER), "configuration-old")
-        }
+        };
+        self.log_routed("route_unknown", routed, basis, &answer);
+        answer
+    }
+
+    /// Logs by which configuration a request that is no live call was decided.
+    fn log_routed(
+        &self,
+        event: &str,
+        routed: &RoutedCall,
+        basis: &ConfigBasis,
+        answer: &Response<Body>,
+    ) {
+        let (status, reason) = (answer.status().as_u16(), reason_of(answer));
+        let mut fields: Vec<(&str, &dyn Display)> = vec![
+            ("request", &routed.request_id),
+            ("status", &status),
+            ("reason", &reason),
+        ];
+        fields.extend(basis.fields());
+        self.journal.event(event, &fields);
     }
 
     /// The configuration; on a node that has just started, waits for it up to a limit.
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -15,6 +15,7 @@
 use serde::Serialize;
 use serde_json::value::RawValue;
 
+use crate::config_news::NewsSource;
 use crate::connection_pool::CallError;
 use crate::connection_pool::ConnectionPool;
 use crate::dialect::Dialect;
@@ -47,6 +48,13 @@
     AlreadyExists,
 }
 
+/// An answer of the store, and the way by which it came.
+#[derive(Debug)]
+pub(crate) struct Sourced {
+    pub(crate) answer: StoreAnswer,
+    pub(crate) source: NewsSource,
+}
+
 /// The part of every stored value that holds the id of the write which made it.
 #[derive(Debug, Deserialize)]
 struct WriteStamp {
@@ -115,6 +123,11 @@
     ///
     /// Any [`StoreError`].
     pub async fn call(&self, call: &StoreCall) -> Result<StoreAnswer, StoreError> {
+        self.call_sourced(call).await.map(|sourced| sourced.answer)
+    }
+
+    /// As [`Store::call`], with the way by which the answer came.
+    pub(crate) async fn call_sourced(&self, call: &StoreCall) -> Result<Sourced, StoreError> {
         let started = self.clock.now();
         let answer = self.call_with_fallback(call).await;
         self.record_call(call, started, &answer);
@@ -145,7 +158,7 @@
     }
 
     /// Makes a call directly, or through another node if the store is unavailable to this one.
-    async fn call_with_fallback(&self, call: &StoreCall) -> Result<StoreAnswer, StoreError> {
+    async fn call_with_fallback(&self, call: &StoreCall) -> Result<Sourced, StoreError> {
         let limits = self.watch_limits();
         match self.fallback.path(self.clock.now()) {
             CallPath::Direct => {
@@ -172,11 +185,7 @@
 
     /// Makes a call directly while a detour is active, or else through the next node. A watch must
     /// not wait on a way that may be cut: it only asks for what is there.
-    async fn probe(
-        &self,
-        call: &StoreCall,
-        limits: &WatchLimits,
-    ) -> Result<StoreAnswer, StoreError> {
+    async fn probe(&self, call: &StoreCall, limits: &WatchLimits) -> Result<Sourced, StoreError> {
         let call = limited_to(call, Duration::ZERO);
         let direct = self.call_directly(&call, limits.detour_answer_time).await;
         if !is_unavailable(&direct) {
@@ -189,7 +198,7 @@
         &self,
         call: &StoreCall,
         watch_answer_time: Duration,
-    ) -> Result<StoreAnswer, StoreError> {
+    ) -> Result<Sourced, StoreError> {
         let timeout = timeout_of(call, watch_answer_time);
         let direct = self.call_at(self.address, call, timeout, false).await;
         if !is_unavailable(&direct) {
@@ -202,9 +211,9 @@
     async fn call_through_next(
         &self,
         call: &StoreCall,
-        direct: Result<StoreAnswer, StoreError>,
+        direct: Result<Sourced, StoreError>,
         limits: &WatchLimits,
-    ) -> Result<StoreAnswer, StoreError> {
+    ) -> Result<Sourced, StoreError> {
         let Some(node) = self.fallback.next_node(self.clock.now()) else {
             return direct;
         };
@@ -222,7 +231,7 @@
         node: SocketAddr,
         call: &StoreCall,
         limits: &WatchLimits,
-    ) -> Result<StoreAnswer, StoreError> {
+    ) -> Result<Sourced, StoreError> {
         let timeout = timeout_of(call, limits.detour_answer_time);
         let answer = self.call_at(node, call, timeout, true).await;
         let now = self.clock.now();
@@ -246,14 +255,22 @@
         call: &StoreCall,
         timeout: Duration,
         is_through_node: bool,
-    ) -> Result<StoreAnswer, StoreError> {
+    ) -> Result<Sourced, StoreError> {
         self.calls_sent.fetch_add(1, Ordering::Relaxed);
         let mut request = self.dialect.store_request(call);
         if is_through_node {
             to_peer_uri(&mut request);
         }
+        let source = if is_through_node {
+            NewsSource::Detour(to)
+        } else {
+            NewsSource::Store
+        };
         match self.connections.call(to, request, timeout).await {
-            Ok(answer) => self.dialect.store_answer(call, &answer),
+            Ok(answer) => self
+                .dialect
+                .store_answer(call, &answer)
+                .map(|answer| Sourced { answer, source }),
             Err(CallError::Refused | CallError::NotSent) => Err(StoreError::Unreachable),
             Err(
                 CallError::Broken | CallError::Late | CallError::Malformed | CallError::Foreign,
@@ -265,7 +282,7 @@
         &self,
         call: &StoreCall,
         started: Instant,
-        answer: &Result<StoreAnswer, StoreError>,
+        sourced: &Result<Sourced, StoreError>,
     ) {
         self.journal.count(match call {
             StoreCall::Read { .. } => "store.read",
@@ -275,7 +292,7 @@
             StoreCall::Replace { .. } | StoreCall::ReportEvacuated { .. } => "store.replace",
             StoreCall::Delete { .. } => "store.delete",
         });
-        match answer {
+        match sourced.as_ref().map(|sourced| &sourced.answer) {
             Ok(StoreAnswer::Page { unreadable, .. } | StoreAnswer::Changes { unreadable, .. })
                 if *unreadable > 0 =>
             {
@@ -506,9 +523,9 @@
 /// without an answer may still be carried out, whatever came of the other try.
 fn outcome_of_two(
     call: &StoreCall,
-    one: &Result<StoreAnswer, StoreError>,
-    other: Result<StoreAnswer, StoreError>,
-) -> Result<StoreAnswer, StoreError> {
+    one: &Result<Sourced, StoreError>,
+    other: Result<Sourced, StoreError>,
+) -> Result<Sourced, StoreError> {
     let is_read = matches!(
         call,
         StoreCall::Read { .. } | StoreCall::List { .. } | StoreCall::Watch { .. }
@@ -529,7 +546,7 @@
 }
 
 /// Whether the call was not carried out, or not answered; it may succeed through another node.
-const fn is_unavailable(answer: &Result<StoreAnswer, StoreError>) -> bool {
+const fn is_unavailable(answer: &Result<Sourced, StoreError>) -> bool {
     let refused = matches!(answer, Err(StoreError::Refused(_)));
     refused || matches!(answer, Err(StoreError::Unreachable | StoreError::Unknown))
 }
