A node that another one tells of a newer configuration lists it at once

What callers saw: 404 for a route that is in force, and runs of a dropped one, at a node whose watch of the store had fallen silent; the other nodes had the news. Cause: one watch was the only way to the news, and a node cannot tell a watch without news from a lost one before its time is over (2.5 s, more than the 2 s of a configuration). That the bound held all the same rested on contactMs alone. Class: a detector that relies on the channel whose loss it should detect. Change: the calls by which nodes ask seeds for failures state the newest revision of the configuration that either side knows; a seed answers as soon as it has seen a newer one. A node that was told of a higher revision than it has seen gives its watch up and lists, once for each statement, so that a wrong one costs one list. No call more while nothing changes; a change costs one answer a node between nodes. Releases without the field are neither woken nor believed.

--- a/crates/node/src/change.rs
+++ b/crates/node/src/change.rs
@@ -14,6 +14,16 @@
 }
 
 impl Change {
+    /// Highest revision of the existing objects in this change; `None` if there are none.
+    #[must_use]
+    pub fn newest_revision(&self) -> Option<u64> {
+        match self {
+            Self::All(objects) => objects.iter().map(|object| object.revision).max(),
+            Self::Put(object) => Some(object.revision),
+            Self::Removed(_) => None,
+        }
+    }
+
     /// The existing objects in this change.
     #[must_use]
     pub fn into_objects(self) -> Vec<Object> {
--- a/crates/node/src/failure_exchange.rs
+++ b/crates/node/src/failure_exchange.rs
@@ -4,6 +4,9 @@
 //! send a request on that has crashed upstreams under others. A node posts its failures to every
 //! seed, and has one seed answer as soon as that learns of others; seeds ask one another. One seed
 //! that a node reaches is enough. Without failures a node makes one call in some seconds.
+//!
+//! The same calls state the newest revision of the configuration that either side knows of, and a seed
+//! answers as soon as it has a newer one than the node that asks.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -16,6 +19,7 @@
 use http::Uri;
 use http_body_util::Full;
 use rand::Rng;
+use serde::Deserialize;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
@@ -25,6 +29,7 @@
 use crate::failure_log::FailureNews;
 use crate::failure_log::LogPosition;
 use crate::failure_records::NodeFailures;
+use crate::newest_config::NewestConfig;
 use crate::reload::CurrentSettings;
 
 /// Path at which a node takes failures that another one saw.
@@ -60,10 +65,31 @@
 /// Number of other seeds that a seed asks at the same time; settings name at most three seeds.
 const MAX_ASKED: usize = 2;
 
+/// A node's request for news.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub(crate) struct NewsRequest {
+    #[serde(flatten)]
+    position: LogPosition,
+    /// Newest revision of the configuration that the node knows of; `None` from older releases.
+    #[serde(default)]
+    config_revision: Option<u64>,
+}
+
+/// The answer to a [`NewsRequest`].
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct News {
+    #[serde(flatten)]
+    failures: FailureNews,
+    /// Newest revision of the configuration that the seed has seen; 0 from older releases.
+    #[serde(default)]
+    config_revision: u64,
+}
+
 /// Exchanges failures with the seeds; cheap to clone.
 #[derive(Debug, Clone)]
 pub(crate) struct FailureExchange {
     pub(crate) failed_requests: FailedRequests,
+    pub(crate) newest_config: NewestConfig,
     pub(crate) settings: CurrentSettings,
     pub(crate) connections: ConnectionPool,
 }
@@ -77,19 +103,43 @@
     }
 
     /// Answers with what this node learns after a position; waits while there is nothing.
-    pub(crate) async fn news_after(&self, position: LogPosition) -> FailureNews {
-        let changed = self.failed_requests.inner.log_changed.notified();
-        tokio::pin!(changed);
-        // Registers before the check, so that news in between are not missed.
-        changed.as_mut().enable();
-        let news = self.failed_requests.news_after(position);
-        if !news.seen.is_empty() {
-            return news;
+    pub(crate) async fn news_after(&self, request: NewsRequest) -> News {
+        if let Some(revision) = request.config_revision {
+            self.newest_config.record_told(revision);
         }
         // A timeout needs no handling: the answer then holds nothing new.
         let hold = MAX_HOLD.mul_f64(rand::rng().random_range(0.5..1.0));
-        _ = within(hold, changed).await;
-        self.failed_requests.news_after(position)
+        _ = within(hold, self.wait_for_news(&request)).await;
+        News {
+            failures: self.failed_requests.news_after(request.position),
+            config_revision: self.newest_config.seen(),
+        }
+    }
+
+    async fn wait_for_news(&self, request: &NewsRequest) {
+        loop {
+            let failures = self.failed_requests.inner.log_changed.notified();
+            let config = self.newest_config.change();
+            tokio::pin!(failures, config);
+            // Registers before the check, so that news in between are not missed.
+            failures.as_mut().enable();
+            config.as_mut().enable();
+            if self.has_news(request) {
+                return;
+            }
+            tokio::select! {
+                () = failures => {}
+                () = config => {}
+            }
+        }
+    }
+
+    fn has_news(&self, request: &NewsRequest) -> bool {
+        let has_newer_config = request
+            .config_revision
+            .is_some_and(|revision| self.newest_config.seen() > revision);
+        let failures = self.failed_requests.news_after(request.position);
+        has_newer_config || !failures.seen.is_empty()
     }
 
     /// The other seeds, and whether this node is one.
@@ -165,8 +215,9 @@
             match self.ask(*asked, position).await {
                 Ok(news) => {
                     failures = 0;
-                    position = news.position;
-                    self.failed_requests.add_news(&news.seen);
+                    position = news.failures.position;
+                    self.failed_requests.add_news(&news.failures.seen);
+                    self.newest_config.record_told(news.config_revision);
                     tokio::time::sleep(MIN_INTERVAL).await;
                 }
                 Err(error) => {
@@ -183,8 +234,12 @@
         }
     }
 
-    async fn ask(&self, seed: SocketAddr, position: LogPosition) -> Result<FailureNews, CallError> {
-        let request = request(FAILURE_NEWS_PATH, &position)?;
+    async fn ask(&self, seed: SocketAddr, position: LogPosition) -> Result<News, CallError> {
+        let news_request = NewsRequest {
+            position,
+            config_revision: Some(self.newest_config.known()),
+        };
+        let request = request(FAILURE_NEWS_PATH, &news_request)?;
         let answer = self.connections.call(seed, request, NEWS_TIMEOUT).await?;
         decode(answer.body()).ok_or(CallError::Broken)
     }
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -25,6 +25,7 @@
 use crate::duty::BootClock;
 use crate::interest::Interest;
 use crate::interest::Subscription;
+use crate::newest_config::NewestConfig;
 use crate::outage::Outage;
 use crate::relay::Relay;
 use crate::relay::RoutingDigest;
@@ -140,6 +141,8 @@
     pub relay: Arc<Relay>,
     /// Upstreams that this node subscribes to.
     pub interest: Arc<Interest>,
+    /// Revisions of the configuration that this node has seen and was told of.
+    pub newest_config: NewestConfig,
     /// What this node announces to seeds.
     pub local_member: LocalMember,
     /// Decodes entries of upstreams.
@@ -296,40 +299,24 @@
         is_new
     }
 
-    /// Reads the store: lists the kind at first and after a gap, then watches for changes.
+    /// Reads the store: lists the kind at first, after a gap and when it has missed a change, and else
+    /// watches for changes.
     ///
     /// A failed watch is not resumed: a store that is about to compact its history leaves such a
     /// watch waiting for seconds without an answer.
     async fn read_store(&mut self, options: FollowOptions) -> Result<Update, StoreError> {
-        self.sources.outage.wait_while_probed(self.kind).await;
-        let update = match self.since.filter(|_| !self.has_gap) {
-            // Lists the newest state: while the store compacts its history, the revision of a
-            // stale list is already gone, and no watch could start from it.
-            None => {
-                let sent = self.sources.boot_clock.since_boot();
-                let listed = list_sourced(&self.sources.store, self.kind, Freshness::Newest);
-                let Listed {
-                    mut objects,
-                    revision,
-                    source,
-                } = listed.await?;
-                self.last_listed = Some(self.sources.clock.now());
-                let extent = Extent {
-                    total_objects: Some(objects.len()),
-                    is_complete: Some(self.subscription == Subscription::All),
-                };
-                objects.retain(|object| self.is_followed(object));
-                Update {
-                    revision,
-                    batch: ChangeBatch {
-                        extent,
-                        changes: vec![Change::All(objects)],
-                        as_of: Some(sent),
-                        source,
-                    },
-                }
-            }
-            Some(since) => self.watch(since, options).await?,
+        tokio::select! {
+            () = self.sources.outage.wait_while_probed(self.kind) => {}
+            () = self.config_missed() => {}
+        }
+        let since = self.since.filter(|_| !self.has_gap);
+        let watched = match since {
+            Some(since) => self.watch_until_missed(since, options).await?,
+            None => None,
+        };
+        let update = match watched {
+            Some(update) => update,
+            None => self.list_all().await?,
         };
         self.has_gap = false;
         if std::mem::take(&mut self.store_lost) {
@@ -348,6 +335,61 @@
         Ok(update)
     }
 
+    /// Lists the newest state: while the store compacts its history, the revision of a stale list is
+    /// already gone, and no watch could start from it.
+    async fn list_all(&mut self) -> Result<Update, StoreError> {
+        let sent = self.sources.boot_clock.since_boot();
+        let known_config = self.sources.newest_config.known();
+        let listed = list_sourced(&self.sources.store, self.kind, Freshness::Newest);
+        let Listed {
+            mut objects,
+            revision,
+            source,
+        } = listed.await?;
+        self.last_listed = Some(self.sources.clock.now());
+        if self.kind == ObjectKind::Configuration {
+            self.sources.newest_config.record_listed(known_config);
+        }
+        let extent = Extent {
+            total_objects: Some(objects.len()),
+            is_complete: Some(self.subscription == Subscription::All),
+        };
+        objects.retain(|object| self.is_followed(object));
+        Ok(Update {
+            revision,
+            batch: ChangeBatch {
+                extent,
+                changes: vec![Change::All(objects)],
+                as_of: Some(sent),
+                source,
+            },
+        })
+    }
+
+    /// Watches for changes; `None` if another node has a configuration that this one has missed: the
+    /// watch may never be answered.
+    async fn watch_until_missed(
+        &self,
+        since: u64,
+        options: FollowOptions,
+    ) -> Result<Option<Update>, StoreError> {
+        tokio::select! {
+            watched = self.watch(since, options) => watched.map(Some),
+            () = self.config_missed() => {
+                self.sources.journal.event("configuration_missed", &[("since", &since)]);
+                Ok(None)
+            }
+        }
+    }
+
+    /// Waits until another node has a configuration that this follower of it has missed.
+    async fn config_missed(&self) {
+        if self.kind != ObjectKind::Configuration {
+            return std::future::pending().await;
+        }
+        self.sources.newest_config.missed().await;
+    }
+
     /// Whether this node follows an object of the store. Other objects must be dropped: once the
     /// node polls a seed again, it would miss their changes.
     fn is_followed(&self, object: &Object) -> bool {
@@ -471,7 +513,15 @@
 
     async fn pause(&self) {
         let spread = rand::rng().random_range(0..=RETRY_PAUSE.as_millis() as u64 / 2);
-        tokio::time::sleep(RETRY_PAUSE + Duration::from_millis(spread)).await;
+        let pause = tokio::time::sleep(RETRY_PAUSE + Duration::from_millis(spread));
+        // What was missed before the failure has been asked for in vain.
+        if self.sources.newest_config.is_missing() {
+            return pause.await;
+        }
+        tokio::select! {
+            () = pause => {}
+            () = self.config_missed() => {}
+        }
     }
 }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod mechanisms;
 mod metered_stream;
 pub mod model;
+pub mod newest_config;
 pub mod node;
 pub mod outage;
 mod progress;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -46,6 +46,7 @@
 use crate::load_logger::LoadLogger;
 use crate::mechanisms::EnabledMechanisms;
 use crate::mechanisms::Mechanism;
+use crate::newest_config::NewestConfig;
 use crate::outage::Outage;
 use crate::relay::Relay;
 use crate::relay::max_age_for;
@@ -155,6 +156,7 @@
             seeds: Seeds::default(),
             relay: Arc::new(Relay::new(max_age_for(settings.max_propagation_delay()))),
             interest: Arc::default(),
+            newest_config: NewestConfig::default(),
             local_member: local_member_of(&settings),
             dialect: Arc::clone(&dialect),
             outage: Outage::default(),
@@ -376,6 +378,7 @@
     context.tasks.spawn(failed_requests.clone().run_writer());
     let failure_exchange = FailureExchange {
         failed_requests: failed_requests.clone(),
+        newest_config: context.sources.newest_config.clone(),
         settings: context.current_settings.clone(),
         connections: context.connections.clone(),
     };
@@ -526,6 +529,7 @@
     let settings = context.current_settings.clone();
     let (local_member, tasks) = (context.sources.local_member.clone(), context.tasks.clone());
     let (relay, config_fleet) = (Arc::clone(&context.sources.relay), Arc::clone(&fleet));
+    let newest_config = context.sources.newest_config.clone();
     let options = move || {
         let has_accounts = config_fleet.config().accounts.are_declared();
         let limits = has_accounts.then(|| settings.now().config_wait_limits());
@@ -540,7 +544,9 @@
     };
     context.follow(ObjectKind::Configuration, options, move |batch| {
         for change in batch.changes {
+            let revision = change.newest_revision();
             fleet.apply_config(change, batch.source);
+            newest_config.record_seen(revision.unwrap_or(0));
         }
         fleet.record_config_confirmed(batch.as_of, batch.source);
         interest.set_config(&fleet.config());
--- a/crates/node/src/request_handler.rs
+++ b/crates/node/src/request_handler.rs
@@ -374,12 +374,12 @@
         let Some(body) = read_body(body, MAX_FAILURES_BYTES).await else {
             return empty(StatusCode::PAYLOAD_TOO_LARGE);
         };
-        let Some(position) = failure_exchange::decode(&body) else {
+        let Some(request) = failure_exchange::decode(&body) else {
             return empty(StatusCode::BAD_REQUEST);
         };
         json(
             StatusCode::OK,
-            &self.failure_exchange.news_after(position).await,
+            &self.failure_exchange.news_after(request).await,
         )
     }
 
