--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -48,6 +48,10 @@
 /// at once but that other nodes may lose the store at the same time.
 const LIST_JITTER: Duration = Duration::from_millis(100);
 
+/// How long after another node has told of a newer configuration the watch may still report it: both
+/// mostly come at the same time.
+const MISSED_GRACE: Duration = Duration::from_millis(150);
+
 /// Tries of one page of a list. Without them one failed page restarts the whole list, which
 /// then never completes while the store is busy.
 const MAX_PAGE_TRIES: u32 = 3;
@@ -366,16 +370,20 @@
         })
     }
 
-    /// Watches for changes; `None` if another node has a configuration that this one has missed: the
-    /// watch may never be answered.
+    /// Watches for changes; `None` if another node has a configuration that the watch does not report: it
+    /// may never be answered.
     async fn watch_until_missed(
         &self,
         since: u64,
         options: FollowOptions,
     ) -> Result<Option<Update>, StoreError> {
+        let missed = async {
+            self.config_missed().await;
+            tokio::time::sleep(MISSED_GRACE).await;
+        };
         tokio::select! {
             watched = self.watch(since, options) => watched.map(Some),
-            () = self.config_missed() => {
+            () = missed => {
                 self.sources.journal.event("configuration_missed", &[("since", &since)]);
                 Ok(None)
             }
