A client that sends without a pause no longer holds up the timeout of its request

Cause: the HTTP library reads a request's body in the task of its connection, for as long as bytes are there and none ends a chunk. When the client sends faster than that (about 20 MB/s here), each poll of the task uses up tokio's budget of 128 operations before the request's future is polled. tokio's timers need budget, so that the timer of the deadline is pending at every poll although it is due.

Change: an accepted connection is pending after four reads in a row, so that its task gets to the request with budget left. Open: a client's framing is bounded by time, not in bytes.

--- a/crates/firweir/src/connection/server.rs
+++ b/crates/firweir/src/connection/server.rs
@@ -22,6 +22,7 @@
 use hyper_util::service::TowerToHyperService;
 use serde::Serialize;
 
+use crate::connection::fair_stream::FairStream;
 use crate::connection::net::SharedNet;
 use crate::process::tasks::Tasks;
 
@@ -94,7 +95,7 @@
                 .header_read_timeout(HEADER_TIMEOUT);
             let service = TowerToHyperService::new(handler.clone());
             let connection = builder
-                .serve_connection(TokioIo::new(conn), service)
+                .serve_connection(TokioIo::new(FairStream::new(conn)), service)
                 .into_owned();
             let watched = graceful.watch(connection);
             tasks.spawn(async move { drop(watched.await) });
