The body of another node's request is bounded in time

Found while looking for bodies that are read beside no timer at all: those of other nodes' requests (usage, store calls, homes, failures) were bounded in bytes, but a chunk's size without end, a trickle, or a node whose network went away in the middle left the request to be read for ever.

Evidence: endless_requests_of_nodes_are_given_up, 'store/v1/x is taken for ever' (over 10 s) before; all five are given up after 5 s now. The callers' own timeouts are at most that of the store call, whose body is sent at once.

--- a/crates/node/src/request_handler.rs
+++ b/crates/node/src/request_handler.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use firweir::connection::client::within;
 use firweir::connection::server::Body;
 use firweir::connection::server::json;
@@ -84,6 +85,9 @@
 use crate::usage::counter::USAGE_PATH;
 use crate::usage::counter::UsageCounter;
 
+/// Time for the body of another node's request.
+const PEER_BODY_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// Largest body of a store call that is made for another node; the store limits values to a
 /// megabyte.
 const MAX_STORE_CALL_BYTES: usize = 2 << 20;
@@ -295,7 +299,7 @@
         if head.method == Method::GET {
             return with_json(StatusCode::OK, self.usage_counter.snapshot());
         }
-        let Some(body) = read_body(body, MAX_USAGE_BYTES).await else {
+        let Some(body) = read_peer_body(body, MAX_USAGE_BYTES).await else {
             return empty(StatusCode::PAYLOAD_TOO_LARGE);
         };
         match self.usage_counter.handle_counts(&body) {
@@ -311,7 +315,7 @@
         head: &http::request::Parts,
         body: Incoming,
     ) -> Response<Body> {
-        let Some(body) = read_body(body, MAX_STORE_CALL_BYTES).await else {
+        let Some(body) = read_peer_body(body, MAX_STORE_CALL_BYTES).await else {
             return empty(StatusCode::PAYLOAD_TOO_LARGE);
         };
         let mut request = Request::new(Full::new(body));
@@ -348,7 +352,7 @@
 
     /// Offers a home for a model.
     async fn offer_home(&self, body: Incoming) -> Response<Body> {
-        let Some(body) = read_body(body, MAX_HOME_QUESTION_BYTES).await else {
+        let Some(body) = read_peer_body(body, MAX_HOME_QUESTION_BYTES).await else {
             return empty(StatusCode::PAYLOAD_TOO_LARGE);
         };
         match serde_json::from_slice::<HomeQuestion>(&body) {
@@ -359,7 +363,7 @@
 
     /// Takes failures that another node saw.
     async fn take_failures(&self, body: Incoming) -> Response<Body> {
-        let Some(body) = read_body(body, MAX_FAILURES_BYTES).await else {
+        let Some(body) = read_peer_body(body, MAX_FAILURES_BYTES).await else {
             return empty(StatusCode::PAYLOAD_TOO_LARGE);
         };
         let Some(seen) = failure_exchange::decode(&body) else {
@@ -371,7 +375,7 @@
 
     /// Tells another node of failures as this one learns of them.
     async fn tell_failures(&self, body: Incoming) -> Response<Body> {
-        let Some(body) = read_body(body, MAX_FAILURES_BYTES).await else {
+        let Some(body) = read_peer_body(body, MAX_FAILURES_BYTES).await else {
             return empty(StatusCode::PAYLOAD_TOO_LARGE);
         };
         let Some(request) = failure_exchange::decode(&body) else {
@@ -540,6 +544,12 @@
     }
 }
 
+/// Reads the body of another node's request, or `None` if it is broken, late or above the limit.
+async fn read_peer_body(body: Incoming, limit_bytes: usize) -> Option<Bytes> {
+    let reading = read_body(body, limit_bytes);
+    within(PEER_BODY_TIMEOUT, reading).await.flatten()
+}
+
 /// A submission as it arrives, before its body is read.
 #[derive(Debug, Clone, Copy)]
 struct IncomingSubmission<'a> {
