--- a/crates/firweir/tests/fair_reads.rs
+++ b/crates/firweir/tests/fair_reads.rs
@@ -82,8 +82,8 @@
         })
     });
     let tasks = Tasks::new();
-    let served = serve(&net, &tasks, at, Duration::ZERO, late).await;
-    let (_, serving) = served.expect("it listens");
+    let started = serve(&net, &tasks, at, Duration::ZERO, late).await;
+    let (_, serving) = started.expect("it listens");
     tasks.spawn(serving);
     let mut answer = [0; STATUS_LINE.len()];
     let answered = within(ANSWER_TIMEOUT, client.read_exact(&mut answer)).await;
