Lists and seeds leave the follower's file

follow.rs had grown to 612 lines. Listing all objects of a kind (listing.rs, which usage, scaling and submissions use without any follower) and the set of seeds (seeds.rs) are jobs of their own; 492 lines stay.

--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -1,12 +1,10 @@
 //! Follows one kind of stored objects for the life of the process: through the seed nodes of the
 //! settings if the deployment allows it, otherwise directly from the platform's store.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
-use arc_swap::ArcSwap;
 use firweir::process::clock::Clock;
 use firweir::process::log::Journal;
 use firweir_policy::relist::RelistTimer;
@@ -25,6 +23,8 @@
 use crate::duty::BootClock;
 use crate::interest::Interest;
 use crate::interest::Subscription;
+use crate::listing::Listed;
+use crate::listing::list_sourced;
 use crate::newest_config::NewestConfig;
 use crate::outage::Outage;
 use crate::relay::Relay;
@@ -32,6 +32,7 @@
 use crate::relay::SEED_WATCH_WAIT;
 use crate::relay::path_name_of;
 use crate::roster::LocalMember;
+use crate::seeds::Seeds;
 use crate::store::Sourced;
 use crate::store::Store;
 
@@ -52,13 +53,6 @@
 /// mostly come at the same time.
 const MISSED_GRACE: Duration = Duration::from_millis(150);
 
-/// Tries of one page of a list. Without them one failed page restarts the whole list, which
-/// then never completes while the store is busy.
-const MAX_PAGE_TRIES: u32 = 3;
-
-/// Shortest pause before a page is requested again; up to the same time is added as jitter.
-const MIN_PAGE_PAUSE: Duration = Duration::from_millis(150);
-
 /// How a kind is followed; evaluated before each call.
 #[derive(Debug, Clone, Copy)]
 pub struct FollowOptions {
@@ -96,42 +90,6 @@
     }
 }
 
-/// The nodes that relay the store's objects; cheap to clone.
-#[derive(Debug, Clone, Default)]
-pub struct Seeds {
-    current: Arc<ArcSwap<SeedSet>>,
-}
-
-/// The seed nodes at one time.
-#[derive(Debug, Clone, Default)]
-pub struct SeedSet {
-    /// Seeds that this node polls, without itself; empty if it reads the store directly.
-    pub polled: Vec<SocketAddr>,
-    /// All seeds except this node; empty if the deployment uses no seeds.
-    pub others: Vec<SocketAddr>,
-    /// This node is a seed that other nodes poll.
-    pub is_seed: bool,
-}
-
-impl Seeds {
-    /// Replaces the seeds.
-    pub fn set(&self, seeds: SeedSet) {
-        self.current.store(Arc::new(seeds));
-    }
-
-    /// The current seeds.
-    #[must_use]
-    pub fn current(&self) -> Arc<SeedSet> {
-        self.current.load_full()
-    }
-
-    /// The polled seed at `index`, modulo their number; `None` if there are none.
-    pub(crate) fn round_robin(&self, index: usize) -> Option<SocketAddr> {
-        let polled = &self.current.load().polled;
-        polled.get(index.checked_rem(polled.len())?).copied()
-    }
-}
-
 /// Dependencies of a follower; cheap to clone.
 #[derive(Debug, Clone)]
 pub struct Sources {
@@ -532,81 +490,3 @@
         }
     }
 }
-
-/// Requests one page of a list. Pages after the first are tried up to [`MAX_PAGE_TRIES`] times.
-async fn page(store: &Store, call: &StoreCall, is_later: bool) -> Result<Sourced, StoreError> {
-    let mut tries = if is_later { MAX_PAGE_TRIES } else { 1 };
-    loop {
-        let answer = store.call_sourced(call).await;
-        tries -= 1;
-        if answer.is_ok() || tries == 0 {
-            return answer;
-        }
-        let pause = MIN_PAGE_PAUSE.mul_f64(rand::rng().random_range(1.0..2.0));
-        tokio::time::sleep(pause).await;
-    }
-}
-
-/// All objects of a kind.
-pub(crate) struct Listed {
-    pub(crate) objects: Vec<Object>,
-    /// Revision to watch from.
-    pub(crate) revision: u64,
-    /// The way by which the last page came.
-    pub(crate) source: NewsSource,
-}
-
-/// Lists all objects of a kind, and returns the revision to watch from.
-///
-/// # Errors
-///
-/// If the store did not answer.
-pub async fn list(
-    store: &Store,
-    kind: ObjectKind,
-    freshness: Freshness,
-) -> Result<(Vec<Object>, u64), StoreError> {
-    let listed = list_sourced(store, kind, freshness).await?;
-    Ok((listed.objects, listed.revision))
-}
-
-/// Lists all objects of a kind. With several pages the revision is that of the first page: changes
-/// between pages are then seen twice, but none is missed.
-async fn list_sourced(
-    store: &Store,
-    kind: ObjectKind,
-    freshness: Freshness,
-) -> Result<Listed, StoreError> {
-    let mut all: Vec<Object> = Vec::new();
-    let mut since = None;
-    loop {
-        let call = StoreCall::List {
-            kind,
-            after: all
-                .last()
-                .map_or_else(String::new, |last| last.name.clone()),
-            freshness,
-        };
-        let Sourced { answer, source } = page(store, &call, !all.is_empty()).await?;
-        match answer {
-            StoreAnswer::Page {
-                objects,
-                more,
-                revision,
-                ..
-            } => {
-                let ended = !more || objects.is_empty();
-                all.extend(objects);
-                let revision = *since.get_or_insert(revision);
-                if ended {
-                    return Ok(Listed {
-                        objects: all,
-                        revision,
-                        source,
-                    });
-                }
-            }
-            _ => return Err(StoreError::Unknown),
-        }
-    }
-}
--- a/crates/node/src/load_logger.rs
+++ b/crates/node/src/load_logger.rs
@@ -7,8 +7,8 @@
 use firweir::process::log::Journal;
 
 use crate::fleet::Fleet;
-use crate::follow::Seeds;
 use crate::holder::DutyHolder;
+use crate::seeds::Seeds;
 use crate::store::Store;
 use crate::submission::homes::Homes;
 use crate::submission::records::NodeRef;
--- a/crates/node/src/submission/home_finder.rs
+++ b/crates/node/src/submission/home_finder.rs
@@ -15,11 +15,11 @@
 
 use crate::connection_pool::CallError;
 use crate::connection_pool::ConnectionPool;
-use crate::follow::Seeds;
 use crate::roster::HOME_PATH;
 use crate::roster::HomeOffer;
 use crate::roster::HomeQuestion;
 use crate::roster::Roster;
+use crate::seeds::Seeds;
 use crate::submission::homes::Homes;
 use crate::submission::records::NodeRef;
 
--- a/crates/node/src/submission/manager.rs
+++ b/crates/node/src/submission/manager.rs
@@ -32,7 +32,7 @@
 use crate::dialect::StoreError;
 use crate::drafting::Drafting;
 use crate::duty::BootClock;
-use crate::follow::list;
+use crate::listing::list;
 use crate::mechanisms::EnabledMechanisms;
 use crate::mechanisms::Mechanism;
 use crate::model::ItemResult;
