--- a/crates/firweir/src/connection/fair_stream.rs
+++ b/crates/firweir/src/connection/fair_stream.rs
@@ -1,4 +1,4 @@
-//! A stream that lets its task do something else between reads.
+//! An accepted connection that lets its task go on to other work between reads.
 //!
 //! The HTTP library reads a body for as long as bytes are there and none of them ends a chunk. A client
 //! that sends without pause would so use up the task's budget of tokio at each poll, and no timer of the
@@ -18,7 +18,7 @@
 /// Reads in a row, of 64 KB at most, after which the task goes on to its other work.
 const MAX_READS_IN_A_ROW: u8 = 4;
 
-/// The stream.
+/// A connection that is pending after a few reads in a row.
 pub(crate) struct FairStream {
     conn: BoxConn,
     reads_in_a_row: u8,
