--- a/crates/node/src/request_handler/peer_requests.rs
+++ b/crates/node/src/request_handler/peer_requests.rs
@@ -40,7 +40,7 @@
 use crate::submission::runners::account_from_header;
 use crate::usage::counter::USAGE_PATH;
 
-/// Time for the body of another node's request.
+/// Time for the body of another node's request, which that sends at once.
 const PEER_BODY_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Largest body of a store call that is made for another node; the store limits values to a
