A body takes the memory of its bytes, however small the chunks that it comes in

What callers saw: 64 requests of 200,000 one-byte chunks, 0.2 MB each, took 497 MB, and one body of 4 MiB in such chunks 170 MB: the process ended.

Cause: each part of a body was kept as it arrived, with 32 bytes and more of its own and the buffer that it was read into, until the body was whole.

Change: parts are copied into blocks of 4 to 64 KB, or of the announced length if that is less, and given back at once. Trailers are not kept.

Why it works: what is held is the bytes and at most one block that is not full.

--- a/crates/firweir/src/connection/mod.rs
+++ b/crates/firweir/src/connection/mod.rs
@@ -1,5 +1,7 @@
 //! What lives as long as a connection: transports, HTTP and peer links.
 
+pub mod blocks;
+pub mod body;
 pub mod client;
 mod fair_stream;
 pub mod net;
--- a/crates/firweir/src/connection/server.rs
+++ b/crates/firweir/src/connection/server.rs
@@ -12,7 +12,6 @@
 use http::Response;
 use http::StatusCode;
 use http_body_util::BodyExt;
-use http_body_util::Full;
 use http_body_util::combinators::UnsyncBoxBody;
 use hyper::body::Incoming;
 use hyper_util::rt::TokioIo;
@@ -22,6 +21,8 @@
 use hyper_util::service::TowerToHyperService;
 use serde::Serialize;
 
+use crate::connection::blocks::Blocks;
+use crate::connection::body::collect;
 use crate::connection::fair_stream::FairStream;
 use crate::connection::net::SharedNet;
 use crate::process::tasks::Tasks;
@@ -119,9 +120,12 @@
 
 /// An answer with these bytes as its body.
 pub fn bytes_response(status: StatusCode, bytes: Bytes) -> Response<Body> {
-    let body = Full::new(bytes)
-        .map_err(|never| match never {})
-        .boxed_unsync();
+    blocks_response(status, bytes.into())
+}
+
+/// An answer with this body.
+pub fn blocks_response(status: StatusCode, body: Blocks) -> Response<Body> {
+    let body = body.map_err(|never| match never {}).boxed_unsync();
     let mut response = Response::new(body);
     *response.status_mut() = status;
     response
@@ -129,10 +133,6 @@
 
 /// Reads a whole request body, or `None` if it is broken or above the limit.
 pub async fn read_body(body: Incoming, limit_bytes: usize) -> Option<Bytes> {
-    let limited = http_body_util::Limited::new(body, limit_bytes);
-    limited
-        .collect()
-        .await
-        .ok()
-        .map(http_body_util::Collected::to_bytes)
+    let read = collect(body, limit_bytes).await.ok()?;
+    Some(read.to_bytes())
 }
