A body and an answer are held once

What callers saw: a single legal body of 32 MiB took 115 MB on an idle node, more than its VM has on some installations (88 or 110 MB).

Cause: the parts of a body and of an answer were copied into one piece while the parts were still held, and the answer was given to the connection as one piece, which was freed only when its last byte was sent.

Change: requests to upstreams and answers to clients are sent from the blocks that they were read into; a block of an answer is freed once it is sent. The fingerprint of a call is the same hash as before, over the blocks.

--- a/crates/bench/src/caller.rs
+++ b/crates/bench/src/caller.rs
@@ -7,8 +7,8 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use bytes::Bytes;
 use eventsource_stream::Eventsource;
+use firweir::connection::blocks::Blocks;
 use firweir::connection::client::ClientError;
 use firweir::connection::client::HttpClient;
 use firweir::connection::client::json_request;
@@ -27,7 +27,6 @@
 use http::header;
 use http_body_util::BodyDataStream;
 use http_body_util::BodyExt;
-use http_body_util::Full;
 use rand::Rng;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -225,7 +224,7 @@
         (unreachable, Duration::from_secs(1))
     }
 
-    fn request(&self) -> Request<Full<Bytes>> {
+    fn request(&self) -> Request<Blocks> {
         let load = &self.load;
         let body = if load.max_tokens > 0 {
             serde_json::to_vec(&Completion {
--- a/crates/firweir/src/connection/client.rs
+++ b/crates/firweir/src/connection/client.rs
@@ -16,7 +16,6 @@
 use http::StatusCode;
 use http::Uri;
 use http_body_util::BodyExt;
-use http_body_util::Full;
 use http_body_util::Limited;
 use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
@@ -28,6 +27,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+use crate::connection::blocks::Blocks;
 use crate::connection::net::BoxConn;
 use crate::connection::net::SharedNet;
 use crate::process::tasks::Tasks;
@@ -80,7 +80,7 @@
 /// A pooled HTTP client; cheap to clone.
 #[derive(Debug, Clone)]
 pub struct HttpClient {
-    inner: Client<Connector, Full<Bytes>>,
+    inner: Client<Connector, Blocks>,
 }
 
 impl HttpClient {
@@ -99,7 +99,7 @@
     pub async fn send(
         &self,
         to: SocketAddr,
-        request: Request<Full<Bytes>>,
+        request: Request<Blocks>,
     ) -> Result<Response<Incoming>, ClientError> {
         let (mut parts, body) = request.into_parts();
         parts.uri = absolute(to, &parts.uri)?;
@@ -117,7 +117,7 @@
     pub async fn call(
         &self,
         to: SocketAddr,
-        request: Request<Full<Bytes>>,
+        request: Request<Blocks>,
         timeout: Duration,
     ) -> Result<Response<Bytes>, ClientError> {
         let whole = async {
@@ -169,8 +169,8 @@
 
 /// A request with a JSON body.
 #[must_use]
-pub fn json_request(method: Method, path: &str, body: Vec<u8>) -> Request<Full<Bytes>> {
-    let mut request = Request::new(Full::new(Bytes::from(body)));
+pub fn json_request(method: Method, path: &str, body: Vec<u8>) -> Request<Blocks> {
+    let mut request = Request::new(Blocks::from(Bytes::from(body)));
     *request.method_mut() = method;
     *request.uri_mut() = path.parse().unwrap_or_default();
     let json = http::HeaderValue::from_static("application/json");
--- a/crates/firweir/src/connection/object.rs
+++ b/crates/firweir/src/connection/object.rs
@@ -14,12 +14,12 @@
 use http::Response;
 use http::StatusCode;
 use http::header;
-use http_body_util::Full;
 use quick_error::quick_error;
 use serde::Deserialize;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+use crate::connection::blocks::Blocks;
 use crate::connection::client::ClientError;
 use crate::connection::client::HttpClient;
 use crate::connection::client::json_request;
@@ -252,7 +252,7 @@
 
     async fn call(
         &self,
-        request: Request<Full<Bytes>>,
+        request: Request<Blocks>,
         timeout: Duration,
     ) -> Result<Response<Bytes>, ObjectError> {
         let response = self
--- a/crates/firweir/src/request/call.rs
+++ b/crates/firweir/src/request/call.rs
@@ -24,7 +24,6 @@
 use http::StatusCode;
 use http::header;
 use http_body_util::BodyExt;
-use http_body_util::Full;
 use http_body_util::Limited;
 use http_body_util::StreamBody;
 use hyper::body::Body as HttpBody;
@@ -36,6 +35,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use crate::connection::blocks::Blocks;
 use crate::connection::client::ClientError;
 use crate::connection::client::within;
 use crate::connection::server::Body;
@@ -329,8 +329,8 @@
         Err(Failure { ending, upstream })
     }
 
-    pub(in crate::request) fn upstream_request(&self, body: Bytes) -> Request<Full<Bytes>> {
-        let mut request = Request::new(Full::new(body));
+    pub(in crate::request) fn upstream_request(&self, body: Bytes) -> Request<Blocks> {
+        let mut request = Request::new(Blocks::from(body));
         *request.method_mut() = self.head.method.clone();
         *request.uri_mut() = self.head.path.parse().unwrap_or_default();
         *request.headers_mut() = without_hop_headers(&self.headers);
--- a/crates/node/src/connection_pool.rs
+++ b/crates/node/src/connection_pool.rs
@@ -17,14 +17,13 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use firweir::connection::blocks::Blocks;
+use firweir::connection::body::collect;
 use firweir::process::clock::Clock;
 use http::HeaderMap;
 use http::Request;
 use http::Response;
 use http::header;
-use http_body_util::BodyExt;
-use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
@@ -140,7 +139,7 @@
 /// An open connection; closed when dropped.
 #[derive(Debug)]
 struct OpenConnection {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<Blocks>,
     driver: AbortHandle,
     /// What the peer may still send.
     allowance: ByteAllowance,
@@ -263,7 +262,7 @@
     pub async fn send(
         &self,
         to: SocketAddr,
-        request: Request<Full<Bytes>>,
+        request: Request<Blocks>,
     ) -> Result<StreamingResponse, CallError> {
         self.send_with(to, request, ConnectionChoice::Any, |_headers| {})
             .await
@@ -278,7 +277,7 @@
     pub async fn send_with(
         &self,
         to: SocketAddr,
-        mut request: Request<Full<Bytes>>,
+        mut request: Request<Blocks>,
         choice: ConnectionChoice,
         set_headers: impl Fn(&mut HeaderMap),
     ) -> Result<StreamingResponse, CallError> {
@@ -326,14 +325,14 @@
     pub async fn call(
         &self,
         to: SocketAddr,
-        request: Request<Full<Bytes>>,
+        request: Request<Blocks>,
         timeout: Duration,
     ) -> Result<Response<Bytes>, CallError> {
         let complete = async {
             let response = self.send(to, request).await?;
             let (head, body) = response.answer.into_parts();
             response.connection.allow_body(MAX_ANSWER_BYTES);
-            let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
+            let body = collect(body, MAX_ANSWER_BYTES).await;
             let body = body.map_err(|_broken| CallError::Broken)?.to_bytes();
             response.connection.return_to_pool();
             Ok(Response::from_parts(head, body))
--- a/crates/node/src/dialect.rs
+++ b/crates/node/src/dialect.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use firweir::connection::blocks::Blocks;
 use firweir_policy::scaling::CapacityType;
 use firweir_policy::work::ReportedLoad;
 use http::HeaderMap;
@@ -13,7 +14,6 @@
 use http::StatusCode;
 use http::request;
 use http::response;
-use http_body_util::Full;
 use quick_error::quick_error;
 use serde_json::value::RawValue;
 
@@ -495,17 +495,14 @@
     fn generation_request(
         &self,
         generation: &GenerationRequest<'_>,
-    ) -> Result<Request<Full<Bytes>>, BadMessage>;
+    ) -> Result<Request<Blocks>, BadMessage>;
 
     /// Writes the request for an item's score.
     ///
     /// # Errors
     ///
     /// The call's id, host, path or body are unusable.
-    fn reward_request(
-        &self,
-        request: &RewardRequest<'_>,
-    ) -> Result<Request<Full<Bytes>>, BadMessage>;
+    fn reward_request(&self, request: &RewardRequest<'_>) -> Result<Request<Blocks>, BadMessage>;
 
     /// The decoded body of an item.
     ///
@@ -522,22 +519,22 @@
     fn stream_event(&self, event: &[u8]) -> Result<StreamEvent, BadMessage>;
 
     /// Writes an order to load weights.
-    fn weight_order(&self, order: &WeightOrder<'_>) -> Request<Full<Bytes>>;
+    fn weight_order(&self, order: &WeightOrder<'_>) -> Request<Blocks>;
 
     /// Reads the answer to an order.
     fn order_answer(&self, status: StatusCode) -> OrderAnswer;
 
     /// Writes a report of usage.
-    fn usage_report(&self, report: &UsageReport<'_>) -> Request<Full<Bytes>>;
+    fn usage_report(&self, report: &UsageReport<'_>) -> Request<Blocks>;
 
     /// Writes an order of upstreams.
-    fn scale_order(&self, order: &ScaleOrder<'_>) -> Request<Full<Bytes>>;
+    fn scale_order(&self, order: &ScaleOrder<'_>) -> Request<Blocks>;
 
     /// Reads the platform's answer to a call that only the holder of a duty makes.
     fn duty_answer(&self, status: StatusCode) -> DutyAnswer;
 
     /// Writes the request for an upstream's report.
-    fn engine_report_request(&self, upstream: &Upstream) -> Request<Full<Bytes>>;
+    fn engine_report_request(&self, upstream: &Upstream) -> Request<Blocks>;
 
     /// Reads an upstream's report.
     ///
@@ -547,7 +544,7 @@
     fn engine_report(&self, body: &[u8]) -> Result<EngineReport, BadMessage>;
 
     /// Writes a call of the store.
-    fn store_request(&self, call: &StoreCall) -> Request<Full<Bytes>>;
+    fn store_request(&self, call: &StoreCall) -> Request<Blocks>;
 
     /// Reads the store's answer to a call.
     ///
--- a/crates/node/src/failure_exchange.rs
+++ b/crates/node/src/failure_exchange.rs
@@ -12,12 +12,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use firweir::connection::blocks::Blocks;
 use firweir::connection::client::within;
 use http::Method;
 use http::Request;
 use http::StatusCode;
 use http::Uri;
-use http_body_util::Full;
 use rand::Rng;
 use serde::Deserialize;
 use serde::Serialize;
@@ -307,9 +307,9 @@
     serde_json::from_slice(body).ok()
 }
 
-fn request<T: Serialize>(path: &'static str, body: &T) -> Result<Request<Full<Bytes>>, CallError> {
+fn request<T: Serialize>(path: &'static str, body: &T) -> Result<Request<Blocks>, CallError> {
     let body = serde_json::to_vec(body).map_err(|_never| CallError::NotSent)?;
-    let mut request = Request::new(Full::new(Bytes::from(body)));
+    let mut request = Request::new(Blocks::from(Bytes::from(body)));
     *request.method_mut() = Method::POST;
     *request.uri_mut() = Uri::from_static(path);
     Ok(request)
--- a/crates/node/src/fingerprint.rs
+++ b/crates/node/src/fingerprint.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 
+use firweir::connection::blocks::Blocks;
 use http::request;
 use xxhash_rust::xxh3::Xxh3;
 
@@ -24,15 +25,19 @@
 impl Fingerprint {
     /// The fingerprint of a client's call: its method, path, query, account and body.
     #[must_use]
-    pub fn of_call(head: &request::Parts, account: Option<&str>, body: &[u8]) -> Self {
+    pub fn of_call(head: &request::Parts, account: Option<&str>, body: &Blocks) -> Self {
         let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
-        Self::of_parts(&[
+        let mut hasher = Xxh3::new();
+        let parts = [
             b"call",
             head.method.as_str().as_bytes(),
             path.as_bytes(),
             account.unwrap_or_default().as_bytes(),
-            body,
-        ])
+        ];
+        parts.iter().for_each(|part| add_part(&mut hasher, part));
+        hasher.update(&body.len().to_le_bytes());
+        body.iter().for_each(|block| hasher.update(block));
+        Self::of_hash(&hasher)
     }
 
     /// The fingerprint of an item, for answers that its run failed.
@@ -67,10 +72,17 @@
     /// Hashes parts with their lengths, so that no two lists of parts run together.
     fn of_parts(parts: &[&[u8]]) -> Self {
         let mut hasher = Xxh3::new();
-        for part in parts {
-            hasher.update(&part.len().to_le_bytes());
-            hasher.update(part);
-        }
+        parts.iter().for_each(|part| add_part(&mut hasher, part));
+        Self::of_hash(&hasher)
+    }
+
+    fn of_hash(hasher: &Xxh3) -> Self {
         Self(hasher.digest() >> DROPPED_BITS)
     }
 }
+
+/// Adds a part with its length.
+fn add_part(hasher: &mut Xxh3, part: &[u8]) {
+    hasher.update(&part.len().to_le_bytes());
+    hasher.update(part);
+}
--- a/crates/node/src/follow_seeds.rs
+++ b/crates/node/src/follow_seeds.rs
@@ -5,9 +5,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use firweir::connection::blocks::Blocks;
 use firweir_policy::relist::ListCost;
 use http::Request;
-use http_body_util::Full;
 use rand::Rng;
 
 use crate::config_news::NewsSource;
@@ -177,7 +177,7 @@
     async fn poll_seed(&mut self, seed: SocketAddr, name: &str) -> Option<PolledAnswer> {
         let sent = self.sources.boot_clock.since_boot();
         let query = self.relay_request().to_query();
-        let mut request = Request::new(Full::new(Bytes::new()));
+        let mut request = Request::new(Blocks::from(Bytes::new()));
         *request.uri_mut() = format!("{RELAY_PATH}{name}?{query}").parse().ok()?;
         // Requests for one kind are enough to announce this node as a member.
         if self.kind == ObjectKind::Duties
--- a/crates/node/src/holder.rs
+++ b/crates/node/src/holder.rs
@@ -23,11 +23,11 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use firweir::connection::blocks::Blocks;
 use firweir::connection::client::within;
 use firweir::process::clock::Clock;
 use firweir::process::log::Journal;
 use http::Request;
-use http_body_util::Full;
 
 use crate::change::Change;
 use crate::connection_pool::CallError;
@@ -378,7 +378,7 @@
     }
 
     async fn ask(&self, holder: SocketAddr) -> Result<HolderAnswer, CallError> {
-        let mut request = Request::new(Full::new(Bytes::new()));
+        let mut request = Request::new(Blocks::from(Bytes::new()));
         *request.uri_mut() = http::Uri::from_static(DUTY_HOLDER_PATH);
         let connections = &self.parts.connections;
         let answer = connections.call(holder, request, PING_TIMEOUT).await?;
--- a/crates/node/src/live.rs
+++ b/crates/node/src/live.rs
@@ -7,11 +7,11 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use bytes::Bytes;
+use firweir::connection::blocks::Blocks;
+use firweir::connection::body::collect;
 use firweir::connection::client::within;
 use firweir::connection::server::Body;
-use firweir::connection::server::bytes_response;
-use firweir::connection::server::read_body;
+use firweir::connection::server::blocks_response;
 use firweir::process::clock::Clock;
 use firweir::process::entry::balanced;
 use firweir::request::gate::Ask;
@@ -29,7 +29,6 @@
 use http::StatusCode;
 use http::request;
 use http_body_util::BodyExt;
-use http_body_util::Full;
 use hyper::body::Incoming;
 use tokio::sync::SemaphorePermit;
 use xxhash_rust::xxh3::xxh3_64;
@@ -127,7 +126,7 @@
     routed: &'a RoutedCall,
     account: Option<&'a str>,
     head: &'a request::Parts,
-    body: Bytes,
+    body: Blocks,
     fingerprint: Fingerprint,
     started: Instant,
     deadline: Instant,
@@ -242,7 +241,7 @@
     }
 
     /// Reads the body of a call; the error is the answer to a call that is not taken.
-    async fn read_body(&self, body: Incoming, deadline: Instant) -> Result<Bytes, Response<Body>> {
+    async fn read_body(&self, body: Incoming, deadline: Instant) -> Result<Blocks, Response<Body>> {
         let shutdown = &self.shared.shutdown;
         let shutting_down = || {
             self.shared.journal.count("live.shutting_down");
@@ -253,15 +252,15 @@
         }
         let limit = self.shared.fleet.config().max_body_bytes;
         let time_to_read = deadline.saturating_duration_since(self.shared.clock.now());
-        let reading = pin!(within(time_to_read, read_body(body, limit)));
+        let reading = pin!(within(time_to_read, collect(body, limit)));
         let Some(read) = shutdown.before_answer_due(reading).await else {
             return Err(shutting_down());
         };
         match read {
             // A long body may have arrived after the beginning of a shutdown.
-            Some(Some(_)) if !shutdown.may_take(deadline) => Err(shutting_down()),
-            Some(Some(body)) => Ok(body),
-            Some(None) => {
+            Some(Ok(_)) if !shutdown.may_take(deadline) => Err(shutting_down()),
+            Some(Ok(body)) => Ok(body),
+            Some(Err(_)) => {
                 let status = StatusCode::PAYLOAD_TOO_LARGE;
                 Err(refusal(Outcome::BadRequest(status), "body-too-large"))
             }
@@ -444,8 +443,8 @@
         outcome
     }
 
-    fn upstream_request(&self, call: &Call<'_>, upstream: &Upstream) -> Request<Full<Bytes>> {
-        let mut request = Request::new(Full::new(call.body.clone()));
+    fn upstream_request(&self, call: &Call<'_>, upstream: &Upstream) -> Request<Blocks> {
+        let mut request = Request::new(call.body.clone());
         *request.method_mut() = call.head.method.clone();
         *request.uri_mut() = call.head.uri.clone();
         let headers = &call.head.headers;
@@ -460,7 +459,7 @@
         self: &Arc<Self>,
         call: &Call<'_>,
         upstream: &Upstream,
-        request: Request<Full<Bytes>>,
+        request: Request<Blocks>,
         permit: Permit,
         tracked: TrackedRequest,
     ) -> TryOutcome {
@@ -539,7 +538,7 @@
         if shows_complete_run(status) {
             self.shared.failed_requests.clear(call.fingerprint);
         }
-        let mut answer = bytes_response(status, body);
+        let mut answer = blocks_response(status, body);
         *answer.headers_mut() = headers;
         if status.is_server_error() {
             permit.finish_with_load(Ending::Failed, load);
--- a/crates/node/src/request_handler/peer_requests.rs
+++ b/crates/node/src/request_handler/peer_requests.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use firweir::connection::blocks::Blocks;
 use firweir::connection::client::within;
 use firweir::connection::server::Body;
 use firweir::connection::server::json;
@@ -14,7 +15,6 @@
 use http::Response;
 use http::StatusCode;
 use http::Uri;
-use http_body_util::Full;
 use hyper::body::Incoming;
 
 use crate::dialect::ClientCall;
@@ -132,7 +132,7 @@
         let Some(body) = read_peer_body(body, MAX_STORE_CALL_BYTES).await else {
             return empty(StatusCode::PAYLOAD_TOO_LARGE);
         };
-        let mut request = Request::new(Full::new(body));
+        let mut request = Request::new(Blocks::from(body));
         *request.method_mut() = head.method.clone();
         *request.uri_mut() = uri;
         match self
--- a/crates/node/src/submission/accept.rs
+++ b/crates/node/src/submission/accept.rs
@@ -3,12 +3,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use firweir::connection::blocks::Blocks;
 use firweir::connection::server::Body;
 use http::Request;
 use http::Response;
 use http::StatusCode;
 use http::request;
-use http_body_util::Full;
 use tokio::sync::watch;
 
 use crate::dialect::ObjectKind;
@@ -155,7 +155,7 @@
 
     /// Forwards a submission to the home of its model.
     async fn forward_to_home(&self, home: &NodeRef, posted: &SubmissionRequest<'_>) -> Forwarded {
-        let mut request = Request::new(Full::new(posted.body.clone()));
+        let mut request = Request::new(Blocks::from(posted.body.clone()));
         *request.method_mut() = posted.head.method.clone();
         *request.uri_mut() = posted.head.uri.clone();
         *request.headers_mut() = posted.head.headers.clone();
--- a/crates/node/src/submission/home_finder.rs
+++ b/crates/node/src/submission/home_finder.rs
@@ -5,13 +5,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use firweir::connection::blocks::Blocks;
 use firweir::process::clock::Clock;
 use firweir::process::log::Journal;
 use futures_util::future::join_all;
 use http::Method;
 use http::Request;
 use http::Uri;
-use http_body_util::Full;
 
 use crate::connection_pool::CallError;
 use crate::connection_pool::ConnectionPool;
@@ -100,7 +100,7 @@
         question: &HomeQuestion,
     ) -> Result<Option<HomeOffer>, CallError> {
         let body = serde_json::to_vec(question).map_err(|_never| CallError::NotSent)?;
-        let mut request = Request::new(Full::new(Bytes::from(body)));
+        let mut request = Request::new(Blocks::from(Bytes::from(body)));
         *request.method_mut() = Method::POST;
         *request.uri_mut() = Uri::from_static(HOME_PATH);
         let answer = self.connections.call(seed, request, SEED_TIMEOUT).await?;
--- a/crates/node/src/submission/runners.rs
+++ b/crates/node/src/submission/runners.rs
@@ -9,6 +9,7 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use firweir::connection::blocks::Blocks;
 use firweir::process::clock::Clock;
 use http::HeaderMap;
 use http::HeaderName;
@@ -17,7 +18,6 @@
 use http::Response;
 use http::header;
 use http::request;
-use http_body_util::Full;
 
 use crate::connection_pool::CallError;
 use crate::connection_pool::ConnectionPool;
@@ -85,7 +85,7 @@
             Question::Results { wait, .. } => *wait,
             Question::Item(_) | Question::End => Duration::ZERO,
         };
-        let mut request = Request::new(Full::new(Bytes::new()));
+        let mut request = Request::new(Blocks::from(Bytes::new()));
         *request.method_mut() = call.method.clone();
         *request.uri_mut() = call.uri.clone();
         *request.headers_mut() = call.headers.clone();
@@ -118,7 +118,7 @@
     }
 
     async fn ping(&self, node: SocketAddr, timeout: Duration) -> Result<(), CallError> {
-        let mut request = Request::new(Full::new(Bytes::new()));
+        let mut request = Request::new(Blocks::from(Bytes::new()));
         *request.uri_mut() = http::Uri::from_static(PING_PATH);
         self.connections
             .call(node, request, timeout)
--- a/crates/node/src/upstream_answer.rs
+++ b/crates/node/src/upstream_answer.rs
@@ -9,14 +9,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use firweir::connection::blocks::Blocks;
+use firweir::connection::body::BodyError;
+use firweir::connection::body::collect;
 use firweir::connection::client::within;
 use http::HeaderMap;
 use http::Request;
 use http::Response;
 use http::StatusCode;
-use http_body_util::BodyExt;
-use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::body::Incoming;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -47,7 +47,7 @@
     /// Id that its answer has to name; empty if it has none.
     pub(crate) request_id: &'a str,
     /// The request, with that id among its headers.
-    pub(crate) request: Request<Full<Bytes>>,
+    pub(crate) request: Request<Blocks>,
 }
 
 /// An answer that belongs to the request which was sent.
@@ -63,10 +63,6 @@
     connection: PooledConnection,
 }
 
-/// The body of an answer could not be read to its end; the connection is closed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) struct BrokenBody;
-
 impl Shared {
     /// Sends a request to an upstream and returns its answer, whose body is still being received;
     /// `set_headers` is called once a connection is open. A request is never sent twice on one
@@ -116,7 +112,7 @@
     connections: &ConnectionPool,
     dialect: &dyn Dialect,
     to: SocketAddr,
-    request: Request<Full<Bytes>>,
+    request: Request<Blocks>,
     timeout: Duration,
 ) -> Result<Response<Bytes>, CallError> {
     let request = UpstreamRequest {
@@ -129,7 +125,7 @@
         let mut answer = Response::new(Bytes::new());
         *answer.status_mut() = own.status;
         let body = own.read_body(MAX_CONTROL_ANSWER_BYTES).await;
-        *answer.body_mut() = body.map_err(|_broken| CallError::Broken)?;
+        *answer.body_mut() = body.map_err(|_broken| CallError::Broken)?.to_bytes();
         Ok(answer)
     };
     within(timeout, complete)
@@ -163,12 +159,11 @@
     }
 
     /// Reads the body to its end and returns the connection to the pool.
-    pub(crate) async fn read_body(self, limit_bytes: usize) -> Result<Bytes, BrokenBody> {
+    pub(crate) async fn read_body(self, limit_bytes: usize) -> Result<Blocks, BodyError> {
         self.connection.allow_body(limit_bytes);
-        let body = Limited::new(self.body, limit_bytes).collect().await;
-        let body = body.map_err(|_broken| BrokenBody)?;
+        let body = collect(self.body, limit_bytes).await?;
         self.connection.return_to_pool();
-        Ok(body.to_bytes())
+        Ok(body)
     }
 
     /// Reads the body of an answer to a request that did not run, so that its connection can be
--- a/crates/node/src/usage/counter.rs
+++ b/crates/node/src/usage/counter.rs
@@ -12,10 +12,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use firweir::connection::blocks::Blocks;
 use firweir::process::clock::Clock;
 use http::Method;
 use http::Request;
-use http_body_util::Full;
 use serde::Deserialize;
 use serde::Serialize;
 use tokio::sync::Notify;
@@ -286,7 +286,7 @@
     ) -> Result<CountsReply, CallError> {
         // Strings and numbers only, so that encoding cannot fail.
         let body = serde_json::to_vec(counts).unwrap_or_default();
-        let mut request = Request::new(Full::new(Bytes::from(body)));
+        let mut request = Request::new(Blocks::from(Bytes::from(body)));
         *request.method_mut() = Method::POST;
         *request.uri_mut() = http::Uri::from_static(USAGE_PATH);
         let answer = self
@@ -344,7 +344,7 @@
         let settings = self.inner.settings.now();
         let seeds = settings.seeds.iter().copied();
         for seed in seeds.filter(|seed| Some(*seed) != settings.peer_listen) {
-            let mut request = Request::new(Full::new(Bytes::new()));
+            let mut request = Request::new(Blocks::from(Bytes::new()));
             *request.uri_mut() = http::Uri::from_static(USAGE_PATH);
             let Ok(answer) = self
                 .inner
--- a/crates/node/src/weights.rs
+++ b/crates/node/src/weights.rs
@@ -9,6 +9,7 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use firweir::connection::blocks::Blocks;
 use firweir::process::clock::Clock;
 use firweir::process::log::Journal;
 use firweir_policy::load_limit::LoadLimit;
@@ -21,7 +22,6 @@
 use firweir_policy::work::UpstreamKey;
 use http::Request;
 use http::Response;
-use http_body_util::Full;
 use rand::Rng;
 
 use crate::connection_pool::CallError;
@@ -443,7 +443,7 @@
     async fn call(
         &self,
         upstream: &Upstream,
-        request: Request<Full<Bytes>>,
+        request: Request<Blocks>,
     ) -> Result<Response<Bytes>, CallError> {
         let parts = &self.shared.parts;
         let (connections, dialect) = (&parts.connections, &*parts.dialect);
--- a/crates/node/tests/connection_pool.rs
+++ b/crates/node/tests/connection_pool.rs
@@ -8,12 +8,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use firweir::connection::blocks::Blocks;
 use firweir::process::clock::SystemClock;
 use firweir_node::connection_pool::ConnectionChoice;
 use firweir_node::connection_pool::ConnectionPool;
 use http::HeaderMap;
 use http::Request;
-use http_body_util::Full;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
@@ -65,7 +65,7 @@
             let accepting = seen.load(Ordering::SeqCst).to_string();
             headers.insert("x-accepting", accepting.parse().expect("a plain value"));
         };
-        let request = Request::new(Full::new(Bytes::new()));
+        let request = Request::new(Blocks::from(Bytes::new()));
         connections
             .send_with(address, request, ConnectionChoice::Any, set_headers)
             .await
@@ -92,7 +92,7 @@
     let connections = ConnectionPool::with_max_idle(Arc::new(SystemClock), 2);
     for _ in 0..5 {
         let to = serve(&open).await;
-        let request = Request::new(Full::new(Bytes::new()));
+        let request = Request::new(Blocks::from(Bytes::new()));
         let answer = connections.call(to, request, Duration::from_secs(5)).await;
         assert_eq!(answer.expect("it is answered").status(), 200);
     }
@@ -160,7 +160,7 @@
         let to = serve(&open).await;
         let connections = ConnectionPool::new(Arc::new(SystemClock));
         for choice in case.choices {
-            let request = Request::new(Full::new(Bytes::new()));
+            let request = Request::new(Blocks::from(Bytes::new()));
             let sent = connections.send_with(to, request, choice, |_headers| {});
             let sent = sent.await.expect("it is answered");
             drop(sent.answer);
