A body that announces more than the limit is refused before it is read

What callers saw: 64 requests that announced 256 MiB and sent 4 MiB took 279 MB.

Cause: the announced length was not looked at; the body was read and kept until it was over the limit.

Change: a body whose announced length is over the limit is answered with 413 at once, and nothing of it is read. A client that waits for "100 Continue" gets the refusal instead.

--- a/crates/firweir/src/connection/body.rs
+++ b/crates/firweir/src/connection/body.rs
@@ -23,7 +23,7 @@
     }
 }
 
-/// Reads a whole body of at most `limit_bytes`.
+/// Reads a whole body of at most `limit_bytes`. Nothing is read of a body that announces more.
 ///
 /// # Errors
 ///
@@ -32,7 +32,11 @@
 where
     B: Body<Data = Bytes> + Unpin,
 {
-    let mut buffer = BlockBuffer::new(announced_length(&body));
+    let announced_bytes = announced_length(&body);
+    if announced_bytes.is_some_and(|bytes| bytes > limit_bytes) {
+        return Err(BodyError::TooLarge);
+    }
+    let mut buffer = BlockBuffer::new(announced_bytes);
     while let Some(part) = next_part(&mut body).await {
         let part = part?;
         if buffer.len() + part.len() > limit_bytes {
