Requests share one budget of memory

What callers saw: 64 requests of 4 MiB, each legal, most of them one byte short of their end, took 280 MB: the process ended, and every call in it with it.

Cause: each request was bounded alone; nothing counted what all hold together, neither bodies being read nor bodies and answers of running calls.

Change: blocks of bodies and of answers are taken from one budget for the process, by default half of memory_mb (request_memory_mb sets it). A body that finds no memory is answered at once with 503 and its promise; nothing of it was run or kept. Nobody waits for memory, so partial bodies cannot wait for each other. Before that, the memory of a client that stands still is taken: each byte received counts for the time that a client of 16 KB/s needs for it, up to 500 ms; who has used that up for the longest time is refused. A slow upload that goes on is so told from one that stands still or trickles. An answer that finds no memory is passed on as it arrives, since the request has run. Bodies of other nodes' requests are in the same budget. A broken body is answered with 400 and no longer called too large. A refused body has a line call_refused with its reason, and counters.

--- a/crates/firweir/src/connection/blocks.rs
+++ b/crates/firweir/src/connection/blocks.rs
@@ -15,6 +15,8 @@
 use hyper::body::Frame;
 use hyper::body::SizeHint;
 
+use crate::connection::memory_budget::Reservation;
+
 /// Largest block.
 const MAX_BLOCK_BYTES: usize = 64 << 10;
 
@@ -103,11 +105,24 @@
     }
 }
 
+/// A block with its share of the memory budget.
+struct HeldBlock {
+    bytes: Vec<u8>,
+    _reservation: Option<Reservation>,
+}
+
+impl AsRef<[u8]> for HeldBlock {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
 /// Collects the parts of a body into blocks.
 #[derive(Debug)]
 pub(crate) struct BlockBuffer {
     whole: Blocks,
     open: Vec<u8>,
+    open_reservation: Option<Reservation>,
     announced_bytes: Option<usize>,
 }
 
@@ -117,6 +132,7 @@
         Self {
             whole: Blocks::default(),
             open: Vec::new(),
+            open_reservation: None,
             announced_bytes,
         }
     }
@@ -126,6 +142,11 @@
         self.whole.len() + self.open.len()
     }
 
+    /// Bytes of memory that it holds.
+    pub(crate) const fn held_bytes(&self) -> usize {
+        self.whole.len() + self.open.capacity()
+    }
+
     /// Size of the block that is needed before more bytes can be added; `None` if there is room.
     pub(crate) fn block_needed(&self) -> Option<usize> {
         if self.open.len() < self.open.capacity() {
@@ -139,9 +160,10 @@
     }
 
     /// Adds a block of this size.
-    pub(crate) fn add_block(&mut self, bytes: usize) {
+    pub(crate) fn add_block(&mut self, bytes: usize, reservation: Reservation) {
         self.close_block();
         self.open = Vec::with_capacity(bytes);
+        self.open_reservation = Some(reservation);
     }
 
     /// Adds bytes as far as there is room, and removes them from `part`.
@@ -151,6 +173,12 @@
         self.open.extend_from_slice(&fitting);
     }
 
+    /// Adds bytes that are not copied.
+    pub(crate) fn add_shared(&mut self, part: Bytes) {
+        self.close_block();
+        self.whole.push(part);
+    }
+
     /// The body.
     pub(crate) fn finish(mut self) -> Blocks {
         self.close_block();
@@ -158,6 +186,12 @@
     }
 
     fn close_block(&mut self) {
-        self.whole.push(std::mem::take(&mut self.open).into());
+        let block = HeldBlock {
+            bytes: std::mem::take(&mut self.open),
+            _reservation: self.open_reservation.take(),
+        };
+        if !block.bytes.is_empty() {
+            self.whole.push(Bytes::from_owner(block));
+        }
     }
 }
--- /dev/null
+++ b/crates/firweir/src/connection/connection_state.rs
@@ -0,0 +1,116 @@
+//! State of one accepted connection: what it waits for, and whether its client makes progress.
+
+use std::sync::atomic::AtomicU8;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+/// Longest time for which a client that was fast before may send nothing and still counts as making
+/// progress.
+const MAX_CREDIT: Duration = Duration::from_millis(500);
+
+/// Lowest rate at which a client makes progress, in bytes per ms.
+const MIN_BYTES_PER_MS: u64 = 16;
+
+/// What a connection waits for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[repr(u8)]
+enum Phase {
+    /// The body of a request.
+    Receiving,
+    /// Anything else.
+    Other,
+}
+
+/// The state; shared by the connection, its request and the list of open connections.
+#[derive(Debug)]
+pub(crate) struct ConnectionState {
+    epoch: Instant,
+    phase: AtomicU8,
+    /// Until when the client counts as making progress, in ms since the epoch.
+    credit_ms: AtomicU64,
+    refused: Notify,
+}
+
+impl ConnectionState {
+    /// The state of a connection that was accepted now; times are relative to `epoch`.
+    pub(crate) fn new(epoch: Instant) -> Self {
+        Self {
+            epoch,
+            phase: AtomicU8::new(Phase::Other as u8),
+            credit_ms: AtomicU64::new(0),
+            refused: Notify::new(),
+        }
+    }
+
+    /// The body of a request is read until the value is dropped.
+    pub(crate) fn receiving(&self) -> Receiving<'_> {
+        self.grant_credit();
+        self.set_phase(Phase::Receiving);
+        Receiving(self)
+    }
+
+    /// The client has sent bytes.
+    pub(crate) fn record_received(&self, bytes: usize) {
+        self.extend_credit(bytes);
+    }
+
+    /// Whether it waits for a client that makes no progress; the value is since when, in ms.
+    pub(crate) fn stalled_since_ms(&self) -> Option<u64> {
+        let credit_ms = self.credit_ms.load(Ordering::Relaxed);
+        let is_stalled = self.is_in(Phase::Receiving) && credit_ms < self.now_ms();
+        is_stalled.then_some(credit_ms)
+    }
+
+    /// Refuses the request whose body is being read.
+    pub(crate) fn evict(&self) {
+        self.refused.notify_one();
+        // It is not chosen again before it has ended.
+        self.grant_credit();
+    }
+
+    /// Resolves when the request whose body is being read is to be refused.
+    pub(crate) async fn refused(&self) {
+        self.refused.notified().await;
+    }
+
+    fn is_in(&self, phase: Phase) -> bool {
+        self.phase.load(Ordering::Relaxed) == phase as u8
+    }
+
+    fn set_phase(&self, phase: Phase) {
+        self.phase.store(phase as u8, Ordering::Relaxed);
+    }
+
+    fn now_ms(&self) -> u64 {
+        self.epoch.elapsed().as_millis() as u64
+    }
+
+    fn grant_credit(&self) {
+        let until_ms = self.now_ms() + MAX_CREDIT.as_millis() as u64;
+        self.credit_ms.store(until_ms, Ordering::Relaxed);
+    }
+
+    /// Bytes count for the time in which the slowest client may send them.
+    fn extend_credit(&self, bytes: usize) {
+        let now_ms = self.now_ms();
+        let credit_ms = self.credit_ms.load(Ordering::Relaxed).max(now_ms);
+        let extended_ms = credit_ms + bytes as u64 / MIN_BYTES_PER_MS;
+        let max_ms = now_ms + MAX_CREDIT.as_millis() as u64;
+        self.credit_ms
+            .store(extended_ms.min(max_ms), Ordering::Relaxed);
+    }
+}
+
+/// The reading of a body.
+#[derive(Debug)]
+pub(crate) struct Receiving<'a>(&'a ConnectionState);
+
+impl Drop for Receiving<'_> {
+    fn drop(&mut self) {
+        self.0.set_phase(Phase::Other);
+    }
+}
--- /dev/null
+++ b/crates/firweir/src/connection/open_connections.rs
@@ -0,0 +1,215 @@
+//! The accepted connections of a process, whose requests share its memory.
+//!
+//! A request that needs memory while there is none takes it from the client that has made no progress
+//! for the longest time.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+use crate::connection::connection_state::ConnectionState;
+use crate::connection::memory_budget::MemoryBudget;
+use crate::connection::memory_budget::Reservation;
+
+/// Stalled clients that lose their memory for one block.
+const MAX_EVICTIONS_PER_BLOCK: usize = 4;
+
+/// Time in which a client that was evicted gives its memory back.
+const EVICTION_TIME: Duration = Duration::from_millis(100);
+
+/// Number of events since the process started.
+#[derive(Debug, Default)]
+pub struct ConnectionCounts {
+    /// Requests that were refused since their bodies stalled and others needed the memory.
+    pub stalled_bodies: AtomicU64,
+    /// Bodies and answers that found no memory.
+    pub no_memory: AtomicU64,
+}
+
+/// The open connections of a process; cheap to clone.
+#[derive(Debug, Clone)]
+pub struct OpenConnections {
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    epoch: Instant,
+    budget: MemoryBudget,
+    /// In the order of their keys.
+    entries: Mutex<Vec<Entry>>,
+    counts: ConnectionCounts,
+    changed: Notify,
+}
+
+/// Key of an open connection, in the order in which they were accepted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct ConnectionKey(u64);
+
+#[derive(Debug)]
+struct Entry {
+    key: ConnectionKey,
+    state: Arc<ConnectionState>,
+}
+
+impl Default for OpenConnections {
+    fn default() -> Self {
+        Self::new(MemoryBudget::unlimited())
+    }
+}
+
+impl OpenConnections {
+    /// No connections, whose requests share this budget.
+    #[must_use]
+    pub fn new(budget: MemoryBudget) -> Self {
+        let shared = Shared {
+            epoch: Instant::now(),
+            budget,
+            entries: Mutex::default(),
+            counts: ConnectionCounts::default(),
+            changed: Notify::new(),
+        };
+        Self {
+            shared: Arc::new(shared),
+        }
+    }
+
+    /// Number of events so far.
+    #[must_use]
+    pub fn counts(&self) -> &ConnectionCounts {
+        &self.shared.counts
+    }
+
+    /// Resolves when one of the counts has changed.
+    pub async fn counts_changed(&self) {
+        self.shared.changed.notified().await;
+    }
+
+    /// Memory that requests hold now, in bytes.
+    #[must_use]
+    pub fn held_bytes(&self) -> usize {
+        self.shared.budget.held_bytes()
+    }
+
+    /// Registers a connection that was accepted.
+    pub(crate) fn register(&self) -> RegisteredConnection {
+        let mut entries = self.lock();
+        let key = ConnectionKey(entries.last().map_or(0, |last| last.key.0 + 1));
+        let state = Arc::new(ConnectionState::new(self.shared.epoch));
+        entries.push(Entry {
+            key,
+            state: Arc::clone(&state),
+        });
+        RegisteredConnection {
+            client: ClientConnection {
+                connections: self.clone(),
+                state,
+            },
+            key,
+        }
+    }
+
+    /// Takes memory for a request that holds `held_bytes`, from clients that make no progress if
+    /// need be.
+    pub(crate) async fn reserve(&self, bytes: usize, held_bytes: usize) -> Option<Reservation> {
+        let budget = &self.shared.budget;
+        for _ in 0..MAX_EVICTIONS_PER_BLOCK {
+            if let Some(reservation) = budget.try_take(bytes, held_bytes) {
+                return Some(reservation);
+            }
+            let freed = budget.freed();
+            if !self.evict_stalled() {
+                break;
+            }
+            // The next attempt shows whether it has given enough back.
+            _ = tokio::time::timeout(EVICTION_TIME, freed).await;
+        }
+        let reservation = budget.try_take(bytes, held_bytes);
+        if reservation.is_none() {
+            self.count(&self.shared.counts.no_memory);
+        }
+        reservation
+    }
+
+    /// Evicts the client that has made no progress for the longest time, if there is one.
+    fn evict_stalled(&self) -> bool {
+        let entries = self.lock();
+        let stalled = entries
+            .iter()
+            .filter_map(|entry| Some((entry.state.stalled_since_ms()?, &entry.state)));
+        let Some((_, state)) = stalled.min_by_key(|(since_ms, _)| *since_ms) else {
+            return false;
+        };
+        state.evict();
+        self.count(&self.shared.counts.stalled_bodies);
+        true
+    }
+
+    fn count(&self, counter: &AtomicU64) {
+        counter.fetch_add(1, Ordering::Relaxed);
+        self.shared.changed.notify_one();
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Vec<Entry>> {
+        let entries = self.shared.entries.lock();
+        entries.unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// A connection in the list of open ones; it leaves the list when dropped.
+#[derive(Debug)]
+pub(crate) struct RegisteredConnection {
+    client: ClientConnection,
+    key: ConnectionKey,
+}
+
+impl RegisteredConnection {
+    /// What its requests know of it.
+    pub(crate) const fn client(&self) -> &ClientConnection {
+        &self.client
+    }
+}
+
+impl Drop for RegisteredConnection {
+    fn drop(&mut self) {
+        let mut entries = self.client.connections.lock();
+        if let Ok(at) = entries.binary_search_by_key(&self.key, |entry| entry.key) {
+            entries.remove(at);
+        }
+    }
+}
+
+/// The connection that a request came on, among the request's extensions; cheap to clone.
+#[derive(Debug, Clone)]
+pub(crate) struct ClientConnection {
+    connections: OpenConnections,
+    state: Arc<ConnectionState>,
+}
+
+impl Default for ClientConnection {
+    /// A connection that is not registered.
+    fn default() -> Self {
+        let connections = OpenConnections::default();
+        let state = Arc::new(ConnectionState::new(connections.shared.epoch));
+        Self { connections, state }
+    }
+}
+
+impl ClientConnection {
+    /// All connections of its process.
+    pub(crate) const fn connections(&self) -> &OpenConnections {
+        &self.connections
+    }
+
+    /// Its state.
+    pub(crate) const fn state(&self) -> &Arc<ConnectionState> {
+        &self.state
+    }
+}
--- a/crates/firweir/src/connection/server.rs
+++ b/crates/firweir/src/connection/server.rs
@@ -3,6 +3,7 @@
 use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -20,11 +21,15 @@
 use hyper_util::server::graceful::GracefulShutdown;
 use hyper_util::service::TowerToHyperService;
 use serde::Serialize;
+use tower::util::MapRequest;
 
 use crate::connection::blocks::Blocks;
 use crate::connection::body::collect;
+use crate::connection::client_stream::ClientStream;
 use crate::connection::fair_stream::FairStream;
 use crate::connection::net::SharedNet;
+use crate::connection::open_connections::ClientConnection;
+use crate::connection::open_connections::OpenConnections;
 use crate::process::tasks::Tasks;
 
 /// Body of an answer, whole or streamed.
@@ -58,9 +63,7 @@
     BoxHandler::new(service)
 }
 
-/// Serves HTTP at `at` until a drain, which goes on accepting for `linger` and
-/// then lets requests in flight finish. Gives the bound address at once and a
-/// future that ends when the last request has.
+/// As [`serve_among`], with connections whose requests share no memory.
 pub async fn serve(
     net: &SharedNet,
     tasks: &Tasks,
@@ -68,6 +71,23 @@
     linger: Duration,
     handler: BoxHandler,
 ) -> io::Result<(SocketAddr, BoxFuture<'static, ()>)> {
+    let connections = OpenConnections::default();
+    serve_among(&connections, net, tasks, at, linger, handler).await
+}
+
+/// Serves HTTP at `at` until a drain, which goes on accepting for `linger` and
+/// then lets requests in flight finish. Accepted connections are among
+/// `connections`, whose requests share memory. Gives the bound address at once
+/// and a future that ends when the last request has.
+pub async fn serve_among(
+    connections: &OpenConnections,
+    net: &SharedNet,
+    tasks: &Tasks,
+    at: SocketAddr,
+    linger: Duration,
+    handler: BoxHandler,
+) -> io::Result<(SocketAddr, BoxFuture<'static, ()>)> {
+    let connections = connections.clone();
     let mut listener = net.listen(at).await?;
     let address = listener.local_address()?;
     let tasks = tasks.clone();
@@ -94,12 +114,18 @@
                 .timer(TokioTimer::new())
                 .max_buf_size(MAX_HEAD_BYTES)
                 .header_read_timeout(HEADER_TIMEOUT);
-            let service = TowerToHyperService::new(handler.clone());
+            let registered = connections.register();
+            let client = registered.client().clone();
+            let stream = ClientStream::new(FairStream::new(conn), Arc::clone(client.state()));
+            let service = TowerToHyperService::new(with_connection(handler.clone(), client));
             let connection = builder
-                .serve_connection(TokioIo::new(FairStream::new(conn)), service)
+                .serve_connection(TokioIo::new(stream), service)
                 .into_owned();
             let watched = graceful.watch(connection);
-            tasks.spawn(async move { drop(watched.await) });
+            tasks.spawn(async move {
+                drop(watched.await);
+                drop(registered);
+            });
         }
         drop(listener);
         graceful.shutdown().await;
@@ -107,6 +133,17 @@
     Ok((address, Box::pin(serving)))
 }
 
+/// Tells the handler which connection a request came on.
+fn with_connection(
+    handler: BoxHandler,
+    client: ClientConnection,
+) -> MapRequest<BoxHandler, impl FnMut(Request<Incoming>) -> Request<Incoming> + Clone> {
+    MapRequest::new(handler, move |mut request: Request<Incoming>| {
+        request.extensions_mut().insert(client.clone());
+        request
+    })
+}
+
 /// A JSON answer.
 pub fn json<T: Serialize>(status: StatusCode, value: &T) -> Response<Body> {
     let bytes = serde_json::to_vec(value).unwrap_or_default();
--- a/crates/node/src/answer_stream.rs
+++ b/crates/node/src/answer_stream.rs
@@ -5,6 +5,7 @@
 use std::task::Poll;
 
 use bytes::Bytes;
+use firweir::connection::blocks::Blocks;
 use firweir::request::gate::Permit;
 use firweir_policy::work::Ending;
 use hyper::body::Body as HttpBody;
@@ -19,6 +20,8 @@
 
 /// A streamed answer that returns its connection and its slot when it ends.
 pub(crate) struct AnswerStream {
+    /// What was read of the body before; sent first.
+    pub(crate) read: Blocks,
     pub(crate) body: Incoming,
     pub(crate) connection: Option<PooledConnection>,
     pub(crate) permit: Option<Permit>,
@@ -57,6 +60,9 @@
             self.finish(Ending::Failed);
             return Poll::Ready(Some(Err(std::io::ErrorKind::TimedOut.into())));
         }
+        if let Some(block) = self.read.pop() {
+            return Poll::Ready(Some(Ok(Frame::data(block))));
+        }
         match Pin::new(&mut self.body).poll_frame(context) {
             Poll::Ready(Some(Ok(frame))) => Poll::Ready(Some(Ok(frame))),
             // Passed on as an error: a stream that just ends would look complete to the client.
--- a/crates/node/src/live.rs
+++ b/crates/node/src/live.rs
@@ -8,7 +8,9 @@
 use std::time::Instant;
 
 use firweir::connection::blocks::Blocks;
-use firweir::connection::body::collect;
+use firweir::connection::body::BodyError;
+use firweir::connection::body::PendingBody;
+use firweir::connection::body::collect_into;
 use firweir::connection::client::within;
 use firweir::connection::server::Body;
 use firweir::connection::server::blocks_response;
@@ -29,7 +31,6 @@
 use http::StatusCode;
 use http::request;
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use tokio::sync::SemaphorePermit;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -47,6 +48,7 @@
 use crate::respond::Outcome;
 use crate::respond::SHUTDOWN_RETRY_AFTER;
 use crate::respond::SHUTTING_DOWN;
+use crate::respond::body_refusal;
 use crate::respond::reason_of;
 use crate::respond::refusal;
 use crate::shared::Shared;
@@ -177,7 +179,7 @@
         account: Option<&str>,
         route: &Route,
         head: &request::Parts,
-        body: Incoming,
+        body: PendingBody,
     ) -> Response<Body> {
         let timeout = routed
             .timeout
@@ -187,7 +189,10 @@
         let deadline = started + timeout;
         let body = match self.read_body(body, deadline).await {
             Ok(body) => body,
-            Err(refused) => return refused,
+            Err(refused) => {
+                self.log_refused(routed, route, &refused, basis);
+                return refused;
+            }
         };
         let service = pick_target(route, &routed.request_id);
         let call = Call {
@@ -241,7 +246,11 @@
     }
 
     /// Reads the body of a call; the error is the answer to a call that is not taken.
-    async fn read_body(&self, body: Incoming, deadline: Instant) -> Result<Blocks, Response<Body>> {
+    async fn read_body(
+        &self,
+        body: PendingBody,
+        deadline: Instant,
+    ) -> Result<Blocks, Response<Body>> {
         let shutdown = &self.shared.shutdown;
         let shutting_down = || {
             self.shared.journal.count("live.shutting_down");
@@ -252,7 +261,7 @@
         }
         let limit = self.shared.fleet.config().max_body_bytes;
         let time_to_read = deadline.saturating_duration_since(self.shared.clock.now());
-        let reading = pin!(within(time_to_read, collect(body, limit)));
+        let reading = pin!(within(time_to_read, body.receive(limit)));
         let Some(read) = shutdown.before_answer_due(reading).await else {
             return Err(shutting_down());
         };
@@ -260,14 +269,31 @@
             // A long body may have arrived after the beginning of a shutdown.
             Some(Ok(_)) if !shutdown.may_take(deadline) => Err(shutting_down()),
             Some(Ok(body)) => Ok(body),
-            Some(Err(_)) => {
-                let status = StatusCode::PAYLOAD_TOO_LARGE;
-                Err(refusal(Outcome::BadRequest(status), "body-too-large"))
-            }
+            Some(Err(error)) => Err(body_refusal(error, RETRY_AFTER)),
             None => Err(refusal(Outcome::NotRun(RETRY_AFTER), "body-late")),
         }
     }
 
+    /// Logs a call whose body was not taken.
+    fn log_refused(
+        &self,
+        routed: &RoutedCall,
+        route: &Route,
+        refused: &Response<Body>,
+        basis: ConfigBasis,
+    ) {
+        self.shared.journal.count("live.body_refused");
+        let (status, reason) = (refused.status().as_u16(), reason_of(refused));
+        let mut fields: Vec<(&str, &dyn Display)> = vec![
+            ("request", &routed.request_id),
+            ("route", &route.name),
+            ("status", &status),
+            ("reason", &reason),
+        ];
+        fields.extend(basis.fields());
+        self.shared.journal.event("call_refused", &fields);
+    }
+
     fn count_shared_call(&self, progress: &CallProgress, reason: &str) {
         if progress.has_waited() {
             self.shared.journal.count("live.held_for_room");
@@ -513,9 +539,9 @@
         }
         let status = own.status;
         let headers = self.shared.dialect.returned_headers(&own.headers);
-        if matches!(call.route.kind, RouteKind::Streaming { .. }) && status.is_success() {
-            let (body, connection) = own.into_stream(MAX_STREAM_BYTES);
+        let stream = |read, body, connection, permit| {
             let stream = AnswerStream {
+                read,
                 body,
                 connection: Some(connection),
                 permit: Some(permit),
@@ -526,15 +552,30 @@
             };
             let mut answer = Response::new(stream.boxed_unsync());
             *answer.status_mut() = status;
-            *answer.headers_mut() = headers;
-            return TryOutcome::Answer(answer);
+            headers.clone_into(answer.headers_mut());
+            TryOutcome::Answer(answer)
+        };
+        if matches!(call.route.kind, RouteKind::Streaming { .. }) && status.is_success() {
+            let (body, connection) = own.into_stream(MAX_STREAM_BYTES);
+            return stream(Blocks::default(), body, connection, permit);
         }
-        let Ok(body) = own.read_body(MAX_ANSWER_BYTES).await else {
-            self.log_failed_try(call, upstream, "broken-answer");
-            self.record_lost_upstream(call, upstream);
-            permit.finish(Ending::Failed, 0);
-            return TryOutcome::Unknown;
+        let (mut body, connection) = own.into_stream(MAX_ANSWER_BYTES);
+        let memory = &self.shared.request_memory;
+        let collected = collect_into(memory, &mut body, MAX_ANSWER_BYTES).await;
+        let body = match collected.whole_or_part() {
+            Ok(whole) => whole,
+            // It is passed on as it arrives; a server error is not worth it.
+            Err((BodyError::NoMemory, read)) if !status.is_server_error() => {
+                return stream(read, body, connection, permit);
+            }
+            Err(_) => {
+                self.log_failed_try(call, upstream, "broken-answer");
+                self.record_lost_upstream(call, upstream);
+                permit.finish(Ending::Failed, 0);
+                return TryOutcome::Unknown;
+            }
         };
+        connection.return_to_pool();
         if shows_complete_run(status) {
             self.shared.failed_requests.clear(call.fingerprint);
         }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -5,16 +5,21 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use firweir::connection::memory_budget::MemoryBudget;
 use firweir::connection::net::SharedNet;
 use firweir::connection::net::TcpNet;
+use firweir::connection::open_connections::OpenConnections;
 use firweir::connection::server;
 use firweir::connection::server::Body;
+use firweir::connection::server::BoxHandler;
 use firweir::connection::server::bytes_response;
+use firweir::connection::server::serve_among;
 use firweir::process::clock::Clock;
 use firweir::process::clock::SystemClock;
 use firweir::process::log::Journal;
 use firweir::process::metrics::Exposition;
 use firweir::process::tasks::Tasks;
+use futures_util::future::BoxFuture;
 use http::Request;
 use http::Response;
 use http::StatusCode;
@@ -124,6 +129,8 @@
     pub(crate) journal: Journal,
     exposition: Exposition,
     connections: ConnectionPool,
+    /// Connections that clients, other nodes and the balancer have opened.
+    open_connections: OpenConnections,
     pub(crate) store: Store,
     sources: Sources,
     net: SharedNet,
@@ -177,6 +184,9 @@
             sources,
             fallback,
             current_settings: CurrentSettings::new(settings.clone()),
+            open_connections: OpenConnections::new(MemoryBudget::new(
+                settings.request_memory_bytes(),
+            )),
             settings,
             dialect,
             clock,
@@ -341,9 +351,7 @@
         let text = exposition.text();
         Box::pin(async move { bytes_response(StatusCode::OK, text.into()) })
     });
-    let linger = context.settings.grace();
-    let (_, serving) =
-        server::serve(&context.net, &context.tasks, address, linger, handler).await?;
+    let serving = serve_at(context, address, handler).await?;
     context.tasks.spawn(serving);
     Ok(())
 }
@@ -393,6 +401,7 @@
         clock: Arc::clone(clock),
         boot_clock: Arc::clone(&context.sources.boot_clock),
         settings: context.current_settings.clone(),
+        request_memory: context.open_connections.clone(),
         journal: journal.clone(),
         shutdown: context.shutdown.clone(),
         mechanisms: context.mechanisms,
@@ -663,8 +672,17 @@
     let request_handler = Arc::clone(request_handler);
     let handler =
         server::handler(move |request| Box::pin(handle(Arc::clone(&request_handler), request)));
+    serve_at(context, address, handler).await
+}
+
+async fn serve_at(
+    context: &NodeContext,
+    address: SocketAddr,
+    handler: BoxHandler,
+) -> io::Result<BoxFuture<'static, ()>> {
+    let (net, tasks) = (&context.net, &context.tasks);
     let linger = context.settings.grace();
-    let (_, serving) =
-        server::serve(&context.net, &context.tasks, address, linger, handler).await?;
+    let connections = &context.open_connections;
+    let (_, serving) = serve_among(connections, net, tasks, address, linger, handler).await?;
     Ok(serving)
 }
--- a/crates/node/src/request_handler.rs
+++ b/crates/node/src/request_handler.rs
@@ -8,9 +8,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use firweir::connection::body::PendingBody;
 use firweir::connection::client::within;
 use firweir::connection::server::Body;
-use firweir::connection::server::read_body;
 use firweir::process::clock::Clock;
 use firweir::process::log::Journal;
 use firweir::process::tasks::Tasks;
@@ -52,6 +52,7 @@
 use crate::respond::Outcome;
 use crate::respond::SHUTDOWN_RETRY_AFTER;
 use crate::respond::SHUTTING_DOWN;
+use crate::respond::body_refusal;
 use crate::respond::empty;
 use crate::respond::reason_of;
 use crate::respond::refusal;
@@ -110,7 +111,7 @@
         self: Arc<Self>,
         request: Request<Incoming>,
     ) -> Response<Body> {
-        let (head, body) = request.into_parts();
+        let (head, body) = PendingBody::split(request);
         let mut answer = if self.shutdown.is_answer_due() {
             refusal(Outcome::NotRun(SHUTDOWN_RETRY_AFTER), SHUTTING_DOWN)
         } else {
@@ -125,7 +126,7 @@
         answer
     }
 
-    async fn answer_client(&self, head: http::request::Parts, body: Incoming) -> Response<Body> {
+    async fn answer_client(&self, head: http::request::Parts, body: PendingBody) -> Response<Body> {
         match self.dialect.client_call(&head) {
             ClientCall::Ready => self.readiness(),
             ClientCall::Routed(routed) => self.answer_routed(&routed, head, body).await,
@@ -225,7 +226,7 @@
         &self,
         routed: &RoutedCall,
         mut head: http::request::Parts,
-        body: Incoming,
+        body: PendingBody,
     ) -> Response<Body> {
         let started = self.clock.now();
         let Some(config) = self.wait_for_config(routed.timeout).await else {
@@ -308,15 +309,15 @@
         (config.version > 0).then_some(config)
     }
 
-    async fn submit(&self, incoming: IncomingSubmission<'_>, body: Incoming) -> Response<Body> {
+    async fn submit(&self, incoming: IncomingSubmission<'_>, body: PendingBody) -> Response<Body> {
         let IncomingSubmission { routed, head, .. } = incoming;
         let timeout = routed.timeout.unwrap_or(DEFAULT_TIMEOUT);
-        let Some(body) = within(timeout, read_body(body, incoming.limit_bytes)).await else {
+        let Some(body) = within(timeout, body.receive(incoming.limit_bytes)).await else {
             return refusal(Outcome::NotRun(RETRY_AFTER), "body-late");
         };
-        let Some(body) = body else {
-            let status = StatusCode::PAYLOAD_TOO_LARGE;
-            return refusal(Outcome::BadRequest(status), "body-too-large");
+        let body = match body {
+            Ok(body) => body.to_bytes(),
+            Err(error) => return body_refusal(error, RETRY_AFTER),
         };
         let submission = match self.dialect.submission(&routed.request_id, &body) {
             Ok(submission) => submission,
--- a/crates/node/src/request_handler/peer_requests.rs
+++ b/crates/node/src/request_handler/peer_requests.rs
@@ -5,10 +5,11 @@
 
 use bytes::Bytes;
 use firweir::connection::blocks::Blocks;
+use firweir::connection::body::BodyError;
+use firweir::connection::body::PendingBody;
 use firweir::connection::client::within;
 use firweir::connection::server::Body;
 use firweir::connection::server::json;
-use firweir::connection::server::read_body;
 use http::HeaderMap;
 use http::Method;
 use http::Request;
@@ -59,7 +60,7 @@
 impl RequestHandler {
     /// Answers a request of another node.
     pub(crate) async fn handle_peer(self: Arc<Self>, request: Request<Incoming>) -> Response<Body> {
-        let (head, body) = request.into_parts();
+        let (head, body) = PendingBody::split(request);
         if head.uri.path() == PING_PATH {
             return empty(StatusCode::OK);
         }
@@ -109,12 +110,17 @@
     }
 
     /// Merges usage counts from another node, or returns all counts that this node knows.
-    async fn exchange_usage(&self, head: &http::request::Parts, body: Incoming) -> Response<Body> {
+    async fn exchange_usage(
+        &self,
+        head: &http::request::Parts,
+        body: PendingBody,
+    ) -> Response<Body> {
         if head.method == Method::GET {
             return with_json(StatusCode::OK, self.usage_counter.snapshot());
         }
-        let Some(body) = read_peer_body(body, MAX_USAGE_BYTES).await else {
-            return empty(StatusCode::PAYLOAD_TOO_LARGE);
+        let body = match read_peer_body(body, MAX_USAGE_BYTES).await {
+            Ok(body) => body,
+            Err(status) => return empty(status),
         };
         match self.usage_counter.handle_counts(&body) {
             Some(answer) => with_json(StatusCode::OK, answer),
@@ -127,10 +133,11 @@
         &self,
         uri: Uri,
         head: &http::request::Parts,
-        body: Incoming,
+        body: PendingBody,
     ) -> Response<Body> {
-        let Some(body) = read_peer_body(body, MAX_STORE_CALL_BYTES).await else {
-            return empty(StatusCode::PAYLOAD_TOO_LARGE);
+        let body = match read_peer_body(body, MAX_STORE_CALL_BYTES).await {
+            Ok(body) => body,
+            Err(status) => return empty(status),
         };
         let mut request = Request::new(Blocks::from(body));
         *request.method_mut() = head.method.clone();
@@ -165,9 +172,10 @@
     }
 
     /// Offers a home for a model.
-    async fn offer_home(&self, body: Incoming) -> Response<Body> {
-        let Some(body) = read_peer_body(body, MAX_HOME_QUESTION_BYTES).await else {
-            return empty(StatusCode::PAYLOAD_TOO_LARGE);
+    async fn offer_home(&self, body: PendingBody) -> Response<Body> {
+        let body = match read_peer_body(body, MAX_HOME_QUESTION_BYTES).await {
+            Ok(body) => body,
+            Err(status) => return empty(status),
         };
         match serde_json::from_slice::<HomeQuestion>(&body) {
             Ok(question) => json(StatusCode::OK, &self.home_finder.local_offer(&question)),
@@ -176,9 +184,10 @@
     }
 
     /// Takes failures that another node saw.
-    async fn take_failures(&self, body: Incoming) -> Response<Body> {
-        let Some(body) = read_peer_body(body, MAX_FAILURES_BYTES).await else {
-            return empty(StatusCode::PAYLOAD_TOO_LARGE);
+    async fn take_failures(&self, body: PendingBody) -> Response<Body> {
+        let body = match read_peer_body(body, MAX_FAILURES_BYTES).await {
+            Ok(body) => body,
+            Err(status) => return empty(status),
         };
         let Some(seen) = failure_exchange::decode(&body) else {
             return empty(StatusCode::BAD_REQUEST);
@@ -188,9 +197,10 @@
     }
 
     /// Tells another node of failures as this one learns of them.
-    async fn tell_failures(&self, body: Incoming) -> Response<Body> {
-        let Some(body) = read_peer_body(body, MAX_FAILURES_BYTES).await else {
-            return empty(StatusCode::PAYLOAD_TOO_LARGE);
+    async fn tell_failures(&self, body: PendingBody) -> Response<Body> {
+        let body = match read_peer_body(body, MAX_FAILURES_BYTES).await {
+            Ok(body) => body,
+            Err(status) => return empty(status),
         };
         let Some(request) = failure_exchange::decode(&body) else {
             return empty(StatusCode::BAD_REQUEST);
@@ -215,8 +225,15 @@
     }
 }
 
-/// Reads the body of another node's request, or `None` if it is broken, late or above the limit.
-async fn read_peer_body(body: Incoming, limit_bytes: usize) -> Option<Bytes> {
-    let reading = read_body(body, limit_bytes);
-    within(PEER_BODY_TIMEOUT, reading).await.flatten()
+/// Reads the body of another node's request; the error is the answer if it is broken, late or above the
+/// limit, or if there is no memory for it.
+async fn read_peer_body(body: PendingBody, limit_bytes: usize) -> Result<Bytes, StatusCode> {
+    let reading = within(PEER_BODY_TIMEOUT, body.receive(limit_bytes));
+    match reading.await {
+        Some(Ok(body)) => Ok(body.to_bytes()),
+        Some(Err(BodyError::NoMemory | BodyError::Stalled)) => Err(StatusCode::SERVICE_UNAVAILABLE),
+        Some(Err(BodyError::TooLarge | BodyError::Broken)) | None => {
+            Err(StatusCode::PAYLOAD_TOO_LARGE)
+        }
+    }
 }
--- a/crates/node/src/respond.rs
+++ b/crates/node/src/respond.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use firweir::connection::body::BodyError;
 use firweir::connection::server::Body;
 use firweir::connection::server::bytes_response;
 use firweir::connection::server::json;
@@ -67,6 +68,24 @@
     response
 }
 
+/// The answer to a request whose body was not read to its end. It may be repeated after
+/// `retry_after` unless the body itself is the reason.
+#[must_use]
+pub fn body_refusal(error: BodyError, retry_after: Duration) -> Response<Body> {
+    match error {
+        BodyError::TooLarge => {
+            let status = StatusCode::PAYLOAD_TOO_LARGE;
+            refusal(Outcome::BadRequest(status), "body-too-large")
+        }
+        BodyError::Broken => {
+            let status = StatusCode::BAD_REQUEST;
+            refusal(Outcome::BadRequest(status), "body-broken")
+        }
+        BodyError::NoMemory => refusal(Outcome::NotRun(retry_after), "no-memory"),
+        BodyError::Stalled => refusal(Outcome::NotRun(retry_after), "body-stalled"),
+    }
+}
+
 /// An answer with this status and JSON body.
 #[must_use]
 pub fn with_json(status: StatusCode, body: Bytes) -> Response<Body> {
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -98,6 +98,9 @@
     /// Mechanisms that are switched off, to measure the effect of each.
     #[serde(default)]
     pub mechanisms_off: Vec<Mechanism>,
+    /// Memory in MB that requests may hold together; by default a fraction of the VM's.
+    #[serde(default)]
+    pub request_memory_mb: Option<f64>,
     /// Least severe events to log: off, error, warn, info or debug.
     #[serde(default = "default_log_level")]
     pub log_level: String,
@@ -116,6 +119,12 @@
     pub link_mbps: f64,
 }
 
+/// Fraction of a VM's memory that requests may hold together by default. The rest is for the node
+/// itself, its connections, and what its system keeps for them.
+const REQUEST_MEMORY_FRACTION: f64 = 0.5;
+
+const BYTES_PER_MB: f64 = 1e6;
+
 /// VM that [`VmSettings::capacity`] compares others with; also the default of the settings.
 pub const REFERENCE_VM: VmSettings = VmSettings {
     cores: 1.0,
@@ -289,6 +298,10 @@
                 "mechanisms_off",
                 self.mechanisms_off != other.mechanisms_off,
             ),
+            (
+                "request_memory_mb",
+                self.request_memory_mb != other.request_memory_mb,
+            ),
             ("log_level", self.log_level != other.log_level),
         ];
         let differ = differ.into_iter().filter(|(_, differs)| *differs);
@@ -302,6 +315,14 @@
         self.scaling.as_ref().filter(|scaling| scaling.is_on())
     }
 
+    /// Memory that requests may hold together, in bytes.
+    #[must_use]
+    pub fn request_memory_bytes(&self) -> usize {
+        let default_mb = self.vm.memory_mb * REQUEST_MEMORY_FRACTION;
+        let memory_mb = self.request_memory_mb.unwrap_or(default_mb);
+        (memory_mb.max(0.0) * BYTES_PER_MB) as usize
+    }
+
     /// Time from SIGTERM to SIGKILL.
     #[must_use]
     pub fn grace(&self) -> Duration {
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use firweir::connection::open_connections::OpenConnections;
 use firweir::process::clock::Clock;
 use firweir::process::log::Journal;
 use firweir_policy::work::ReportedLoad;
@@ -36,6 +37,8 @@
     pub boot_clock: Arc<dyn BootClock>,
     /// Settings in force.
     pub settings: CurrentSettings,
+    /// Connections of clients, whose requests share memory.
+    pub request_memory: OpenConnections,
     /// Events and metrics.
     pub journal: Journal,
     /// Counts requests of accounts.
