Answers that clients do not read are bounded

What callers saw: 64 whole requests of 4 MiB whose answers were not read took 352 MB: the process ended. With the budget of requests alone 105 MB of 110.

Cause: an answer was held for as long as its client left the connection open, and the system's send and receive buffers grew to megabytes for each connection.

While others need memory, the client that has taken nothing for the longest time loses its connection, by the same measure of progress as a body that stands still. Accepted connections have buffers of 32 KiB in each direction.

Why it works: what one connection holds is bounded in user space by the budget and in the kernel by its buffers, and a client that reads keeps its answer.

--- a/crates/firweir/src/connection/connection_state.rs
+++ b/crates/firweir/src/connection/connection_state.rs
@@ -1,5 +1,6 @@
 //! State of one accepted connection: what it waits for, and whether its client makes progress.
 
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU8;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
@@ -8,8 +9,8 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-/// Longest time for which a client that was fast before may send nothing and still counts as making
-/// progress.
+/// Longest time for which a client that was fast before may send or take nothing and still counts as
+/// making progress.
 const MAX_CREDIT: Duration = Duration::from_millis(500);
 
 /// Lowest rate at which a client makes progress, in bytes per ms.
@@ -32,7 +33,11 @@
     phase: AtomicU8,
     /// Until when the client counts as making progress, in ms since the epoch.
     credit_ms: AtomicU64,
+    /// The client takes no more bytes of an answer.
+    is_write_blocked: AtomicBool,
+    is_closing: AtomicBool,
     refused: Notify,
+    closed: Notify,
 }
 
 impl ConnectionState {
@@ -42,7 +47,10 @@
             epoch,
             phase: AtomicU8::new(Phase::Other as u8),
             credit_ms: AtomicU64::new(0),
+            is_write_blocked: AtomicBool::new(false),
+            is_closing: AtomicBool::new(false),
             refused: Notify::new(),
+            closed: Notify::new(),
         }
     }
 
@@ -58,18 +66,48 @@
         self.extend_credit(bytes);
     }
 
+    /// The client has taken bytes of an answer.
+    pub(crate) fn record_sent(&self, bytes: usize) {
+        self.is_write_blocked.store(false, Ordering::Relaxed);
+        self.extend_credit(bytes);
+    }
+
+    /// The client takes no more bytes of an answer for now.
+    pub(crate) fn record_write_blocked(&self) {
+        if !self.is_write_blocked.swap(true, Ordering::Relaxed) {
+            self.extend_credit(0);
+        }
+    }
+
     /// Whether it waits for a client that makes no progress; the value is since when, in ms.
     pub(crate) fn stalled_since_ms(&self) -> Option<u64> {
         let credit_ms = self.credit_ms.load(Ordering::Relaxed);
-        let is_stalled = self.is_in(Phase::Receiving) && credit_ms < self.now_ms();
+        let waits_for_client =
+            self.is_in(Phase::Receiving) || self.is_write_blocked.load(Ordering::Relaxed);
+        let is_stalled = waits_for_client && !self.is_closing() && credit_ms < self.now_ms();
         is_stalled.then_some(credit_ms)
     }
 
-    /// Refuses the request whose body is being read.
+    /// Refuses the request whose body is being read, or else closes the connection.
     pub(crate) fn evict(&self) {
-        self.refused.notify_one();
-        // It is not chosen again before it has ended.
-        self.grant_credit();
+        if self.is_in(Phase::Receiving) {
+            self.refused.notify_one();
+            // It is not chosen again before it has ended.
+            self.grant_credit();
+        } else {
+            self.is_closing.store(true, Ordering::Relaxed);
+            self.closed.notify_one();
+        }
+    }
+
+    /// Whether it is to be closed to make room.
+    pub(crate) fn is_closing(&self) -> bool {
+        self.is_closing.load(Ordering::Relaxed)
+    }
+
+    /// Resolves when the connection is to be closed to make room.
+    pub(crate) async fn closed(&self) {
+        self.closed.notified().await;
     }
 
     /// Resolves when the request whose body is being read is to be refused.
@@ -94,7 +132,7 @@
         self.credit_ms.store(until_ms, Ordering::Relaxed);
     }
 
-    /// Bytes count for the time in which the slowest client may send them.
+    /// Bytes count for the time in which the slowest client may send or take them.
     fn extend_credit(&self, bytes: usize) {
         let now_ms = self.now_ms();
         let credit_ms = self.credit_ms.load(Ordering::Relaxed).max(now_ms);
--- a/crates/firweir/src/connection/net.rs
+++ b/crates/firweir/src/connection/net.rs
@@ -9,6 +9,7 @@
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 
 /// Both directions of one connection.
@@ -59,6 +60,40 @@
     }
 }
 
+/// Connections that may wait to be accepted.
+const ACCEPT_QUEUE: u32 = 1_024;
+
+/// TCP with bounded buffers of the connections that are accepted: what a system holds for a connection
+/// counts as memory of the process, and grows to megabytes by default.
+#[derive(Debug, Clone, Copy)]
+pub struct BoundedTcpNet {
+    /// Size of the buffer in each direction, in bytes.
+    pub buffer_bytes: u32,
+}
+
+impl Net for BoundedTcpNet {
+    fn connect(&self, to: SocketAddr) -> BoxFuture<'static, io::Result<BoxConn>> {
+        TcpNet.connect(to)
+    }
+
+    fn listen(&self, at: SocketAddr) -> BoxFuture<'static, io::Result<Box<dyn Listener>>> {
+        let buffer_bytes = self.buffer_bytes;
+        Box::pin(async move {
+            let socket = match at {
+                SocketAddr::V4(_) => TcpSocket::new_v4(),
+                SocketAddr::V6(_) => TcpSocket::new_v6(),
+            }?;
+            socket.set_reuseaddr(true)?;
+            // A system that cannot set them has buffers of its own.
+            drop(socket.set_recv_buffer_size(buffer_bytes));
+            drop(socket.set_send_buffer_size(buffer_bytes));
+            socket.bind(at)?;
+            let listener = socket.listen(ACCEPT_QUEUE)?;
+            Ok(Box::new(listener) as Box<dyn Listener>)
+        })
+    }
+}
+
 impl Listener for TcpListener {
     fn accept(&mut self) -> BoxFuture<'_, io::Result<(BoxConn, SocketAddr)>> {
         Box::pin(async move {
--- a/crates/firweir/src/connection/open_connections.rs
+++ b/crates/firweir/src/connection/open_connections.rs
@@ -29,6 +29,9 @@
 pub struct ConnectionCounts {
     /// Requests that were refused since their bodies stalled and others needed the memory.
     pub stalled_bodies: AtomicU64,
+    /// Connections that were closed since their clients read no more of their answers and others
+    /// needed the memory.
+    pub unread_answers: AtomicU64,
     /// Bodies and answers that found no memory.
     pub no_memory: AtomicU64,
 }
@@ -148,7 +151,12 @@
             return false;
         };
         state.evict();
-        self.count(&self.shared.counts.stalled_bodies);
+        let counts = &self.shared.counts;
+        self.count(if state.is_closing() {
+            &counts.unread_answers
+        } else {
+            &counts.stalled_bodies
+        });
         true
     }
 
--- a/crates/firweir/src/connection/server.rs
+++ b/crates/firweir/src/connection/server.rs
@@ -123,8 +123,10 @@
                 .into_owned();
             let watched = graceful.watch(connection);
             tasks.spawn(async move {
-                drop(watched.await);
-                drop(registered);
+                tokio::select! {
+                    ended = watched => drop(ended),
+                    () = registered.client().state().closed() => {}
+                }
             });
         }
         drop(listener);
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use firweir::connection::memory_budget::MemoryBudget;
+use firweir::connection::net::BoundedTcpNet;
 use firweir::connection::net::SharedNet;
-use firweir::connection::net::TcpNet;
 use firweir::connection::open_connections::OpenConnections;
 use firweir::connection::server;
 use firweir::connection::server::Body;
@@ -96,6 +96,10 @@
 /// and two seeds in a row may be silent (see `relay`).
 const MIN_PROPAGATION_TO_RELAY: Duration = Duration::from_millis(2_800);
 
+/// Buffer of the system in each direction of an accepted connection. A client 6 ms away sends and reads
+/// some 5 MB/s through it.
+const CONNECTION_BUFFER_BYTES: u32 = 32 << 10;
+
 /// Time between two checks of decisions that depend on the time.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -193,7 +197,9 @@
             journal,
             connections,
             store,
-            net: Arc::new(TcpNet),
+            net: Arc::new(BoundedTcpNet {
+                buffer_bytes: CONNECTION_BUFFER_BYTES,
+            }),
             tasks: Tasks::new(),
             shutdown,
         };
