Open connections are bounded, and idle ones give way

What callers saw: idle connections took all descriptors (424 open with 400 in all), so that the store, upstreams and the balancer's check could no longer be reached; bytes that clients send behind a running request lay unread in the kernel, 79 MB of 64.

Cause: a listener accepted without a limit, at each of its addresses.

Change: clients may have as many connections open as a quarter of memory_mb holds at 96 KiB each, and at most two fifths of max_fds less 200 for files (max_client_connections sets it); other nodes two fifths, the balancer's check and the metrics 16 each. One more closes the connection whose client has been idle, or in the middle of a head, for the longest time, or else one that stands still; if all run requests, the new one is closed unread, and its client may try another node at once.

--- a/crates/firweir/src/connection/connection_state.rs
+++ b/crates/firweir/src/connection/connection_state.rs
@@ -20,10 +20,12 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 #[repr(u8)]
 enum Phase {
+    /// The head of the next request.
+    Idle,
     /// The body of a request.
     Receiving,
-    /// Anything else.
-    Other,
+    /// The answer to a request, or the rest of it.
+    Answering,
 }
 
 /// The state; shared by the connection, its request and the list of open connections.
@@ -31,7 +33,8 @@
 pub(crate) struct ConnectionState {
     epoch: Instant,
     phase: AtomicU8,
-    /// Until when the client counts as making progress, in ms since the epoch.
+    /// Until when the client counts as making progress, in ms since the epoch; while the connection
+    /// is idle, when its client was last heard of.
     credit_ms: AtomicU64,
     /// The client takes no more bytes of an answer.
     is_write_blocked: AtomicBool,
@@ -45,8 +48,8 @@
     pub(crate) fn new(epoch: Instant) -> Self {
         Self {
             epoch,
-            phase: AtomicU8::new(Phase::Other as u8),
-            credit_ms: AtomicU64::new(0),
+            phase: AtomicU8::new(Phase::Idle as u8),
+            credit_ms: AtomicU64::new(epoch.elapsed().as_millis() as u64),
             is_write_blocked: AtomicBool::new(false),
             is_closing: AtomicBool::new(false),
             refused: Notify::new(),
@@ -54,6 +57,19 @@
         }
     }
 
+    /// The head of a request was read.
+    pub(crate) fn begin_request(&self) {
+        self.set_phase(Phase::Answering);
+    }
+
+    /// The answer to the request was handed over to be sent.
+    pub(crate) fn end_request(&self) {
+        self.set_phase(Phase::Idle);
+        if !self.is_write_blocked() {
+            self.credit_ms.store(self.now_ms(), Ordering::Relaxed);
+        }
+    }
+
     /// The body of a request is read until the value is dropped.
     pub(crate) fn receiving(&self) -> Receiving<'_> {
         self.grant_credit();
@@ -63,7 +79,11 @@
 
     /// The client has sent bytes.
     pub(crate) fn record_received(&self, bytes: usize) {
-        self.extend_credit(bytes);
+        if self.is_in(Phase::Idle) {
+            self.credit_ms.store(self.now_ms(), Ordering::Relaxed);
+        } else {
+            self.extend_credit(bytes);
+        }
     }
 
     /// The client has taken bytes of an answer.
@@ -79,11 +99,16 @@
         }
     }
 
+    /// Whether it waits for the next request; the value is when its client was last heard of, in ms.
+    pub(crate) fn idle_since_ms(&self) -> Option<u64> {
+        let is_idle = self.is_in(Phase::Idle) && !self.is_write_blocked() && !self.is_closing();
+        is_idle.then(|| self.credit_ms.load(Ordering::Relaxed))
+    }
+
     /// Whether it waits for a client that makes no progress; the value is since when, in ms.
     pub(crate) fn stalled_since_ms(&self) -> Option<u64> {
         let credit_ms = self.credit_ms.load(Ordering::Relaxed);
-        let waits_for_client =
-            self.is_in(Phase::Receiving) || self.is_write_blocked.load(Ordering::Relaxed);
+        let waits_for_client = self.is_in(Phase::Receiving) || self.is_write_blocked();
         let is_stalled = waits_for_client && !self.is_closing() && credit_ms < self.now_ms();
         is_stalled.then_some(credit_ms)
     }
@@ -115,6 +140,10 @@
         self.refused.notified().await;
     }
 
+    fn is_write_blocked(&self) -> bool {
+        self.is_write_blocked.load(Ordering::Relaxed)
+    }
+
     fn is_in(&self, phase: Phase) -> bool {
         self.phase.load(Ordering::Relaxed) == phase as u8
     }
@@ -149,6 +178,6 @@
 
 impl Drop for Receiving<'_> {
     fn drop(&mut self) {
-        self.0.set_phase(Phase::Other);
+        self.0.set_phase(Phase::Answering);
     }
 }
--- a/crates/firweir/src/connection/mod.rs
+++ b/crates/firweir/src/connection/mod.rs
@@ -1,5 +1,6 @@
 //! What lives as long as a connection: transports, HTTP and peer links.
 
+mod answer_body;
 pub mod blocks;
 pub mod body;
 pub mod client;
--- a/crates/firweir/src/connection/open_connections.rs
+++ b/crates/firweir/src/connection/open_connections.rs
@@ -1,13 +1,15 @@
 //! The accepted connections of a process, whose requests share its memory.
 //!
 //! A request that needs memory while there is none takes it from the client that has made no progress
-//! for the longest time.
+//! for the longest time. A new connection beyond the limit of its listener closes the one whose client
+//! has been idle for the longest time.
 
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicU64;
+use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -27,6 +29,10 @@
 /// Number of events since the process started.
 #[derive(Debug, Default)]
 pub struct ConnectionCounts {
+    /// Idle connections that were closed to make room for new ones.
+    pub idle_closed: AtomicU64,
+    /// Connections that were closed at once, since none could make room.
+    pub not_accepted: AtomicU64,
     /// Requests that were refused since their bodies stalled and others needed the memory.
     pub stalled_bodies: AtomicU64,
     /// Connections that were closed since their clients read no more of their answers and others
@@ -48,6 +54,7 @@
     budget: MemoryBudget,
     /// In the order of their keys.
     entries: Mutex<Vec<Entry>>,
+    listeners: AtomicUsize,
     counts: ConnectionCounts,
     changed: Notify,
 }
@@ -56,9 +63,14 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct ConnectionKey(u64);
 
+/// Key of a listener, in the order in which they were added.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct ListenerKey(usize);
+
 #[derive(Debug)]
 struct Entry {
     key: ConnectionKey,
+    listener: ListenerKey,
     state: Arc<ConnectionState>,
 }
 
@@ -76,6 +88,7 @@
             epoch: Instant::now(),
             budget,
             entries: Mutex::default(),
+            listeners: AtomicUsize::new(0),
             counts: ConnectionCounts::default(),
             changed: Notify::new(),
         };
@@ -101,22 +114,50 @@
         self.shared.budget.held_bytes()
     }
 
-    /// Registers a connection that was accepted.
-    pub(crate) fn register(&self) -> RegisteredConnection {
+    /// Adds a listener.
+    pub(crate) fn add_listener(&self) -> ListenerKey {
+        ListenerKey(self.shared.listeners.fetch_add(1, Ordering::Relaxed))
+    }
+
+    /// Registers a connection that a listener has accepted. One beyond `max_connections` closes
+    /// another; `None` if none can be closed.
+    pub(crate) fn register(
+        &self,
+        listener: ListenerKey,
+        max_connections: usize,
+    ) -> Option<RegisteredConnection> {
         let mut entries = self.lock();
+        let own = || entries.iter().filter(|entry| entry.listener == listener);
+        let open = own().filter(|entry| !entry.state.is_closing()).count();
+        if open >= max_connections && !self.close_idle(own()) && !self.evict_stalled(own()) {
+            self.count(&self.shared.counts.not_accepted);
+            return None;
+        }
         let key = ConnectionKey(entries.last().map_or(0, |last| last.key.0 + 1));
         let state = Arc::new(ConnectionState::new(self.shared.epoch));
         entries.push(Entry {
             key,
+            listener,
             state: Arc::clone(&state),
         });
-        RegisteredConnection {
+        Some(RegisteredConnection {
             client: ClientConnection {
                 connections: self.clone(),
                 state,
             },
             key,
-        }
+        })
+    }
+
+    /// Closes the connection whose client has been idle for the longest time, if there is one.
+    fn close_idle<'a>(&self, entries: impl Iterator<Item = &'a Entry>) -> bool {
+        let idle = entries.filter_map(|entry| Some((entry.state.idle_since_ms()?, &entry.state)));
+        let Some((_, state)) = idle.min_by_key(|(since_ms, _)| *since_ms) else {
+            return false;
+        };
+        state.evict();
+        self.count(&self.shared.counts.idle_closed);
+        true
     }
 
     /// Takes memory for a request that holds `held_bytes`, from clients that make no progress if
@@ -128,7 +169,7 @@
                 return Some(reservation);
             }
             let freed = budget.freed();
-            if !self.evict_stalled() {
+            if !self.evict_stalled(self.lock().iter()) {
                 break;
             }
             // The next attempt shows whether it has given enough back.
@@ -142,11 +183,9 @@
     }
 
     /// Evicts the client that has made no progress for the longest time, if there is one.
-    fn evict_stalled(&self) -> bool {
-        let entries = self.lock();
-        let stalled = entries
-            .iter()
-            .filter_map(|entry| Some((entry.state.stalled_since_ms()?, &entry.state)));
+    fn evict_stalled<'a>(&self, entries: impl Iterator<Item = &'a Entry>) -> bool {
+        let stalled =
+            entries.filter_map(|entry| Some((entry.state.stalled_since_ms()?, &entry.state)));
         let Some((_, state)) = stalled.min_by_key(|(since_ms, _)| *since_ms) else {
             return false;
         };
--- a/crates/firweir/src/connection/server.rs
+++ b/crates/firweir/src/connection/server.rs
@@ -4,6 +4,8 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -15,14 +17,15 @@
 use http_body_util::BodyExt;
 use http_body_util::combinators::UnsyncBoxBody;
 use hyper::body::Incoming;
+use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
 use hyper_util::server::conn::auto;
 use hyper_util::server::graceful::GracefulShutdown;
-use hyper_util::service::TowerToHyperService;
 use serde::Serialize;
-use tower::util::MapRequest;
+use tower::ServiceExt;
 
+use crate::connection::answer_body::AnswerBody;
 use crate::connection::blocks::Blocks;
 use crate::connection::body::collect;
 use crate::connection::client_stream::ClientStream;
@@ -44,8 +47,38 @@
 /// requests as well, and callers reuse connections that were idle for 12 s.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(15);
 
-/// Largest head of a request; a longer one is answered with 431.
-const MAX_HEAD_BYTES: usize = 64 << 10;
+/// Largest head of a request where nothing else is said.
+const DEFAULT_MAX_HEAD_BYTES: usize = 64 << 10;
+
+/// What one listener accepts.
+#[derive(Debug, Clone)]
+pub struct ListenLimits {
+    /// Open connections; one more closes the one that has been idle for the longest time.
+    pub max_connections: usize,
+    /// Largest head of a request on connections that are accepted from now on; a longer one is
+    /// answered with 431.
+    pub max_head_bytes: Arc<AtomicUsize>,
+}
+
+impl Default for ListenLimits {
+    fn default() -> Self {
+        Self {
+            max_connections: usize::MAX,
+            max_head_bytes: Arc::new(AtomicUsize::new(DEFAULT_MAX_HEAD_BYTES)),
+        }
+    }
+}
+
+/// Where and for how long requests are served.
+#[derive(Debug, Clone)]
+pub struct Endpoint {
+    /// Address to listen at.
+    pub address: SocketAddr,
+    /// Time after the beginning of a drain for which connections are accepted.
+    pub linger: Duration,
+    /// What is accepted.
+    pub limits: ListenLimits,
+}
 
 /// Pause after a connection could not be accepted. Out of file descriptors, the
 /// next attempt fails as well, and without a pause the loop would take a core.
@@ -63,7 +96,7 @@
     BoxHandler::new(service)
 }
 
-/// As [`serve_among`], with connections whose requests share no memory.
+/// As [`serve_among`], without limits.
 pub async fn serve(
     net: &SharedNet,
     tasks: &Tasks,
@@ -71,24 +104,33 @@
     linger: Duration,
     handler: BoxHandler,
 ) -> io::Result<(SocketAddr, BoxFuture<'static, ()>)> {
-    let connections = OpenConnections::default();
-    serve_among(&connections, net, tasks, at, linger, handler).await
+    let endpoint = Endpoint {
+        address: at,
+        linger,
+        limits: ListenLimits::default(),
+    };
+    serve_among(&OpenConnections::default(), net, tasks, endpoint, handler).await
 }
 
-/// Serves HTTP at `at` until a drain, which goes on accepting for `linger` and
-/// then lets requests in flight finish. Accepted connections are among
+/// Serves HTTP at an address until a drain, which goes on accepting for a time
+/// and then lets requests in flight finish. Accepted connections are among
 /// `connections`, whose requests share memory. Gives the bound address at once
 /// and a future that ends when the last request has.
 pub async fn serve_among(
     connections: &OpenConnections,
     net: &SharedNet,
     tasks: &Tasks,
-    at: SocketAddr,
-    linger: Duration,
+    endpoint: Endpoint,
     handler: BoxHandler,
 ) -> io::Result<(SocketAddr, BoxFuture<'static, ()>)> {
+    let Endpoint {
+        address,
+        linger,
+        limits,
+    } = endpoint;
     let connections = connections.clone();
-    let mut listener = net.listen(at).await?;
+    let listener_key = connections.add_listener();
+    let mut listener = net.listen(address).await?;
     let address = listener.local_address()?;
     let tasks = tasks.clone();
     let serving = async move {
@@ -108,16 +150,22 @@
                 tokio::time::sleep(ACCEPT_PAUSE).await;
                 continue;
             };
+            let registered = connections.register(listener_key, limits.max_connections);
+            let Some(registered) = registered else {
+                continue;
+            };
+            let max_head_bytes = limits.max_head_bytes.load(Ordering::Relaxed);
             let mut builder = auto::Builder::new(tasks.clone());
             builder
                 .http1()
                 .timer(TokioTimer::new())
-                .max_buf_size(MAX_HEAD_BYTES)
+                .max_buf_size(max_head_bytes)
                 .header_read_timeout(HEADER_TIMEOUT);
-            let registered = connections.register();
             let client = registered.client().clone();
             let stream = ClientStream::new(FairStream::new(conn), Arc::clone(client.state()));
-            let service = TowerToHyperService::new(with_connection(handler.clone(), client));
+            let handler = handler.clone();
+            let service =
+                service_fn(move |request| answer(handler.clone(), client.clone(), request));
             let connection = builder
                 .serve_connection(TokioIo::new(stream), service)
                 .into_owned();
@@ -128,6 +176,8 @@
                     () = registered.client().state().closed() => {}
                 }
             });
+            // Connections that were told to close do so before the next one is accepted.
+            tokio::task::yield_now().await;
         }
         drop(listener);
         graceful.shutdown().await;
@@ -135,15 +185,17 @@
     Ok((address, Box::pin(serving)))
 }
 
-/// Tells the handler which connection a request came on.
-fn with_connection(
+/// Answers a request that came on this connection.
+async fn answer(
     handler: BoxHandler,
     client: ClientConnection,
-) -> MapRequest<BoxHandler, impl FnMut(Request<Incoming>) -> Request<Incoming> + Clone> {
-    MapRequest::new(handler, move |mut request: Request<Incoming>| {
-        request.extensions_mut().insert(client.clone());
-        request
-    })
+    mut request: Request<Incoming>,
+) -> Result<Response<AnswerBody>, Infallible> {
+    let state = Arc::clone(client.state());
+    state.begin_request();
+    request.extensions_mut().insert(client);
+    let answer = handler.oneshot(request).await?;
+    Ok(answer.map(|body| AnswerBody::new(body, state)))
 }
 
 /// A JSON answer.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -12,6 +12,8 @@
 use firweir::connection::server;
 use firweir::connection::server::Body;
 use firweir::connection::server::BoxHandler;
+use firweir::connection::server::Endpoint;
+use firweir::connection::server::ListenLimits;
 use firweir::connection::server::bytes_response;
 use firweir::connection::server::serve_among;
 use firweir::process::clock::Clock;
@@ -100,6 +102,9 @@
 /// some 5 MB/s through it.
 const CONNECTION_BUFFER_BYTES: u32 = 32 << 10;
 
+/// Connections of the balancer, or of an operator's tooling.
+const MAX_CONTROL_CONNECTIONS: usize = 16;
+
 /// Time between two checks of decisions that depend on the time.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -312,24 +317,32 @@
         .ok_or(NodeError::Missing("peer_listen"))?;
     let request_handler = build_handler(&context, peer_listen);
     start_followers(&context, &request_handler);
+    let client_limits = ListenLimits {
+        max_connections: settings.max_client_connections(),
+        ..ListenLimits::default()
+    };
     let clients = serve(
         &context,
         &request_handler,
-        client_listen,
+        (client_listen, client_limits),
         RequestHandler::handle_client,
     );
     let clients = clients.await?;
     let ready = serve(
         &context,
         &request_handler,
-        ready_listen,
+        (ready_listen, control_limits()),
         RequestHandler::handle_client,
     );
     let ready = ready.await?;
+    let peer_limits = ListenLimits {
+        max_connections: settings.max_peer_connections(),
+        ..ListenLimits::default()
+    };
     let peers = serve(
         &context,
         &request_handler,
-        peer_listen,
+        (peer_listen, peer_limits),
         RequestHandler::handle_peer,
     );
     let peers = peers.await?;
@@ -357,7 +370,7 @@
         let text = exposition.text();
         Box::pin(async move { bytes_response(StatusCode::OK, text.into()) })
     });
-    let serving = serve_at(context, address, handler).await?;
+    let serving = serve_at(context, (address, control_limits()), handler).await?;
     context.tasks.spawn(serving);
     Ok(())
 }
@@ -668,7 +681,7 @@
 async fn serve<F, A>(
     context: &NodeContext,
     request_handler: &Arc<RequestHandler>,
-    address: SocketAddr,
+    endpoint: (SocketAddr, ListenLimits),
     handle: F,
 ) -> io::Result<impl Future<Output = ()> + Send + use<F, A>>
 where
@@ -678,17 +691,29 @@
     let request_handler = Arc::clone(request_handler);
     let handler =
         server::handler(move |request| Box::pin(handle(Arc::clone(&request_handler), request)));
-    serve_at(context, address, handler).await
+    serve_at(context, endpoint, handler).await
 }
 
 async fn serve_at(
     context: &NodeContext,
-    address: SocketAddr,
+    (address, limits): (SocketAddr, ListenLimits),
     handler: BoxHandler,
 ) -> io::Result<BoxFuture<'static, ()>> {
     let (net, tasks) = (&context.net, &context.tasks);
-    let linger = context.settings.grace();
+    let endpoint = Endpoint {
+        address,
+        linger: context.settings.grace(),
+        limits,
+    };
     let connections = &context.open_connections;
-    let (_, serving) = serve_among(connections, net, tasks, address, linger, handler).await?;
+    let (_, serving) = serve_among(connections, net, tasks, endpoint, handler).await?;
     Ok(serving)
 }
+
+/// Limits of a listener for the balancer or an operator's tooling.
+fn control_limits() -> ListenLimits {
+    ListenLimits {
+        max_connections: MAX_CONTROL_CONNECTIONS,
+        ..ListenLimits::default()
+    }
+}
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -101,6 +101,10 @@
     /// Memory in MB that requests may hold together; by default a fraction of the VM's.
     #[serde(default)]
     pub request_memory_mb: Option<f64>,
+    /// Connections that clients may have open together; by default as the VM's memory and
+    /// descriptors allow.
+    #[serde(default)]
+    pub max_client_connections: Option<usize>,
     /// Least severe events to log: off, error, warn, info or debug.
     #[serde(default = "default_log_level")]
     pub log_level: String,
@@ -117,6 +121,13 @@
     pub memory_mb: f64,
     /// Network bandwidth in Mbit/s.
     pub link_mbps: f64,
+    /// Descriptors that a process may open.
+    #[serde(default = "default_max_fds")]
+    pub max_fds: usize,
+}
+
+const fn default_max_fds() -> usize {
+    REFERENCE_VM.max_fds
 }
 
 /// Fraction of a VM's memory that requests may hold together by default. The rest is for the node
@@ -125,12 +136,27 @@
 
 const BYTES_PER_MB: f64 = 1e6;
 
+/// Fraction of a VM's memory that connections of clients may take by default.
+const CONNECTION_MEMORY_FRACTION: f64 = 0.25;
+
+/// Memory that a connection takes at most besides its bodies and answers: its state, a head, and bytes
+/// that the system has received.
+const CONNECTION_BYTES: f64 = 96.0 * 1_024.0;
+
+/// Descriptors of a VM that are not for connections.
+const FILE_DESCRIPTORS: usize = 200;
+
+/// Parts of the descriptors for connections; clients and other nodes may each take two, and one is left
+/// for upstreams and the store at all times.
+const DESCRIPTOR_PARTS: usize = 5;
+
 /// VM that [`VmSettings::capacity`] compares others with; also the default of the settings.
 pub const REFERENCE_VM: VmSettings = VmSettings {
     cores: 1.0,
     core_share: 1.0,
     memory_mb: 1_024.0,
     link_mbps: 1_000.0,
+    max_fds: 4_100,
 };
 
 impl Default for VmSettings {
@@ -302,6 +328,10 @@
                 "request_memory_mb",
                 self.request_memory_mb != other.request_memory_mb,
             ),
+            (
+                "max_client_connections",
+                self.max_client_connections != other.max_client_connections,
+            ),
             ("log_level", self.log_level != other.log_level),
         ];
         let differ = differ.into_iter().filter(|(_, differs)| *differs);
@@ -323,6 +353,22 @@
         (memory_mb.max(0.0) * BYTES_PER_MB) as usize
     }
 
+    /// Connections that other nodes may have open together.
+    #[must_use]
+    pub const fn max_peer_connections(&self) -> usize {
+        let sockets = self.vm.max_fds.saturating_sub(FILE_DESCRIPTORS);
+        2 * sockets / DESCRIPTOR_PARTS
+    }
+
+    /// Connections that clients may have open together.
+    #[must_use]
+    pub fn max_client_connections(&self) -> usize {
+        let memory_bytes = self.vm.memory_mb.max(0.0) * BYTES_PER_MB * CONNECTION_MEMORY_FRACTION;
+        let by_memory = (memory_bytes / CONNECTION_BYTES) as usize;
+        let default = by_memory.min(self.max_peer_connections());
+        self.max_client_connections.unwrap_or(default).max(1)
+    }
+
     /// Time from SIGTERM to SIGKILL.
     #[must_use]
     pub fn grace(&self) -> Duration {
