Heads of requests are bounded by the configuration

What callers saw: 1,500 heads of 60 kB, one line short of their end, took 97 MB of 88.

Cause: a head could take 64 KiB, whatever maxHeaderBytes says (16,384).

Change: clients' heads may take maxHeaderBytes and 8 KiB, for the request line and what arrives with the end of the head; a longer one is answered with 431. The configuration in force when a connection is accepted decides.

--- a/crates/node/src/model.rs
+++ b/crates/node/src/model.rs
@@ -136,10 +136,15 @@
     pub services: Vec<Service>,
     /// Largest body that a client may send.
     pub max_body_bytes: usize,
+    /// Most bytes that a client's headers may have.
+    pub max_header_bytes: usize,
     /// Accounts that may call; not declared if calls are not restricted.
     pub accounts: Accounts,
 }
 
+/// Most bytes of headers before a configuration says otherwise.
+pub const DEFAULT_MAX_HEADER_BYTES: usize = 16 << 10;
+
 /// Priority of calls whose route and account have none: the lowest.
 pub const NO_PRIORITY: u32 = u32::MAX;
 
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -3,6 +3,8 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use firweir::connection::memory_budget::MemoryBudget;
@@ -51,6 +53,7 @@
 use crate::load_logger::LoadLogger;
 use crate::mechanisms::EnabledMechanisms;
 use crate::mechanisms::Mechanism;
+use crate::model::DEFAULT_MAX_HEADER_BYTES;
 use crate::newest_config::NewestConfig;
 use crate::outage::Outage;
 use crate::relay::Relay;
@@ -140,6 +143,8 @@
     connections: ConnectionPool,
     /// Connections that clients, other nodes and the balancer have opened.
     open_connections: OpenConnections,
+    /// Largest head of a client's request.
+    max_head_bytes: Arc<AtomicUsize>,
     pub(crate) store: Store,
     sources: Sources,
     net: SharedNet,
@@ -193,6 +198,9 @@
             sources,
             fallback,
             current_settings: CurrentSettings::new(settings.clone()),
+            max_head_bytes: Arc::new(AtomicUsize::new(max_buffered_head(
+                DEFAULT_MAX_HEADER_BYTES,
+            ))),
             open_connections: OpenConnections::new(MemoryBudget::new(
                 settings.request_memory_bytes(),
             )),
@@ -319,7 +327,7 @@
     start_followers(&context, &request_handler);
     let client_limits = ListenLimits {
         max_connections: settings.max_client_connections(),
-        ..ListenLimits::default()
+        max_head_bytes: Arc::clone(&context.max_head_bytes),
     };
     let clients = serve(
         &context,
@@ -558,6 +566,7 @@
     let (local_member, tasks) = (context.sources.local_member.clone(), context.tasks.clone());
     let (relay, config_fleet) = (Arc::clone(&context.sources.relay), Arc::clone(&fleet));
     let newest_config = context.sources.newest_config.clone();
+    let max_head_bytes = Arc::clone(&context.max_head_bytes);
     let options = move || {
         let has_accounts = config_fleet.config().accounts.are_declared();
         let limits = has_accounts.then(|| settings.now().config_wait_limits());
@@ -578,6 +587,8 @@
         }
         fleet.record_config_confirmed(batch.as_of, batch.source);
         interest.set_config(&fleet.config());
+        let head_bytes = max_buffered_head(fleet.config().max_header_bytes);
+        max_head_bytes.store(head_bytes, Ordering::Relaxed);
         local_member.set_takes_steps(!tasks.is_draining());
         live.update_upstreams();
         scoring.update_upstreams();
@@ -677,6 +688,13 @@
     });
 }
 
+/// Bytes that are read of a head whose headers may have this many: the request line and what comes with
+/// the end of the head are read as well.
+const fn max_buffered_head(max_header_bytes: usize) -> usize {
+    const LINE_BYTES: usize = 8 << 10;
+    max_header_bytes.saturating_add(LINE_BYTES)
+}
+
 /// Serves an address until the process ends.
 async fn serve<F, A>(
     context: &NodeContext,
