--- a/crates/firweir/src/connection/server.rs
+++ b/crates/firweir/src/connection/server.rs
@@ -1,4 +1,4 @@
-//! HTTP server over any transport, with drain.
+//! HTTP/1.1 server over any transport, with drain.
 
 use std::convert::Infallible;
 use std::io;
@@ -17,10 +17,10 @@
 use http_body_util::BodyExt;
 use http_body_util::combinators::UnsyncBoxBody;
 use hyper::body::Incoming;
+use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
-use hyper_util::server::conn::auto;
 use hyper_util::server::graceful::GracefulShutdown;
 use serde::Serialize;
 use tower::ServiceExt;
@@ -155,9 +155,8 @@
                 continue;
             };
             let max_head_bytes = limits.max_head_bytes.load(Ordering::Relaxed);
-            let mut builder = auto::Builder::new(tasks.clone());
+            let mut builder = http1::Builder::new();
             builder
-                .http1()
                 .timer(TokioTimer::new())
                 .max_buf_size(max_head_bytes)
                 .header_read_timeout(HEADER_TIMEOUT);
@@ -166,9 +165,7 @@
             let handler = handler.clone();
             let service =
                 service_fn(move |request| answer(handler.clone(), client.clone(), request));
-            let connection = builder
-                .serve_connection(TokioIo::new(stream), service)
-                .into_owned();
+            let connection = builder.serve_connection(TokioIo::new(stream), service);
             let watched = graceful.watch(connection);
             tasks.spawn(async move {
                 tokio::select! {
