A refused client gets its answer although it still sends

Cause: after an answer to a request that was not read to its end the connection was closed with bytes unread, which resets it.

A request that was read to its end is not waited for.

--- a/crates/firweir/src/connection/body.rs
+++ b/crates/firweir/src/connection/body.rs
@@ -195,10 +195,14 @@
     pub async fn receive(mut self, limit_bytes: usize) -> Result<Blocks, BodyError> {
         let (connections, state) = (self.connection.connections(), self.connection.state());
         let _receiving = state.receiving();
-        tokio::select! {
+        let received = tokio::select! {
             biased;
             () = state.refused() => Err(BodyError::Stalled),
             collected = collect_into(connections, &mut self.body, limit_bytes) => collected.whole(),
+        };
+        if received.is_ok() {
+            state.record_whole_body();
         }
+        received
     }
 }
--- a/crates/firweir/src/connection/connection_state.rs
+++ b/crates/firweir/src/connection/connection_state.rs
@@ -38,6 +38,8 @@
     credit_ms: AtomicU64,
     /// The client takes no more bytes of an answer.
     is_write_blocked: AtomicBool,
+    /// Bytes of a request may be unread.
+    has_unread: AtomicBool,
     is_closing: AtomicBool,
     refused: Notify,
     closed: Notify,
@@ -51,15 +53,27 @@
             phase: AtomicU8::new(Phase::Idle as u8),
             credit_ms: AtomicU64::new(epoch.elapsed().as_millis() as u64),
             is_write_blocked: AtomicBool::new(false),
+            has_unread: AtomicBool::new(false),
             is_closing: AtomicBool::new(false),
             refused: Notify::new(),
             closed: Notify::new(),
         }
     }
 
-    /// The head of a request was read.
-    pub(crate) fn begin_request(&self) {
+    /// The head of a request was read, and its body is still to be read if it has one.
+    pub(crate) fn begin_request(&self, has_body: bool) {
         self.set_phase(Phase::Answering);
+        self.has_unread.store(has_body, Ordering::Relaxed);
+    }
+
+    /// The body of the request was read to its end.
+    pub(crate) fn record_whole_body(&self) {
+        self.has_unread.store(false, Ordering::Relaxed);
+    }
+
+    /// Whether bytes of a request may be unread.
+    pub(crate) fn has_unread(&self) -> bool {
+        self.has_unread.load(Ordering::Relaxed)
     }
 
     /// The answer to the request was handed over to be sent.
@@ -80,6 +94,7 @@
     /// The client has sent bytes.
     pub(crate) fn record_received(&self, bytes: usize) {
         if self.is_in(Phase::Idle) {
+            self.has_unread.store(true, Ordering::Relaxed);
             self.credit_ms.store(self.now_ms(), Ordering::Relaxed);
         } else {
             self.extend_credit(bytes);
--- a/crates/firweir/src/connection/server.rs
+++ b/crates/firweir/src/connection/server.rs
@@ -16,6 +16,7 @@
 use http::StatusCode;
 use http_body_util::BodyExt;
 use http_body_util::combinators::UnsyncBoxBody;
+use hyper::body::Body as HttpBody;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -58,6 +59,9 @@
     /// Largest head of a request on connections that are accepted from now on; a longer one is
     /// answered with 431.
     pub max_head_bytes: Arc<AtomicUsize>,
+    /// After an answer to a request that was not read to its end, what its client still sends is
+    /// discarded until it sends nothing for this time. Zero closes at once.
+    pub discard_timeout: Duration,
 }
 
 impl Default for ListenLimits {
@@ -65,6 +69,7 @@
         Self {
             max_connections: usize::MAX,
             max_head_bytes: Arc::new(AtomicUsize::new(DEFAULT_MAX_HEAD_BYTES)),
+            discard_timeout: Duration::ZERO,
         }
     }
 }
@@ -161,7 +166,8 @@
                 .max_buf_size(max_head_bytes)
                 .header_read_timeout(HEADER_TIMEOUT);
             let client = registered.client().clone();
-            let stream = ClientStream::new(FairStream::new(conn), Arc::clone(client.state()));
+            let state = Arc::clone(client.state());
+            let stream = ClientStream::new(FairStream::new(conn), state, limits.discard_timeout);
             let handler = handler.clone();
             let service =
                 service_fn(move |request| answer(handler.clone(), client.clone(), request));
@@ -189,7 +195,7 @@
     mut request: Request<Incoming>,
 ) -> Result<Response<AnswerBody>, Infallible> {
     let state = Arc::clone(client.state());
-    state.begin_request();
+    state.begin_request(!request.body().is_end_stream());
     request.extensions_mut().insert(client);
     let answer = handler.oneshot(request).await?;
     Ok(answer.map(|body| AnswerBody::new(body, state)))
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -105,6 +105,9 @@
 /// some 5 MB/s through it.
 const CONNECTION_BUFFER_BYTES: u32 = 32 << 10;
 
+/// Time for which a client that was refused may send nothing until its connection is closed.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Connections of the balancer, or of an operator's tooling.
 const MAX_CONTROL_CONNECTIONS: usize = 16;
 
@@ -328,6 +331,7 @@
     let client_limits = ListenLimits {
         max_connections: settings.max_client_connections(),
         max_head_bytes: Arc::clone(&context.max_head_bytes),
+        discard_timeout: DISCARD_TIMEOUT,
     };
     let clients = serve(
         &context,
