--- a/crates/node/src/fingerprint.rs
+++ b/crates/node/src/fingerprint.rs
@@ -34,7 +34,9 @@
             path.as_bytes(),
             account.unwrap_or_default().as_bytes(),
         ];
-        parts.iter().for_each(|part| add_part(&mut hasher, part));
+        for part in parts {
+            add_part(&mut hasher, part);
+        }
         hasher.update(&body.len().to_le_bytes());
         body.iter().for_each(|block| hasher.update(block));
         Self::of_hash(&hasher)
@@ -72,7 +74,9 @@
     /// Hashes parts with their lengths, so that no two lists of parts run together.
     fn of_parts(parts: &[&[u8]]) -> Self {
         let mut hasher = Xxh3::new();
-        parts.iter().for_each(|part| add_part(&mut hasher, part));
+        for part in parts {
+            add_part(&mut hasher, part);
+        }
         Self::of_hash(&hasher)
     }
 
