Accepted steps take their memory from the requests' budget

What callers saw: 48 whole legal steps of 3.5 MB took 184 MB of 110: the process ended, although their bodies had been bounded while they were read.

Cause: a step is held as its body, its decoded items and copies on their way to the store, and its items stay while it runs; none of this was counted.

Change: a step takes three times its body from the budget before it is decoded, or is refused with 503 and its promise: nothing of it is kept. Once it is stored, what its items take stays taken until the step is gone. Its body is freed as it is copied into one piece. Stalled clients give way as for a body.

What was refused or closed to make room has a line room_made, once a second at most, and counters room.*; node_load tells open connections and bytes held.

Steps that are loaded from the store after a restart or taken over from another node are not counted: open.

--- a/crates/firweir/src/connection/blocks.rs
+++ b/crates/firweir/src/connection/blocks.rs
@@ -55,26 +55,25 @@
         Some(block)
     }
 
+    /// The bytes in one piece. Several blocks are copied, and each is freed as soon as it is.
+    #[must_use]
+    pub fn into_bytes(mut self) -> Bytes {
+        if self.blocks.len() < 2 {
+            return self.pop().unwrap_or_default();
+        }
+        let mut whole = Vec::with_capacity(self.bytes);
+        while let Some(block) = self.pop() {
+            whole.extend_from_slice(&block);
+        }
+        whole.into()
+    }
+
     fn push(&mut self, block: Bytes) {
         if !block.is_empty() {
             self.bytes += block.len();
             self.blocks.push_back(block);
         }
     }
-
-    /// The bytes in one piece; copied if there are several blocks.
-    #[must_use]
-    pub fn to_bytes(&self) -> Bytes {
-        match self.blocks.front() {
-            None => Bytes::new(),
-            Some(only) if self.blocks.len() == 1 => only.clone(),
-            Some(_) => {
-                let mut whole = Vec::with_capacity(self.bytes);
-                self.iter().for_each(|block| whole.extend_from_slice(block));
-                whole.into()
-            }
-        }
-    }
 }
 
 impl From<Bytes> for Blocks {
--- a/crates/firweir/src/connection/memory_budget.rs
+++ b/crates/firweir/src/connection/memory_budget.rs
@@ -57,10 +57,15 @@
                 });
         taken.ok().map(|_| Reservation {
             budget: self.clone(),
-            bytes,
+            bytes: AtomicUsize::new(bytes),
         })
     }
 
+    fn give_back(&self, bytes: usize) {
+        self.0.held_bytes.fetch_sub(bytes, Ordering::Relaxed);
+        self.0.freed.notify_waiters();
+    }
+
     /// Bytes that all requests may hold together so that one of this size may take more.
     fn limit_for(&self, request_bytes: usize) -> usize {
         if request_bytes <= SMALL_REQUEST_BYTES {
@@ -69,12 +74,6 @@
         self.0.limit_bytes - self.0.limit_bytes / SMALL_REQUESTS_DIVISOR
     }
 
-    /// Whether a request of this size fits while there are no others.
-    #[must_use]
-    pub fn may_ever_fit(&self, request_bytes: usize) -> bool {
-        request_bytes <= self.limit_for(request_bytes)
-    }
-
     /// Bytes that are held now.
     #[must_use]
     pub fn held_bytes(&self) -> usize {
@@ -91,21 +90,19 @@
 #[derive(Debug)]
 pub struct Reservation {
     budget: MemoryBudget,
-    bytes: usize,
+    bytes: AtomicUsize,
 }
 
 impl Reservation {
-    /// Number of bytes.
-    #[must_use]
-    pub const fn bytes(&self) -> usize {
-        self.bytes
+    /// Gives back all but `bytes`.
+    pub fn shrink_to(&self, bytes: usize) {
+        let held_bytes = self.bytes.fetch_min(bytes, Ordering::Relaxed);
+        self.budget.give_back(held_bytes.saturating_sub(bytes));
     }
 }
 
 impl Drop for Reservation {
     fn drop(&mut self) {
-        let shared = &self.budget.0;
-        shared.held_bytes.fetch_sub(self.bytes, Ordering::Relaxed);
-        shared.freed.notify_waiters();
+        self.budget.give_back(*self.bytes.get_mut());
     }
 }
--- a/crates/firweir/src/connection/open_connections.rs
+++ b/crates/firweir/src/connection/open_connections.rs
@@ -26,22 +26,37 @@
 /// Time in which a client that was evicted gives its memory back.
 const EVICTION_TIME: Duration = Duration::from_millis(100);
 
-/// Number of events since the process started.
-#[derive(Debug, Default)]
-pub struct ConnectionCounts {
-    /// Idle connections that were closed to make room for new ones.
-    pub idle_closed: AtomicU64,
-    /// Connections that were closed at once, since none could make room.
-    pub not_accepted: AtomicU64,
-    /// Requests that were refused since their bodies stalled and others needed the memory.
-    pub stalled_bodies: AtomicU64,
-    /// Connections that were closed since their clients read no more of their answers and others
-    /// needed the memory.
-    pub unread_answers: AtomicU64,
-    /// Bodies and answers that found no memory.
-    pub no_memory: AtomicU64,
+/// What connections and requests were refused or closed for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[repr(usize)]
+pub enum RoomCause {
+    /// An idle connection was closed to make room for a new one.
+    IdleClosed,
+    /// A connection was closed at once, since none could make room.
+    NotAccepted,
+    /// A request was refused since its body stalled and others needed the memory.
+    StalledBody,
+    /// A connection was closed since its client read no more of its answer and others needed the
+    /// memory.
+    UnreadAnswer,
+    /// A body or an answer found no memory.
+    NoMemory,
+}
+
+impl RoomCause {
+    /// All causes, in the order of their values.
+    pub const ALL: [Self; 5] = [
+        Self::IdleClosed,
+        Self::NotAccepted,
+        Self::StalledBody,
+        Self::UnreadAnswer,
+        Self::NoMemory,
+    ];
 }
 
+/// Number of refusals and closings since the process started, by cause.
+pub type RoomCounts = [u64; RoomCause::ALL.len()];
+
 /// The open connections of a process; cheap to clone.
 #[derive(Debug, Clone)]
 pub struct OpenConnections {
@@ -55,7 +70,7 @@
     /// In the order of their keys.
     entries: Mutex<Vec<Entry>>,
     listeners: AtomicUsize,
-    counts: ConnectionCounts,
+    counts: [AtomicU64; RoomCause::ALL.len()],
     changed: Notify,
 }
 
@@ -89,7 +104,7 @@
             budget,
             entries: Mutex::default(),
             listeners: AtomicUsize::new(0),
-            counts: ConnectionCounts::default(),
+            counts: Default::default(),
             changed: Notify::new(),
         };
         Self {
@@ -97,17 +112,35 @@
         }
     }
 
-    /// Number of events so far.
+    /// Refusals and closings so far.
     #[must_use]
-    pub fn counts(&self) -> &ConnectionCounts {
-        &self.shared.counts
+    pub fn counts(&self) -> RoomCounts {
+        let counts = &self.shared.counts;
+        std::array::from_fn(|cause| counts[cause].load(Ordering::Relaxed))
     }
 
-    /// Resolves when one of the counts has changed.
+    /// Resolves when one of the counts has changed since it was last resolved.
     pub async fn counts_changed(&self) {
         self.shared.changed.notified().await;
     }
 
+    /// Whether a connection was told to close and has not done so.
+    pub(crate) fn has_closing(&self) -> bool {
+        self.lock().iter().any(|entry| entry.state.is_closing())
+    }
+
+    /// Number of open connections.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.lock().len()
+    }
+
+    /// Whether there are no open connections.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
     /// Memory that requests hold now, in bytes.
     #[must_use]
     pub fn held_bytes(&self) -> usize {
@@ -130,7 +163,7 @@
         let own = || entries.iter().filter(|entry| entry.listener == listener);
         let open = own().filter(|entry| !entry.state.is_closing()).count();
         if open >= max_connections && !self.close_idle(own()) && !self.evict_stalled(own()) {
-            self.count(&self.shared.counts.not_accepted);
+            self.count(RoomCause::NotAccepted);
             return None;
         }
         let key = ConnectionKey(entries.last().map_or(0, |last| last.key.0 + 1));
@@ -156,13 +189,13 @@
             return false;
         };
         state.evict();
-        self.count(&self.shared.counts.idle_closed);
+        self.count(RoomCause::IdleClosed);
         true
     }
 
     /// Takes memory for a request that holds `held_bytes`, from clients that make no progress if
     /// need be.
-    pub(crate) async fn reserve(&self, bytes: usize, held_bytes: usize) -> Option<Reservation> {
+    pub async fn reserve(&self, bytes: usize, held_bytes: usize) -> Option<Reservation> {
         let budget = &self.shared.budget;
         for _ in 0..MAX_EVICTIONS_PER_BLOCK {
             if let Some(reservation) = budget.try_take(bytes, held_bytes) {
@@ -177,7 +210,7 @@
         }
         let reservation = budget.try_take(bytes, held_bytes);
         if reservation.is_none() {
-            self.count(&self.shared.counts.no_memory);
+            self.count(RoomCause::NoMemory);
         }
         reservation
     }
@@ -190,17 +223,16 @@
             return false;
         };
         state.evict();
-        let counts = &self.shared.counts;
         self.count(if state.is_closing() {
-            &counts.unread_answers
+            RoomCause::UnreadAnswer
         } else {
-            &counts.stalled_bodies
+            RoomCause::StalledBody
         });
         true
     }
 
-    fn count(&self, counter: &AtomicU64) {
-        counter.fetch_add(1, Ordering::Relaxed);
+    fn count(&self, cause: RoomCause) {
+        self.shared.counts[cause as usize].fetch_add(1, Ordering::Relaxed);
         self.shared.changed.notify_one();
     }
 
--- a/crates/firweir/src/connection/server.rs
+++ b/crates/firweir/src/connection/server.rs
@@ -179,8 +179,10 @@
                     () = registered.client().state().closed() => {}
                 }
             });
-            // Connections that were told to close do so before the next one is accepted.
-            tokio::task::yield_now().await;
+            if connections.has_closing() {
+                // They end before the next one is accepted, so that descriptors are free.
+                tokio::task::yield_now().await;
+            }
         }
         drop(listener);
         graceful.shutdown().await;
@@ -228,5 +230,5 @@
 /// Reads a whole request body, or `None` if it is broken or above the limit.
 pub async fn read_body(body: Incoming, limit_bytes: usize) -> Option<Bytes> {
     let read = collect(body, limit_bytes).await.ok()?;
-    Some(read.to_bytes())
+    Some(read.into_bytes())
 }
--- a/crates/node/src/connection_pool.rs
+++ b/crates/node/src/connection_pool.rs
@@ -333,7 +333,7 @@
             let (head, body) = response.answer.into_parts();
             response.connection.allow_body(MAX_ANSWER_BYTES);
             let body = collect(body, MAX_ANSWER_BYTES).await;
-            let body = body.map_err(|_broken| CallError::Broken)?.to_bytes();
+            let body = body.map_err(|_broken| CallError::Broken)?.into_bytes();
             response.connection.return_to_pool();
             Ok(Response::from_parts(head, body))
         };
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -46,6 +46,7 @@
 mod report_timer;
 mod request_handler;
 pub mod respond;
+pub mod room_logger;
 pub mod roster;
 pub mod sample_order;
 pub mod scaling;
--- a/crates/node/src/load_logger.rs
+++ b/crates/node/src/load_logger.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use firweir::connection::open_connections::OpenConnections;
 use firweir::process::log::Journal;
 
 use crate::fleet::Fleet;
@@ -42,6 +43,8 @@
     pub fleet: Arc<Fleet>,
     /// Tells how many calls it has sent to the store.
     pub store: Store,
+    /// Tells how many connections are open, and how much memory their requests hold.
+    pub connections: OpenConnections,
     /// Log that the lines are written to.
     pub journal: Journal,
 }
@@ -77,6 +80,8 @@
                 ("peak_memory_mb", &memory_mb.unwrap_or_default()),
                 ("cpu_ms", &cpu_ms.unwrap_or_default()),
                 ("store_calls", &self.store.calls_sent()),
+                ("connections", &self.connections.len()),
+                ("held_bytes", &self.connections.held_bytes()),
             ],
         );
     }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -62,6 +62,7 @@
 use crate::reload::CurrentSettings;
 use crate::reload::SettingsReloader;
 use crate::request_handler::RequestHandler;
+use crate::room_logger::RoomLogger;
 use crate::roster::LocalMember;
 use crate::roster::Roster;
 use crate::scaling::scaler::Scaler;
@@ -328,6 +329,11 @@
         .ok_or(NodeError::Missing("peer_listen"))?;
     let request_handler = build_handler(&context, peer_listen);
     start_followers(&context, &request_handler);
+    let room_logger = RoomLogger {
+        connections: context.open_connections.clone(),
+        journal: context.journal.clone(),
+    };
+    context.tasks.spawn(room_logger.run());
     let client_limits = ListenLimits {
         max_connections: settings.max_client_connections(),
         max_head_bytes: Arc::clone(&context.max_head_bytes),
@@ -528,6 +534,7 @@
         holder: holder.clone(),
         fleet: Arc::clone(&fleet),
         store: context.store.clone(),
+        connections: context.open_connections.clone(),
         journal: journal.clone(),
     };
     context.tasks.spawn(load_logger.run());
@@ -546,6 +553,7 @@
         usage_counter,
         relay: Arc::clone(&context.sources.relay),
         connections: context.connections.clone(),
+        request_memory: context.open_connections.clone(),
         store: context.settings.store,
         clock: Arc::clone(clock),
         boot_clock: Arc::clone(&context.sources.boot_clock),
--- a/crates/node/src/request_handler.rs
+++ b/crates/node/src/request_handler.rs
@@ -8,8 +8,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use firweir::connection::body::BodyError;
 use firweir::connection::body::PendingBody;
 use firweir::connection::client::within;
+use firweir::connection::open_connections::OpenConnections;
 use firweir::connection::server::Body;
 use firweir::process::clock::Clock;
 use firweir::process::log::Journal;
@@ -77,6 +79,10 @@
 /// Largest fraction of a client's timeout that a request waits for the first configuration.
 const CONFIG_WAIT_FRACTION: f64 = 0.25;
 
+/// Memory that a submission takes while it is accepted, in sizes of its body: the body in one piece, its
+/// items, and copies of them on their way to the store.
+const SUBMISSION_COPIES: usize = 3;
+
 /// Answers clients, the balancer and other nodes by means of the components of this node.
 #[derive(Debug)]
 pub(crate) struct RequestHandler {
@@ -94,6 +100,7 @@
     pub(crate) usage_counter: UsageCounter,
     pub(crate) relay: Arc<Relay>,
     pub(crate) connections: ConnectionPool,
+    pub(crate) request_memory: OpenConnections,
     /// Address of the platform's store.
     pub(crate) store: SocketAddr,
     pub(crate) clock: Arc<dyn Clock>,
@@ -316,9 +323,16 @@
             return refusal(Outcome::NotRun(RETRY_AFTER), "body-late");
         };
         let body = match body {
-            Ok(body) => body.to_bytes(),
+            Ok(body) => body,
             Err(error) => return body_refusal(error, RETRY_AFTER),
         };
+        let body_bytes = body.len();
+        let needed_bytes = SUBMISSION_COPIES * body_bytes;
+        let memory = self.request_memory.reserve(needed_bytes, body_bytes).await;
+        let Some(memory) = memory else {
+            return body_refusal(BodyError::NoMemory, RETRY_AFTER);
+        };
+        let body = body.into_bytes();
         let submission = match self.dialect.submission(&routed.request_id, &body) {
             Ok(submission) => submission,
             Err(error) => {
@@ -334,6 +348,7 @@
             host: &routed.host,
             head,
             body: &body,
+            memory: &Arc::new(memory),
             account: incoming.account,
         };
         match incoming.origin {
--- a/crates/node/src/request_handler/peer_requests.rs
+++ b/crates/node/src/request_handler/peer_requests.rs
@@ -230,7 +230,7 @@
 async fn read_peer_body(body: PendingBody, limit_bytes: usize) -> Result<Bytes, StatusCode> {
     let reading = within(PEER_BODY_TIMEOUT, body.receive(limit_bytes));
     match reading.await {
-        Some(Ok(body)) => Ok(body.to_bytes()),
+        Some(Ok(body)) => Ok(body.into_bytes()),
         Some(Err(BodyError::NoMemory | BodyError::Stalled)) => Err(StatusCode::SERVICE_UNAVAILABLE),
         Some(Err(BodyError::TooLarge | BodyError::Broken)) | None => {
             Err(StatusCode::PAYLOAD_TOO_LARGE)
--- a/crates/node/src/submission/accept.rs
+++ b/crates/node/src/submission/accept.rs
@@ -1,9 +1,11 @@
 //! Accepts submissions: each once, and only after all of it is in the store.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use firweir::connection::blocks::Blocks;
+use firweir::connection::memory_budget::Reservation;
 use firweir::connection::server::Body;
 use http::Request;
 use http::Response;
@@ -64,6 +66,8 @@
     pub head: &'a request::Parts,
     /// Body of the request.
     pub body: &'a Bytes,
+    /// Memory that it takes while it is accepted.
+    pub memory: &'a Arc<Reservation>,
     /// Account that it is for.
     pub account: Option<&'a str>,
 }
@@ -233,7 +237,7 @@
                     posted.host.to_owned(),
                     posted.head.uri.path().to_owned(),
                     posted.account.map(str::to_owned),
-                    submission,
+                    (submission, Arc::clone(posted.memory), posted.body.len()),
                     outcome_sender,
                 );
                 drop(tokio::spawn(accepting));
@@ -259,7 +263,7 @@
         host: String,
         path: String,
         account: Option<String>,
-        submission: Submission,
+        (submission, memory, items_bytes): (Submission, Arc<Reservation>, usize),
         outcome_sender: watch::Sender<Option<Acceptance>>,
     ) {
         let id = submission.id.clone();
@@ -275,6 +279,8 @@
                     let local = LocalSubmission::new(id.clone(), head, submission.items, clock);
                     // Its head names this node as the runner from this time on.
                     local.head_view.record_confirmed(sent);
+                    memory.shrink_to(items_bytes);
+                    local.keep_memory(memory);
                     self.start(local);
                 }
                 Acceptance::Accepted
--- a/crates/node/src/submission/local.rs
+++ b/crates/node/src/submission/local.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::OnceLock;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
@@ -15,6 +16,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use firweir::connection::memory_budget::Reservation;
 use firweir::process::clock::Clock;
 use firweir::process::log::Journal;
 use firweir_policy::long_poll::LongPoll;
@@ -110,9 +112,17 @@
     results_pending: Notify,
     /// Whether another node runs it now.
     released: AtomicBool,
+    /// Memory of the requests' budget that its items take; none if it was loaded from the store.
+    memory: OnceLock<Arc<Reservation>>,
 }
 
 impl LocalSubmission {
+    /// Keeps the memory that its items take for as long as they are here.
+    pub fn keep_memory(&self, memory: Arc<Reservation>) {
+        // Nobody else sets it.
+        drop(self.memory.set(memory));
+    }
+
     /// Creates a submission without results.
     #[must_use]
     pub fn new(id: String, head: Head, items: Vec<Item>, clock: &dyn Clock) -> Arc<Self> {
@@ -150,6 +160,7 @@
             results_listed: Notify::new(),
             results_pending: Notify::new(),
             released: AtomicBool::new(false),
+            memory: OnceLock::new(),
         })
     }
 
--- a/crates/node/src/upstream_answer.rs
+++ b/crates/node/src/upstream_answer.rs
@@ -125,7 +125,7 @@
         let mut answer = Response::new(Bytes::new());
         *answer.status_mut() = own.status;
         let body = own.read_body(MAX_CONTROL_ANSWER_BYTES).await;
-        *answer.body_mut() = body.map_err(|_broken| CallError::Broken)?.to_bytes();
+        *answer.body_mut() = body.map_err(|_broken| CallError::Broken)?.into_bytes();
         Ok(answer)
     };
     within(timeout, complete)
