Buffers of connections by who is at the other end; listeners in a file of their own

Cause: 32 KiB in each direction for all connections would let a client 6 ms away read 5 MB/s: a page of results of 1 MB took 200 ms (worked out, not measured), and a node that lists all upstreams through a seed more turns than it needs.

What a node accepts at its addresses moves from node.rs to node_listener.rs.

--- a/crates/firweir/src/connection/net.rs
+++ b/crates/firweir/src/connection/net.rs
@@ -67,8 +67,10 @@
 /// counts as memory of the process, and grows to megabytes by default.
 #[derive(Debug, Clone, Copy)]
 pub struct BoundedTcpNet {
-    /// Size of the buffer in each direction, in bytes.
-    pub buffer_bytes: u32,
+    /// Size of the buffer for what was received and not read, in bytes.
+    pub receive_buffer_bytes: u32,
+    /// Size of the buffer for what was sent and not taken, in bytes.
+    pub send_buffer_bytes: u32,
 }
 
 impl Net for BoundedTcpNet {
@@ -77,7 +79,7 @@
     }
 
     fn listen(&self, at: SocketAddr) -> BoxFuture<'static, io::Result<Box<dyn Listener>>> {
-        let buffer_bytes = self.buffer_bytes;
+        let buffers = *self;
         Box::pin(async move {
             let socket = match at {
                 SocketAddr::V4(_) => TcpSocket::new_v4(),
@@ -85,8 +87,8 @@
             }?;
             socket.set_reuseaddr(true)?;
             // A system that cannot set them has buffers of its own.
-            drop(socket.set_recv_buffer_size(buffer_bytes));
-            drop(socket.set_send_buffer_size(buffer_bytes));
+            drop(socket.set_recv_buffer_size(buffers.receive_buffer_bytes));
+            drop(socket.set_send_buffer_size(buffers.send_buffer_bytes));
             socket.bind(at)?;
             let listener = socket.listen(ACCEPT_QUEUE)?;
             Ok(Box::new(listener) as Box<dyn Listener>)
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod model;
 pub mod newest_config;
 pub mod node;
+mod node_listener;
 pub mod outage;
 mod progress;
 pub mod relay;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -8,22 +8,15 @@
 use std::time::Duration;
 
 use firweir::connection::memory_budget::MemoryBudget;
-use firweir::connection::net::BoundedTcpNet;
-use firweir::connection::net::SharedNet;
 use firweir::connection::open_connections::OpenConnections;
 use firweir::connection::server;
 use firweir::connection::server::Body;
-use firweir::connection::server::BoxHandler;
-use firweir::connection::server::Endpoint;
-use firweir::connection::server::ListenLimits;
 use firweir::connection::server::bytes_response;
-use firweir::connection::server::serve_among;
 use firweir::process::clock::Clock;
 use firweir::process::clock::SystemClock;
 use firweir::process::log::Journal;
 use firweir::process::metrics::Exposition;
 use firweir::process::tasks::Tasks;
-use futures_util::future::BoxFuture;
 use http::Request;
 use http::Response;
 use http::StatusCode;
@@ -55,6 +48,8 @@
 use crate::mechanisms::Mechanism;
 use crate::model::DEFAULT_MAX_HEADER_BYTES;
 use crate::newest_config::NewestConfig;
+use crate::node_listener::NodeListener;
+use crate::node_listener::max_buffered_head;
 use crate::outage::Outage;
 use crate::relay::Relay;
 use crate::relay::max_age_for;
@@ -102,16 +97,6 @@
 /// and two seeds in a row may be silent (see `relay`).
 const MIN_PROPAGATION_TO_RELAY: Duration = Duration::from_millis(2_800);
 
-/// Buffer of the system in each direction of an accepted connection. A client 6 ms away sends and reads
-/// some 5 MB/s through it.
-const CONNECTION_BUFFER_BYTES: u32 = 32 << 10;
-
-/// Time for which a client that was refused may send nothing until its connection is closed.
-const DISCARD_TIMEOUT: Duration = Duration::from_secs(1);
-
-/// Connections of the balancer, or of an operator's tooling.
-const MAX_CONTROL_CONNECTIONS: usize = 16;
-
 /// Time between two checks of decisions that depend on the time.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -146,12 +131,11 @@
     exposition: Exposition,
     connections: ConnectionPool,
     /// Connections that clients, other nodes and the balancer have opened.
-    open_connections: OpenConnections,
+    pub(crate) open_connections: OpenConnections,
     /// Largest head of a client's request.
     max_head_bytes: Arc<AtomicUsize>,
     pub(crate) store: Store,
     sources: Sources,
-    net: SharedNet,
     pub(crate) tasks: Tasks,
     shutdown: Shutdown,
     mechanisms: EnabledMechanisms,
@@ -214,9 +198,6 @@
             journal,
             connections,
             store,
-            net: Arc::new(BoundedTcpNet {
-                buffer_bytes: CONNECTION_BUFFER_BYTES,
-            }),
             tasks: Tasks::new(),
             shutdown,
         };
@@ -334,36 +315,31 @@
         journal: context.journal.clone(),
     };
     context.tasks.spawn(room_logger.run());
-    let client_limits = ListenLimits {
-        max_connections: settings.max_client_connections(),
-        max_head_bytes: Arc::clone(&context.max_head_bytes),
-        discard_timeout: DISCARD_TIMEOUT,
-    };
+    let head_limit = Arc::clone(&context.max_head_bytes);
+    let clients = NodeListener::for_clients(client_listen, settings, head_limit);
     let clients = serve(
         &context,
         &request_handler,
-        (client_listen, client_limits),
+        clients,
         RequestHandler::handle_client,
-    );
-    let clients = clients.await?;
+    )
+    .await?;
+    let ready = NodeListener::for_control(ready_listen);
     let ready = serve(
         &context,
         &request_handler,
-        (ready_listen, control_limits()),
+        ready,
         RequestHandler::handle_client,
-    );
-    let ready = ready.await?;
-    let peer_limits = ListenLimits {
-        max_connections: settings.max_peer_connections(),
-        ..ListenLimits::default()
-    };
+    )
+    .await?;
+    let peers = NodeListener::for_peers(peer_listen, settings);
     let peers = serve(
         &context,
         &request_handler,
-        (peer_listen, peer_limits),
+        peers,
         RequestHandler::handle_peer,
-    );
-    let peers = peers.await?;
+    )
+    .await?;
     serve_metrics(&context).await?;
     context.tasks.spawn(clients);
     context.tasks.spawn(ready);
@@ -388,7 +364,9 @@
         let text = exposition.text();
         Box::pin(async move { bytes_response(StatusCode::OK, text.into()) })
     });
-    let serving = serve_at(context, (address, control_limits()), handler).await?;
+    let serving = NodeListener::for_control(address)
+        .serve(context, handler)
+        .await?;
     context.tasks.spawn(serving);
     Ok(())
 }
@@ -700,18 +678,11 @@
     });
 }
 
-/// Bytes that are read of a head whose headers may have this many: the request line and what comes with
-/// the end of the head are read as well.
-const fn max_buffered_head(max_header_bytes: usize) -> usize {
-    const LINE_BYTES: usize = 8 << 10;
-    max_header_bytes.saturating_add(LINE_BYTES)
-}
-
 /// Serves an address until the process ends.
 async fn serve<F, A>(
     context: &NodeContext,
     request_handler: &Arc<RequestHandler>,
-    endpoint: (SocketAddr, ListenLimits),
+    listener: NodeListener,
     handle: F,
 ) -> io::Result<impl Future<Output = ()> + Send + use<F, A>>
 where
@@ -721,29 +692,5 @@
     let request_handler = Arc::clone(request_handler);
     let handler =
         server::handler(move |request| Box::pin(handle(Arc::clone(&request_handler), request)));
-    serve_at(context, endpoint, handler).await
-}
-
-async fn serve_at(
-    context: &NodeContext,
-    (address, limits): (SocketAddr, ListenLimits),
-    handler: BoxHandler,
-) -> io::Result<BoxFuture<'static, ()>> {
-    let (net, tasks) = (&context.net, &context.tasks);
-    let endpoint = Endpoint {
-        address,
-        linger: context.settings.grace(),
-        limits,
-    };
-    let connections = &context.open_connections;
-    let (_, serving) = serve_among(connections, net, tasks, endpoint, handler).await?;
-    Ok(serving)
-}
-
-/// Limits of a listener for the balancer or an operator's tooling.
-fn control_limits() -> ListenLimits {
-    ListenLimits {
-        max_connections: MAX_CONTROL_CONNECTIONS,
-        ..ListenLimits::default()
-    }
+    listener.serve(context, handler).await
 }
