The largest legal step is accepted on the smallest VM

What callers saw: a step of 33 MB, legal on all installations, took more than the smallest VM has, and was refused with 503 by each small VM once steps took their memory from the budget.

Cause: a step was held as its body in one piece, its decoded items and a copy of all of them, three times its size.

Items are copied a record at a time on their way to the store. A step of more than 4 MiB is accepted where it arrives and not forwarded to the home of its model, for which its body would be kept beside its items.

--- a/crates/firweir/src/connection/blocks.rs
+++ b/crates/firweir/src/connection/blocks.rs
@@ -6,10 +6,13 @@
 
 use std::collections::VecDeque;
 use std::convert::Infallible;
+use std::io;
+use std::io::Read;
 use std::pin::Pin;
 use std::task::Context;
 use std::task::Poll;
 
+use bytes::Buf;
 use bytes::Bytes;
 use hyper::body::Body;
 use hyper::body::Frame;
@@ -76,6 +79,23 @@
     }
 }
 
+/// Reads the bytes; each block is freed once it is read.
+impl Read for Blocks {
+    fn read(&mut self, buffer: &mut [u8]) -> io::Result<usize> {
+        let Some(block) = self.blocks.front_mut() else {
+            return Ok(0);
+        };
+        let bytes = block.len().min(buffer.len());
+        buffer[..bytes].copy_from_slice(&block[..bytes]);
+        block.advance(bytes);
+        if block.is_empty() {
+            self.blocks.pop_front();
+        }
+        self.bytes -= bytes;
+        Ok(bytes)
+    }
+}
+
 impl From<Bytes> for Blocks {
     fn from(block: Bytes) -> Self {
         let mut blocks = Self::default();
--- a/crates/firweir/src/connection/memory_budget.rs
+++ b/crates/firweir/src/connection/memory_budget.rs
@@ -57,7 +57,7 @@
                 });
         taken.ok().map(|_| Reservation {
             budget: self.clone(),
-            bytes: AtomicUsize::new(bytes),
+            bytes,
         })
     }
 
@@ -90,19 +90,11 @@
 #[derive(Debug)]
 pub struct Reservation {
     budget: MemoryBudget,
-    bytes: AtomicUsize,
-}
-
-impl Reservation {
-    /// Gives back all but `bytes`.
-    pub fn shrink_to(&self, bytes: usize) {
-        let held_bytes = self.bytes.fetch_min(bytes, Ordering::Relaxed);
-        self.budget.give_back(held_bytes.saturating_sub(bytes));
-    }
+    bytes: usize,
 }
 
 impl Drop for Reservation {
     fn drop(&mut self) {
-        self.budget.give_back(*self.bytes.get_mut());
+        self.budget.give_back(self.bytes);
     }
 }
--- a/crates/node/src/dialect.rs
+++ b/crates/node/src/dialect.rs
@@ -464,7 +464,7 @@
     /// # Errors
     ///
     /// The body is malformed.
-    fn submission(&self, id: &str, body: &[u8]) -> Result<Submission, BadMessage>;
+    fn submission(&self, id: &str, body: Blocks) -> Result<Submission, BadMessage>;
 
     /// Writes a page of results.
     fn result_page(&self, page: &ResultPage<'_>) -> Bytes;
--- a/crates/node/src/request_handler.rs
+++ b/crates/node/src/request_handler.rs
@@ -79,9 +79,9 @@
 /// Largest fraction of a client's timeout that a request waits for the first configuration.
 const CONFIG_WAIT_FRACTION: f64 = 0.25;
 
-/// Memory that a submission takes while it is accepted, in sizes of its body: the body in one piece, its
-/// items, and copies of them on their way to the store.
-const SUBMISSION_COPIES: usize = 3;
+/// Largest submission that is forwarded to the home of its model. Its body is kept beside its decoded
+/// items until it is accepted; a larger one is accepted where it arrives.
+const MAX_FORWARDED_BYTES: usize = 4 << 20;
 
 /// Answers clients, the balancer and other nodes by means of the components of this node.
 #[derive(Debug)]
@@ -327,13 +327,8 @@
             Err(error) => return body_refusal(error, RETRY_AFTER),
         };
         let body_bytes = body.len();
-        let needed_bytes = SUBMISSION_COPIES * body_bytes;
-        let memory = self.request_memory.reserve(needed_bytes, body_bytes).await;
-        let Some(memory) = memory else {
-            return body_refusal(BodyError::NoMemory, RETRY_AFTER);
-        };
-        let body = body.into_bytes();
-        let submission = match self.dialect.submission(&routed.request_id, &body) {
+        let forwarded_body = (body_bytes <= MAX_FORWARDED_BYTES).then(|| body.clone());
+        let submission = match self.dialect.submission(&routed.request_id, body) {
             Ok(submission) => submission,
             Err(error) => {
                 self.journal.event(
@@ -344,10 +339,14 @@
                 return refusal(Outcome::BadRequest(status), "malformed-submission");
             }
         };
+        let memory = self.request_memory.reserve(body_bytes, body_bytes).await;
+        let Some(memory) = memory else {
+            return body_refusal(BodyError::NoMemory, RETRY_AFTER);
+        };
         let submission_request = SubmissionRequest {
             host: &routed.host,
             head,
-            body: &body,
+            body: forwarded_body.as_ref(),
             memory: &Arc::new(memory),
             account: incoming.account,
         };
--- a/crates/node/src/submission/accept.rs
+++ b/crates/node/src/submission/accept.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use firweir::connection::blocks::Blocks;
 use firweir::connection::memory_budget::Reservation;
 use firweir::connection::server::Body;
@@ -31,7 +30,7 @@
 use crate::submission::records::SubmissionPart;
 use crate::submission::records::estimated_item_bytes;
 use crate::submission::records::record_name;
-use crate::submission::records::split_into_records;
+use crate::submission::records::record_ranges;
 use crate::submission::runners::remove_framing_headers;
 
 /// How long the writes of a submission are retried. Clients wait for seconds, and a submission
@@ -64,9 +63,9 @@
     pub host: &'a str,
     /// Head of the request.
     pub head: &'a request::Parts,
-    /// Body of the request.
-    pub body: &'a Bytes,
-    /// Memory that it takes while it is accepted.
+    /// Body of the request; `None` if it is too large to be forwarded.
+    pub body: Option<&'a Blocks>,
+    /// Memory that its items take.
     pub memory: &'a Arc<Reservation>,
     /// Account that it is for.
     pub account: Option<&'a str>,
@@ -86,7 +85,7 @@
         if self.is_known(&submission.id) {
             return empty(StatusCode::ACCEPTED);
         }
-        if !self.shared.mechanisms.is_enabled(Mechanism::Homes) {
+        if posted.body.is_none() || !self.shared.mechanisms.is_enabled(Mechanism::Homes) {
             return self.accept_here(posted, submission, draining, false).await;
         }
         let model = submission.model.clone();
@@ -159,7 +158,7 @@
 
     /// Forwards a submission to the home of its model.
     async fn forward_to_home(&self, home: &NodeRef, posted: &SubmissionRequest<'_>) -> Forwarded {
-        let mut request = Request::new(Blocks::from(posted.body.clone()));
+        let mut request = Request::new(posted.body.cloned().unwrap_or_default());
         *request.method_mut() = posted.head.method.clone();
         *request.uri_mut() = posted.head.uri.clone();
         *request.headers_mut() = posted.head.headers.clone();
@@ -237,7 +236,7 @@
                     posted.host.to_owned(),
                     posted.head.uri.path().to_owned(),
                     posted.account.map(str::to_owned),
-                    (submission, Arc::clone(posted.memory), posted.body.len()),
+                    (submission, Arc::clone(posted.memory)),
                     outcome_sender,
                 );
                 drop(tokio::spawn(accepting));
@@ -263,7 +262,7 @@
         host: String,
         path: String,
         account: Option<String>,
-        (submission, memory, items_bytes): (Submission, Arc<Reservation>, usize),
+        (submission, memory): (Submission, Arc<Reservation>),
         outcome_sender: watch::Sender<Option<Acceptance>>,
     ) {
         let id = submission.id.clone();
@@ -279,7 +278,6 @@
                     let local = LocalSubmission::new(id.clone(), head, submission.items, clock);
                     // Its head names this node as the runner from this time on.
                     local.head_view.record_confirmed(sent);
-                    memory.shrink_to(items_bytes);
                     local.keep_memory(memory);
                     self.start(local);
                 }
@@ -333,10 +331,11 @@
     ) -> Result<Option<(Head, Duration)>, StoreError> {
         let until = self.shared.clock.now() + ACCEPT_TIMEOUT;
         let store = &self.shared.store;
-        let parts = split_into_records(submission.items.clone(), estimated_item_bytes);
+        let parts = record_ranges(&submission.items, estimated_item_bytes);
         let count = parts.len() as u32;
-        for (number, items) in parts.into_iter().enumerate() {
+        for (number, part) in parts.into_iter().enumerate() {
             let write = store.write_id();
+            let items = submission.items[part].to_vec();
             let name = record_name(&submission.id, number);
             let part = SubmissionPart { write, items };
             // An existing part is from an earlier attempt of the same submission, whose items
--- a/crates/node/src/submission/records.rs
+++ b/crates/node/src/submission/records.rs
@@ -5,6 +5,7 @@
 //! parts: a submission without a head was never accepted.
 
 use std::net::SocketAddr;
+use std::ops::Range;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -115,20 +116,31 @@
 /// Splits entries, in order, into records of at most [`MAX_RECORD_BYTES`]; a larger entry gets
 /// a record of its own.
 pub fn split_into_records<T>(entries: Vec<T>, size_bytes: impl Fn(&T) -> usize) -> Vec<Vec<T>> {
-    let mut records: Vec<Vec<T>> = Vec::new();
+    let ranges = record_ranges(&entries, size_bytes);
+    let mut entries = entries.into_iter();
+    let records = ranges.into_iter().map(|range| {
+        let record = entries.by_ref().take(range.len());
+        record.collect()
+    });
+    records.collect()
+}
+
+/// Ranges of the entries that [`split_into_records`] puts into one record each.
+pub fn record_ranges<T>(entries: &[T], size_bytes: impl Fn(&T) -> usize) -> Vec<Range<usize>> {
+    let mut ranges: Vec<Range<usize>> = Vec::new();
     let mut filled_bytes = usize::MAX;
-    for entry in entries {
-        let size = size_bytes(&entry);
+    for (index, entry) in entries.iter().enumerate() {
+        let size = size_bytes(entry);
         if filled_bytes.saturating_add(size) > MAX_RECORD_BYTES {
-            records.push(Vec::new());
+            ranges.push(index..index);
             filled_bytes = 0;
         }
         filled_bytes += size;
-        if let Some(last) = records.last_mut() {
-            last.push(entry);
+        if let Some(last) = ranges.last_mut() {
+            last.end = index + 1;
         }
     }
-    records
+    ranges
 }
 
 /// Estimates the bytes that an item takes in a part.
