--- a/crates/node/tests/settings.rs
+++ b/crates/node/tests/settings.rs
@@ -79,3 +79,75 @@
     }
     load("least", "0.1").expect("it is large enough");
 }
+
+/// What clients may hold on a VM by default.
+struct DefaultLimits {
+    memory_mb: f64,
+    max_fds: usize,
+    request_memory_bytes: usize,
+    client_connections: usize,
+    peer_connections: usize,
+}
+
+const DEFAULT_LIMITS: [DefaultLimits; 4] = [
+    DefaultLimits {
+        memory_mb: 88.0,
+        max_fds: 4_100,
+        request_memory_bytes: 44_000_000,
+        client_connections: 223,
+        peer_connections: 2_897,
+    },
+    DefaultLimits {
+        memory_mb: 110.0,
+        max_fds: 4_100,
+        request_memory_bytes: 55_000_000,
+        client_connections: 279,
+        peer_connections: 2_841,
+    },
+    DefaultLimits {
+        memory_mb: 1_024.0,
+        max_fds: 4_100,
+        request_memory_bytes: 512_000_000,
+        client_connections: 1_560,
+        peer_connections: 1_560,
+    },
+    DefaultLimits {
+        memory_mb: 1_024.0,
+        max_fds: 400,
+        request_memory_bytes: 512_000_000,
+        client_connections: 80,
+        peer_connections: 80,
+    },
+];
+
+#[test]
+fn what_clients_may_hold_follows_from_the_vm() {
+    for limits in DEFAULT_LIMITS {
+        let (memory_mb, max_fds) = (limits.memory_mb, limits.max_fds);
+        let vm = format!(
+            r#""vm": {{"cores": 1, "core_share": 1, "memory_mb": {memory_mb}, "link_mbps": 1000,
+            "max_fds": {max_fds}}}"#
+        );
+        let settings = load_with("limits", &vm).expect("no key is missing");
+        let name = format!("{memory_mb} MB, {max_fds} descriptors");
+        assert_eq!(
+            settings.request_memory_bytes(),
+            limits.request_memory_bytes,
+            "{name}"
+        );
+        assert_eq!(
+            settings.max_client_connections(),
+            limits.client_connections,
+            "{name}"
+        );
+        assert_eq!(
+            settings.max_peer_connections(),
+            limits.peer_connections,
+            "{name}"
+        );
+    }
+    let set = r#""request_memory_mb": 1, "max_client_connections": 5"#;
+    let settings = load_with("limits-set", set).expect("no key is missing");
+    assert_eq!(settings.request_memory_bytes(), 1_000_000);
+    assert_eq!(settings.max_client_connections(), 5);
+}
