Idle connections are bounded by descriptors, active ones by memory

Cause: every connection was counted with the most that one can take, although an idle one takes little and leaves nothing unread.

Change: clients may have three tenths of the descriptors for connections open (1,170 of 4,100), other nodes half. Memory bounds the active ones, from the first byte of a head to the end of the answer: a quarter of memory_mb at 96 KiB each (279 on 110 MB). Beyond that the oldest unfinished head gives way, or a client that stands still, or else the request is refused with 503, Retry-After and Connection: close before anything of it is handled.

--- a/crates/firweir/src/connection/client_stream.rs
+++ b/crates/firweir/src/connection/client_stream.rs
@@ -3,7 +3,6 @@
 
 use std::io;
 use std::pin::Pin;
-use std::sync::Arc;
 use std::task::Context;
 use std::task::Poll;
 use std::task::ready;
@@ -15,8 +14,8 @@
 use tokio::time::Instant;
 use tokio::time::Sleep;
 
-use crate::connection::connection_state::ConnectionState;
 use crate::connection::fair_stream::FairStream;
+use crate::connection::open_connections::ClientConnection;
 
 /// Longest time for which a client may read nothing of its answer.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(15);
@@ -33,7 +32,7 @@
 /// The connection.
 pub(crate) struct ClientStream {
     conn: FairStream,
-    state: Arc<ConnectionState>,
+    client: ClientConnection,
     write_timeout: Option<Pin<Box<Sleep>>>,
     /// Time for which a client may send nothing after the last answer while its bytes are discarded.
     discard_timeout: Duration,
@@ -48,16 +47,16 @@
 }
 
 impl ClientStream {
-    /// Wraps a connection with this state. Once the last answer is sent, what the client still sends
+    /// Wraps a connection that was registered as `client`. Once the last answer is sent, what the client still sends
     /// is discarded until it sends nothing for `discard_timeout`.
     pub(crate) const fn new(
         conn: FairStream,
-        state: Arc<ConnectionState>,
+        client: ClientConnection,
         discard_timeout: Duration,
     ) -> Self {
         Self {
             conn,
-            state,
+            client,
             write_timeout: None,
             discard_timeout,
             discarding: None,
@@ -99,12 +98,12 @@
         match write {
             Poll::Ready(Ok(bytes)) => {
                 self.write_timeout = None;
-                self.state.record_sent(bytes);
+                self.client.state().record_sent(bytes);
                 write
             }
             Poll::Ready(Err(_)) => write,
             Poll::Pending => {
-                self.state.record_write_blocked();
+                self.client.state().record_write_blocked();
                 let new_timeout = || Box::pin(tokio::time::sleep(WRITE_TIMEOUT));
                 let timeout = self.write_timeout.get_or_insert_with(new_timeout);
                 ready!(timeout.as_mut().poll(context));
@@ -124,7 +123,7 @@
         let read = Pin::new(&mut self.conn).poll_read(context, buffer);
         let bytes = buffer.filled().len() - before;
         if bytes > 0 {
-            self.state.record_received(bytes);
+            self.client.record_received(bytes);
         }
         read
     }
@@ -161,7 +160,7 @@
         if self.discarding.is_none() {
             ready!(Pin::new(&mut self.conn).poll_shutdown(context))?;
         }
-        if self.state.has_unread() && !self.discard_timeout.is_zero() {
+        if self.client.state().has_unread() && !self.discard_timeout.is_zero() {
             ready!(self.poll_discard(context));
         }
         Poll::Ready(Ok(()))
--- a/crates/firweir/src/connection/connection_state.rs
+++ b/crates/firweir/src/connection/connection_state.rs
@@ -91,14 +91,14 @@
         Receiving(self)
     }
 
-    /// The client has sent bytes.
-    pub(crate) fn record_received(&self, bytes: usize) {
-        if self.is_in(Phase::Idle) {
-            self.has_unread.store(true, Ordering::Relaxed);
-            self.credit_ms.store(self.now_ms(), Ordering::Relaxed);
-        } else {
+    /// The client has sent bytes; true if they are the first of a head.
+    pub(crate) fn record_received(&self, bytes: usize) -> bool {
+        if !self.is_in(Phase::Idle) {
             self.extend_credit(bytes);
+            return false;
         }
+        self.credit_ms.store(self.now_ms(), Ordering::Relaxed);
+        !self.has_unread.swap(true, Ordering::Relaxed)
     }
 
     /// The client has taken bytes of an answer.
@@ -120,6 +120,11 @@
         is_idle.then(|| self.credit_ms.load(Ordering::Relaxed))
     }
 
+    /// Whether a request is being read or answered, from the first byte of its head.
+    pub(crate) fn is_active(&self) -> bool {
+        !self.is_in(Phase::Idle) || self.has_unread()
+    }
+
     /// Whether it waits for a client that makes no progress; the value is since when, in ms.
     pub(crate) fn stalled_since_ms(&self) -> Option<u64> {
         let credit_ms = self.credit_ms.load(Ordering::Relaxed);
--- a/crates/firweir/src/connection/open_connections.rs
+++ b/crates/firweir/src/connection/open_connections.rs
@@ -32,7 +32,7 @@
 pub enum RoomCause {
     /// An idle connection was closed to make room for a new one.
     IdleClosed,
-    /// A connection was closed at once, since none could make room.
+    /// A connection was closed at once, or its request was refused, since none could make room.
     NotAccepted,
     /// A request was refused since its body stalled and others needed the memory.
     StalledBody,
@@ -158,6 +158,7 @@
         &self,
         listener: ListenerKey,
         max_connections: usize,
+        max_active: usize,
     ) -> Option<RegisteredConnection> {
         let mut entries = self.lock();
         let own = || entries.iter().filter(|entry| entry.listener == listener);
@@ -177,11 +178,33 @@
             client: ClientConnection {
                 connections: self.clone(),
                 state,
+                listener,
+                max_active,
             },
             key,
         })
     }
 
+    /// Whether a connection may be active beside the others of its listener. Beyond its limit another
+    /// one that has been in the middle of a head for the longest time is closed, or else one that
+    /// makes no progress.
+    fn make_room_for_request(&self, client: &ClientConnection) -> bool {
+        let entries = self.lock();
+        if entries.len() <= client.max_active {
+            return true;
+        }
+        let others = || {
+            let own = entries
+                .iter()
+                .filter(|entry| entry.listener == client.listener);
+            own.filter(|entry| entry.state.is_active() && !entry.state.is_closing())
+                .filter(|entry| !Arc::ptr_eq(&entry.state, &client.state))
+        };
+        others().count() < client.max_active
+            || self.close_idle(others())
+            || self.evict_stalled(others())
+    }
+
     /// Closes the connection whose client has been idle for the longest time, if there is one.
     fn close_idle<'a>(&self, entries: impl Iterator<Item = &'a Entry>) -> bool {
         let idle = entries.filter_map(|entry| Some((entry.state.idle_since_ms()?, &entry.state)));
@@ -270,6 +293,9 @@
 pub(crate) struct ClientConnection {
     connections: OpenConnections,
     state: Arc<ConnectionState>,
+    listener: ListenerKey,
+    /// Active connections that the listener may have.
+    max_active: usize,
 }
 
 impl Default for ClientConnection {
@@ -277,7 +303,12 @@
     fn default() -> Self {
         let connections = OpenConnections::default();
         let state = Arc::new(ConnectionState::new(connections.shared.epoch));
-        Self { connections, state }
+        Self {
+            connections,
+            state,
+            listener: ListenerKey(0),
+            max_active: usize::MAX,
+        }
     }
 }
 
@@ -291,4 +322,25 @@
     pub(crate) const fn state(&self) -> &Arc<ConnectionState> {
         &self.state
     }
+
+    /// Records bytes that the client has sent.
+    pub(crate) fn record_received(&self, bytes: usize) {
+        if self.state.record_received(bytes) {
+            // A request that finds no room is refused once its head is whole.
+            self.make_room();
+        }
+    }
+
+    /// Whether its request may be answered beside the other ones of its listener.
+    pub(crate) fn may_be_active(&self) -> bool {
+        let may_be = self.make_room();
+        if !may_be {
+            self.connections.count(RoomCause::NotAccepted);
+        }
+        may_be
+    }
+
+    fn make_room(&self) -> bool {
+        self.connections.make_room_for_request(self)
+    }
 }
--- a/crates/firweir/src/connection/server.rs
+++ b/crates/firweir/src/connection/server.rs
@@ -14,6 +14,7 @@
 use http::Request;
 use http::Response;
 use http::StatusCode;
+use http::header;
 use http_body_util::BodyExt;
 use http_body_util::combinators::UnsyncBoxBody;
 use hyper::body::Body as HttpBody;
@@ -56,6 +57,9 @@
 pub struct ListenLimits {
     /// Open connections; one more closes the one that has been idle for the longest time.
     pub max_connections: usize,
+    /// Connections on which requests are read or answered; one more is refused with 503 if none
+    /// of them stands still.
+    pub max_active: usize,
     /// Largest head of a request on connections that are accepted from now on; a longer one is
     /// answered with 431.
     pub max_head_bytes: Arc<AtomicUsize>,
@@ -68,6 +72,7 @@
     fn default() -> Self {
         Self {
             max_connections: usize::MAX,
+            max_active: usize::MAX,
             max_head_bytes: Arc::new(AtomicUsize::new(DEFAULT_MAX_HEAD_BYTES)),
             discard_timeout: Duration::ZERO,
         }
@@ -155,7 +160,8 @@
                 tokio::time::sleep(ACCEPT_PAUSE).await;
                 continue;
             };
-            let registered = connections.register(listener_key, limits.max_connections);
+            let (max_open, max_active) = (limits.max_connections, limits.max_active);
+            let registered = connections.register(listener_key, max_open, max_active);
             let Some(registered) = registered else {
                 continue;
             };
@@ -166,8 +172,8 @@
                 .max_buf_size(max_head_bytes)
                 .header_read_timeout(HEADER_TIMEOUT);
             let client = registered.client().clone();
-            let state = Arc::clone(client.state());
-            let stream = ClientStream::new(FairStream::new(conn), state, limits.discard_timeout);
+            let discard_timeout = limits.discard_timeout;
+            let stream = ClientStream::new(FairStream::new(conn), client.clone(), discard_timeout);
             let handler = handler.clone();
             let service =
                 service_fn(move |request| answer(handler.clone(), client.clone(), request));
@@ -198,11 +204,25 @@
 ) -> Result<Response<AnswerBody>, Infallible> {
     let state = Arc::clone(client.state());
     state.begin_request(!request.body().is_end_stream());
+    let may_be_active = client.may_be_active();
     request.extensions_mut().insert(client);
-    let answer = handler.oneshot(request).await?;
+    let answer = if may_be_active {
+        handler.oneshot(request).await?
+    } else {
+        no_room()
+    };
     Ok(answer.map(|body| AnswerBody::new(body, state)))
 }
 
+/// The answer to a request on one connection too many: it did not run, and may be repeated on another.
+fn no_room() -> Response<Body> {
+    let mut answer = bytes_response(StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
+    let headers = answer.headers_mut();
+    headers.insert(header::RETRY_AFTER, HeaderValue::from_static("0.1"));
+    headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
+    answer
+}
+
 /// A JSON answer.
 pub fn json<T: Serialize>(status: StatusCode, value: &T) -> Response<Body> {
     let bytes = serde_json::to_vec(value).unwrap_or_default();
--- a/crates/node/src/node_listener.rs
+++ b/crates/node/src/node_listener.rs
@@ -59,6 +59,7 @@
             buffers: CLIENT_BUFFERS,
             limits: ListenLimits {
                 max_connections: settings.max_client_connections(),
+                max_active: settings.max_active_clients(),
                 max_head_bytes,
                 discard_timeout: DISCARD_TIMEOUT,
             },
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -101,7 +101,7 @@
     /// Memory in MB that requests may hold together; by default a fraction of the VM's.
     #[serde(default)]
     pub request_memory_mb: Option<f64>,
-    /// Connections that clients may have open together; by default as the VM's memory and
+    /// Connections that clients may have open together; by default as the VM's
     /// descriptors allow.
     #[serde(default)]
     pub max_client_connections: Option<usize>,
@@ -136,19 +136,21 @@
 
 const BYTES_PER_MB: f64 = 1e6;
 
-/// Fraction of a VM's memory that connections of clients may take by default.
+/// Fraction of a VM's memory that connections of clients may take.
 const CONNECTION_MEMORY_FRACTION: f64 = 0.25;
 
-/// Memory that a connection takes at most besides its bodies and answers: its state, a head, and bytes
-/// that the system has received.
+/// Memory that a connection with a request takes at most besides its body and answer: its state, a
+/// head, and bytes that the system has received.
 const CONNECTION_BYTES: f64 = 96.0 * 1_024.0;
 
 /// Descriptors of a VM that are not for connections.
 const FILE_DESCRIPTORS: usize = 200;
 
-/// Parts of the descriptors for connections. Clients may take two, and one is left for upstreams and the
-/// store at all times.
-const DESCRIPTOR_PARTS: usize = 5;
+/// Parts of the descriptors for connections. What clients and other nodes cannot take is left for
+/// upstreams and the store at all times.
+const DESCRIPTOR_PARTS: usize = 10;
+const CLIENT_PARTS: usize = 3;
+const PEER_PARTS: usize = 5;
 
 /// VM that [`VmSettings::capacity`] compares others with; also the default of the settings.
 pub const REFERENCE_VM: VmSettings = VmSettings {
@@ -353,13 +355,17 @@
         (memory_mb.max(0.0) * BYTES_PER_MB) as usize
     }
 
-    /// Connections that other nodes may have open together: what clients cannot take, and four fifths
-    /// of all with these.
+    /// Connections that other nodes may have open together.
     #[must_use]
     pub fn max_peer_connections(&self) -> usize {
-        let not_reserved = self.descriptor_parts(DESCRIPTOR_PARTS - 1);
-        let for_peers = not_reserved.saturating_sub(self.max_client_connections());
-        for_peers.max(1)
+        self.descriptor_parts(PEER_PARTS).max(1)
+    }
+
+    /// Connections of clients on which requests may be read and answered at a time.
+    #[must_use]
+    pub fn max_active_clients(&self) -> usize {
+        let memory_bytes = self.vm.memory_mb.max(0.0) * BYTES_PER_MB * CONNECTION_MEMORY_FRACTION;
+        ((memory_bytes / CONNECTION_BYTES) as usize).max(1)
     }
 
     /// Parts of the descriptors for connections.
@@ -371,9 +377,7 @@
     /// Connections that clients may have open together.
     #[must_use]
     pub fn max_client_connections(&self) -> usize {
-        let memory_bytes = self.vm.memory_mb.max(0.0) * BYTES_PER_MB * CONNECTION_MEMORY_FRACTION;
-        let by_memory = (memory_bytes / CONNECTION_BYTES) as usize;
-        let default = by_memory.min(self.descriptor_parts(2));
+        let default = self.descriptor_parts(CLIENT_PARTS);
         self.max_client_connections.unwrap_or(default).max(1)
     }
 
