--- a/review/standin2/kit.py
+++ b/review/standin2/kit.py
@@ -131,6 +131,12 @@
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0, limit=1 << 23)
         self.port = self.server.sockets[0].getsockname()[1]
 
+    async def path(self):
+        """A path of its own to the store for one machine; it can be cut without a reset."""
+        path = StorePath(self)
+        await path.start()
+        return path
+
     async def put(self, kind, name, spec):
         """A write of the operator, a sampler or a trainer."""
         await self.store(kind, name, spec)
@@ -228,6 +234,56 @@
                 pass
 
 
+class StorePath:
+    """A forwarding path to the store. While it is cut, nothing passes and nothing is reset."""
+
+    def __init__(self, store):
+        self.store, self.open = store, asyncio.Event()
+        self.open.set()
+        # Resolved when the next watch of the configuration has been answered.
+        self.watch_answered = None
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0, limit=1 << 23)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    def cut(self):
+        self.open.clear()
+
+    def heal(self):
+        self.open.set()
+
+    async def after_watch_answer(self):
+        """Waits until a watch of the configuration has been answered on this path."""
+        self.watch_answered = asyncio.get_running_loop().create_future()
+        await self.watch_answered
+
+    async def serve(self, reader, writer):
+        try:
+            onward = await asyncio.open_connection("127.0.0.1", self.store.port)
+        except OSError:
+            return writer.close()
+        watching = []
+        await asyncio.gather(self.pump(reader, onward[1], watching, True),
+                             self.pump(onward[0], writer, watching, False))
+
+    async def pump(self, reader, writer, watching, is_request):
+        try:
+            while data := await reader.read(1 << 16):
+                await self.open.wait()
+                writer.write(data)
+                await writer.drain()
+                if is_request:
+                    watching[:] = [b"/objects/config?watch=" in data]
+                elif watching == [True] and self.watch_answered is not None:
+                    if not self.watch_answered.done():
+                        self.watch_answered.set_result(None)
+        except (ConnectionError, asyncio.CancelledError):
+            pass
+        finally:
+            writer.close()
+
+
 class Sampler:
     """A sampler: reports, orders to load weights, streams of events, plain answers."""
 
@@ -403,12 +459,12 @@
         return False
 
 
-def make_nodes(record, store_port, count, folder, **options):
+def make_nodes(record, store_port, count, folder, store_ports=None, **options):
     ports = free_ports(4 * count)
     groups = [ports[4 * at:4 * at + 4] for at in range(count)]
     seeds = [group[2] for group in groups[:3]]
-    return [Node(record, f"front-{at + 1}", store_port, seeds, folder, group, **options)
-            for at, group in enumerate(groups)]
+    return [Node(record, f"front-{at + 1}", (store_ports or {}).get(at, store_port), seeds, folder,
+                 group, **options) for at, group in enumerate(groups)]
 
 
 def step_body(step, model, items, prefix, groups=None, min_version=1, headers=None):
