Log when a seed did not bring a follower up to date

The event seed_left names the kind, the seed, whether it was outdated or silent, and the age of its data.

--- a/crates/node/src/follow_seeds.rs
+++ b/crates/node/src/follow_seeds.rs
@@ -1,6 +1,7 @@
 //! The part of a follower that polls seeds, and decides when to wait for them instead of listing
 //! all upstreams from the store.
 
+use std::fmt::Display;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -10,6 +11,7 @@
 use http::Request;
 use rand::Rng;
 
+use crate::config_news::NewsAge;
 use crate::config_news::NewsSource;
 use crate::dialect::ObjectKind;
 use crate::follow::ChangeBatch;
@@ -89,19 +91,39 @@
             if self.update_subscription() {
                 continue;
             }
-            if let Some(polled) = polled {
-                if self.is_up_to_date(&polled.answer) {
-                    self.relist.cancel();
-                    return self.update_if_fresh(polled);
-                }
-                outdated = Some(polled);
+            let is_up_to_date = |polled: &PolledAnswer| self.is_up_to_date(&polled.answer);
+            if polled.as_ref().is_some_and(is_up_to_date) {
+                self.relist.cancel();
+                return polled.and_then(|polled| self.update_if_fresh(polled));
             }
+            self.log_left(seed, polled.as_ref());
+            outdated = polled.or(outdated);
             self.next_seed += 1;
         }
         self.seeds_paused_until = Some(now + SEEDS_PAUSE);
         outdated.and_then(|polled| self.first_outdated_update(polled))
     }
 
+    /// Logs that a seed did not bring this node up to date.
+    fn log_left(&self, seed: SocketAddr, polled: Option<&PolledAnswer>) {
+        let kind = format_args!("{:?}", self.kind);
+        let age_ms = polled.map_or(NewsAge(None), |polled| {
+            NewsAge(Some(Duration::from_millis(polled.answer.age_ms)))
+        });
+        let cause = if polled.is_some() {
+            "outdated"
+        } else {
+            "silent"
+        };
+        let fields: [(&str, &dyn Display); 4] = [
+            ("kind", &kind),
+            ("seed", &seed),
+            ("cause", &cause),
+            ("age_ms", &age_ms),
+        ];
+        self.sources.journal.event("seed_left", &fields);
+    }
+
     /// Whether this node waits for its seeds instead of listing all upstreams itself, because the
     /// lists of all nodes together would overload the store. If so, seeds that lag are polled
     /// again soon.
