--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -31,6 +31,7 @@
 use crate::relay::RoutingDigest;
 use crate::relay::SEED_WATCH_WAIT;
 use crate::relay::path_name_of;
+use crate::reload::CurrentSettings;
 use crate::roster::LocalMember;
 use crate::seeds::Seeds;
 use crate::store::Sourced;
@@ -107,6 +108,8 @@
     pub newest_config: NewestConfig,
     /// What this node announces to seeds.
     pub local_member: LocalMember,
+    /// The settings in force.
+    pub settings: CurrentSettings,
     /// Decodes entries of upstreams.
     pub dialect: Arc<dyn Dialect>,
     /// Whether the store is unavailable to this node.
@@ -161,6 +164,11 @@
     pub(crate) last_listed: Option<Instant>,
     /// Seeds are not polled before this time.
     pub(crate) seeds_paused_until: Option<Instant>,
+    /// Up to when this node knows all changes, on the clock that counts suspended time: the last
+    /// answer that brought it up to date, or else the moment from which it needs the kind.
+    pub(crate) heard_at: Duration,
+    /// Where in the time over which nodes spread their reads of the store this one reads; 0 to 1.
+    pub(crate) spread_fraction: f64,
     /// Index of the seed to poll next.
     pub(crate) next_seed: usize,
     /// Entries of upstreams that are followed.
@@ -183,6 +191,8 @@
 /// Changes up to a revision.
 pub(crate) struct Update {
     pub(crate) revision: u64,
+    /// When the store answered with them, on the clock that counts suspended time.
+    pub(crate) heard_at: Duration,
     pub(crate) batch: ChangeBatch,
 }
 
@@ -197,6 +207,8 @@
     let subscription = sources.interest.subscription();
     let mut follower = Follower {
         subscription,
+        heard_at: sources.boot_clock.since_boot(),
+        spread_fraction: rand::rng().random(),
         sources,
         kind,
         since: None,
@@ -233,6 +245,7 @@
             },
         };
         follower.sources.outage.record_answer();
+        follower.heard_at = follower.heard_at.max(update.heard_at);
         follower.newest_revision = follower.newest_revision.max(update.revision);
         follower.since = Some(follower.newest_revision);
         apply(update.batch);
@@ -243,10 +256,13 @@
     /// Waits until this node needs the kind. Versions of weights matter only to nodes that follow
     /// engines; each new version costs an answer to every node that polls for them, and trainers
     /// publish some every second.
-    async fn wait_until_needed(&self) {
-        if self.kind == ObjectKind::WeightVersions {
-            self.sources.interest.wait_until_engines_followed().await;
+    async fn wait_until_needed(&mut self) {
+        let interest = &self.sources.interest;
+        if self.kind != ObjectKind::WeightVersions || interest.follows_engines() {
+            return;
         }
+        interest.wait_until_engines_followed().await;
+        self.heard_at = self.sources.boot_clock.since_boot();
     }
 
     /// Adopts the current subscription, and requests the full list if it changed. Returns whether
@@ -287,11 +303,11 @@
                 .journal
                 .event("store_regained", &[("kind", &kind)]);
         }
-        let now = self.sources.clock.now();
         if self.sources.seeds.current().is_seed {
             let (relay, changes) = (&self.sources.relay, &update.batch.changes);
+            let (heard_at, revision) = (update.heard_at, update.revision);
             let digest_of = |object: &Object| self.digest_of(object);
-            relay.apply(now, self.kind, update.revision, changes, digest_of);
+            relay.apply(heard_at, self.kind, revision, changes, digest_of);
             relay.record_as_of(self.kind, update.batch.as_of);
         }
         Ok(update)
@@ -319,6 +335,7 @@
         objects.retain(|object| self.is_followed(object));
         Ok(Update {
             revision,
+            heard_at: sent,
             batch: ChangeBatch {
                 extent,
                 changes: vec![Change::All(objects)],
@@ -399,7 +416,7 @@
         let pause = if self.sources.store.is_detoured() {
             Duration::ZERO
         } else {
-            pause
+            pause.min(self.time_to_store_read())
         };
         tokio::time::sleep(pause).await;
         // Other nodes rely on a seed's data to be fresh, except for the homes of models.
@@ -411,8 +428,9 @@
         let wait = match freshness {
             // Includes the pause, so that the age of a seed's data stays bounded.
             _ if is_seed => SEED_WATCH_WAIT.saturating_sub(pause),
-            // Nodes that use seeds try them again soon.
-            _ if has_seeds => SEED_WATCH_WAIT,
+            // Nodes that use seeds try them again soon. A watch that has nothing to report confirms
+            // the state only at its end, and their seeds may have taken most of the time for that.
+            _ if has_seeds => SEED_WATCH_WAIT.min(self.time_to_store_read()),
             Freshness::Newest => {
                 let max_wait = self.sources.store.watch_limits().wait;
                 max_wait.saturating_sub(pause)
@@ -430,6 +448,8 @@
         };
         let sent = self.sources.boot_clock.since_boot();
         let Sourced { answer, source } = self.sources.store.call_sourced(&watch).await?;
+        // An answer that is delivered later than the wait was made by the end of the wait.
+        let heard_at = self.sources.boot_clock.since_boot().min(sent + wait);
         match answer {
             StoreAnswer::Changes {
                 changes, revision, ..
@@ -443,6 +463,7 @@
                 });
                 Ok(Update {
                     revision,
+                    heard_at,
                     batch: ChangeBatch {
                         extent: Extent::default(),
                         changes: changes.collect(),
--- a/crates/node/src/interest.rs
+++ b/crates/node/src/interest.rs
@@ -179,6 +179,12 @@
         self.changed.notified().await;
     }
 
+    /// Whether the node follows engines.
+    #[must_use]
+    pub fn follows_engines(&self) -> bool {
+        self.models().is_none_or(|models| !models.is_empty())
+    }
+
     /// Waits until the node follows engines. Only nodes that draft, order weights or are seeds do.
     pub async fn wait_until_engines_followed(&self) {
         loop {
@@ -186,7 +192,7 @@
             tokio::pin!(changed);
             // Registers before the check, so that a change in between is not missed.
             changed.as_mut().enable();
-            if self.models().is_none_or(|models| !models.is_empty()) {
+            if self.follows_engines() {
                 return;
             }
             changed.await;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -93,8 +93,8 @@
 /// has loaded weights.
 const SEED_PAUSE: Duration = Duration::from_millis(200);
 
-/// Nodes follow seeds if they may learn of a change this late: what a node gets from a seed is older,
-/// and two seeds in a row may be silent (see `relay`).
+/// Nodes follow seeds if they may learn of a change this late: what a node gets from a seed is older
+/// than the store, and it needs time to ask elsewhere (see `relay`).
 const MIN_PROPAGATION_TO_RELAY: Duration = Duration::from_millis(2_800);
 
 /// Time between two checks of decisions that depend on the time.
@@ -159,7 +159,9 @@
             &writer_id,
             fallback.clone(),
         );
+        let current_settings = CurrentSettings::new(settings.clone());
         let sources = Sources {
+            settings: current_settings.clone(),
             store: store.clone(),
             connections: connections.clone(),
             seeds: Seeds::default(),
@@ -185,7 +187,7 @@
             exposition,
             sources,
             fallback,
-            current_settings: CurrentSettings::new(settings.clone()),
+            current_settings,
             max_head_bytes: Arc::new(AtomicUsize::new(max_buffered_head(
                 DEFAULT_MAX_HEADER_BYTES,
             ))),
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -12,9 +12,9 @@
 //! seeds and the store without going back to an earlier state. A seed reports the age of its
 //! data; if it is too old, or no seed answers, a node reads the store itself.
 //!
-//! A node detects a silent seed after [`POLL_TIMEOUT`] and then reads the store. Relaying
-//! therefore suits only deployments that give a leaving upstream more time than that plus the
-//! allowed age of a seed's data ([`max_age_for`]).
+//! A node that is not told anything new in time reads the store, whatever its seeds do
+//! ([`firweir_policy::staleness`]). Relaying suits only deployments that give a change more time to
+//! take effect than a seed's data may normally be old.
 
 use std::collections::VecDeque;
 use std::sync::Mutex;
@@ -23,10 +23,11 @@
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
-use std::time::Instant;
 
 use firweir_policy::pool::FleetSlice;
 use firweir_policy::pool::rendezvous_hash;
+use http::HeaderMap;
+use http::HeaderName;
 use serde::Deserialize;
 use serde::Serialize;
 use serde_json::value::RawValue;
@@ -40,6 +41,9 @@
 use crate::interest::UpstreamFilter;
 use crate::model::Upstream;
 
+/// Header of a request to a seed: for how many milliseconds the seed may hold it.
+pub const HOLD_HEADER: HeaderName = HeaderName::from_static("x-firweir-hold-ms");
+
 /// Path at which a seed answers other nodes.
 pub const RELAY_PATH: &str = "/peer/relay/";
 
@@ -61,8 +65,8 @@
 /// [`MIN_ALLOWED_AGE`].
 pub const SEED_WATCH_WAIT: Duration = Duration::from_secs(1);
 
-/// How long a seed holds a request for which it has no changes.
-const MAX_HOLD: Duration = Duration::from_millis(900);
+/// Longest time for which a seed holds a request for which it has no changes.
+pub const MAX_HOLD: Duration = Duration::from_millis(900);
 
 /// A seed that has not answered within this time counts as silent.
 pub const POLL_TIMEOUT: Duration = Duration::from_millis(1_300);
@@ -88,6 +92,9 @@
     pub revision: u64,
     /// Time since the seed last heard from the store.
     pub age_ms: u64,
+    /// Time for which the seed held the request. 0 from older releases.
+    #[serde(default)]
+    pub held_ms: u64,
     /// When the store had nothing newer, relative to the arrival of the request.
     #[serde(default)]
     pub as_of_ms: Option<i64>,
@@ -109,15 +116,25 @@
 }
 
 impl RelayAnswer {
-    /// Expresses `as_of` relative to the arrival of the request, since the clocks of two VMs
-    /// share only their rate.
+    /// Expresses times relative to the arrival of the request, since the clocks of two VMs share
+    /// only their rate. `now` is when the request is answered.
     #[must_use]
-    pub fn relative_to(mut self, arrived: Duration) -> Self {
+    pub fn relative_to(mut self, arrived: Duration, now: Duration) -> Self {
         let millis = |time: Duration| time.as_millis() as i64;
         self.as_of_ms = self.as_of.map(|as_of| millis(as_of) - millis(arrived));
+        self.held_ms = now.saturating_sub(arrived).as_millis() as u64;
         self
     }
 
+    /// When the seed had last heard from the store, on the clock of the node that sent the request at
+    /// `sent`. Leaves out the time in transit, so the result is never later than the true time.
+    /// `None` if the seed has heard nothing since the boot of that node.
+    #[must_use]
+    pub fn heard_at_on_requester_clock(&self, sent: Duration) -> Option<Duration> {
+        let answered = sent.saturating_add(Duration::from_millis(self.held_ms));
+        answered.checked_sub(Duration::from_millis(self.age_ms))
+    }
+
     /// When the store had nothing newer, on the clock of the node that sent the request at `sent`.
     /// Leaves out the time in transit, so the result is never later than the true time.
     #[must_use]
@@ -191,6 +208,8 @@
     pub since: u64,
     /// Entries to report; `None` for all.
     pub filter: Option<UpstreamFilter>,
+    /// For how long the seed may hold the request, as [`HOLD_HEADER`] states; `None` from older releases.
+    pub hold: Option<Duration>,
 }
 
 impl RelayRequest {
@@ -220,7 +239,7 @@
             let since = query.parse().ok()?;
             return Some(Self {
                 since,
-                filter: None,
+                ..Self::default()
             });
         };
         let mut filter = UpstreamFilter::default();
@@ -239,8 +258,22 @@
         Some(Self {
             since: since.parse().ok()?,
             filter: Some(filter),
+            hold: None,
         })
     }
+
+    /// The same request, held for as long as these headers allow.
+    #[must_use]
+    pub fn with_hold(self, headers: &HeaderMap) -> Self {
+        let text = headers
+            .get(HOLD_HEADER)
+            .and_then(|value| value.to_str().ok());
+        let hold_ms = text.and_then(|text| text.parse().ok());
+        Self {
+            hold: hold_ms.map(Duration::from_millis),
+            ..self
+        }
+    }
 }
 
 impl UpstreamFilter {
@@ -301,7 +334,8 @@
     /// Revision of the last change of any object's routing properties.
     last_routing_change: u64,
     revision: u64,
-    last_heard: Option<Instant>,
+    /// When the store last answered, on the clock that counts suspended time.
+    last_heard: Option<Duration>,
     /// When the store had nothing newer, on the clock that counts suspended time.
     as_of: Option<Duration>,
 }
@@ -373,10 +407,11 @@
         age_ms as u128 <= self.max_age.as_millis()
     }
 
-    /// Applies changes that the store reported, up to `revision`.
+    /// Applies changes that the store reported, up to `revision`, in an answer of `heard_at` (time since
+    /// boot).
     pub fn apply(
         &self,
-        now: Instant,
+        heard_at: Duration,
         kind: ObjectKind,
         revision: u64,
         changes: &[Change],
@@ -386,7 +421,7 @@
             return;
         };
         let mut mirror = relayed_kind.lock();
-        mirror.last_heard = Some(now);
+        mirror.last_heard = mirror.last_heard.max(Some(heard_at));
         for change in changes {
             mirror.apply(revision, change, &digest_of);
         }
@@ -414,17 +449,19 @@
         }
     }
 
-    /// Answers with the changes after the revision of the request; waits while there are none.
+    /// Answers with the changes after the revision of the request; waits while there are none and the
+    /// data is up to date. `now` returns the time since boot.
     pub async fn answer(
         &self,
         kind: ObjectKind,
         request: &RelayRequest,
-        now: impl Fn() -> Instant,
+        now: impl Fn() -> Duration,
     ) -> RelayAnswer {
         let Some(relayed_kind) = self.relayed_kind(kind) else {
             return Mirror::default().answer(request, now());
         };
-        let until = tokio::time::Instant::now() + relayed_kind.hold();
+        let hold = relayed_kind.hold().min(request.hold.unwrap_or(MAX_HOLD));
+        let until = tokio::time::Instant::now() + hold;
         loop {
             let changed = relayed_kind.changed.notified();
             tokio::pin!(changed);
@@ -436,10 +473,20 @@
                 return answer;
             }
             // After a change or the timeout, the loop checks again.
+            let outdated_in = self.outdated_in(answer.age_ms);
+            let until = until.min(tokio::time::Instant::now() + outdated_in);
             drop(tokio::time::timeout_at(until, changed).await);
         }
     }
 
+    /// Time until data of this age is outdated.
+    const fn outdated_in(&self, age_ms: u64) -> Duration {
+        let age = Duration::from_millis(age_ms);
+        self.max_age
+            .saturating_sub(age)
+            .saturating_add(Duration::from_millis(1))
+    }
+
     fn relayed_kind(&self, kind: ObjectKind) -> Option<&RelayedKind> {
         let at = KINDS.iter().position(|(_, relayed)| *relayed == kind)?;
         Some(&self.kinds[at])
@@ -460,10 +507,10 @@
 }
 
 impl Mirror {
-    fn answer(&self, request: &RelayRequest, now: Instant) -> RelayAnswer {
+    fn answer(&self, request: &RelayRequest, now: Duration) -> RelayAnswer {
         let age = self
             .last_heard
-            .map(|last_heard| now.duration_since(last_heard));
+            .map(|last_heard| now.saturating_sub(last_heard));
         let is_full_list = request.since < self.removals_since;
         let objects = if is_full_list {
             let is_wanted = |mirrored: &&MirroredObject| {
@@ -477,6 +524,7 @@
         RelayAnswer {
             revision: self.revision,
             age_ms: age.map_or(u64::MAX, |age| age.as_millis() as u64),
+            held_ms: 0,
             as_of_ms: None,
             as_of: self.as_of,
             total_upstreams: self.routed_objects,
--- a/crates/node/src/request_handler/peer_requests.rs
+++ b/crates/node/src/request_handler/peer_requests.rs
@@ -75,7 +75,7 @@
         }
         if let Some(name) = head.uri.path().strip_prefix(RELAY_PATH) {
             self.record_member(&head.headers);
-            return self.relay_to_follower(name, head.uri.query()).await;
+            return self.relay_to_follower(name, &head).await;
         }
         if head.uri.path() == HOME_PATH {
             return self.offer_home(body).await;
@@ -212,16 +212,17 @@
     }
 
     /// Answers a node that follows the store through this seed.
-    async fn relay_to_follower(&self, name: &str, query: Option<&str>) -> Response<Body> {
-        let request = query.and_then(RelayRequest::from_query);
+    async fn relay_to_follower(&self, name: &str, head: &http::request::Parts) -> Response<Body> {
+        let request = head.uri.query().and_then(RelayRequest::from_query);
+        let request = request.map(|request| request.with_hold(&head.headers));
         let (Some(kind), Some(request)) = (kind_from_path_name(name), request) else {
             return empty(StatusCode::NOT_FOUND);
         };
-        let now = || self.clock.now();
-        let arrived = self.boot_clock.since_boot();
+        let now = || self.boot_clock.since_boot();
+        let arrived = now();
         let mut answer = self.relay.answer(kind, &request, now).await;
         answer.nodes = self.home_finder.roster.len();
-        json(StatusCode::OK, &answer.relative_to(arrived))
+        json(StatusCode::OK, &answer.relative_to(arrived, now()))
     }
 }
 
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -11,6 +11,7 @@
 use serde::de::Error;
 
 use crate::authentication::ConfigWaitLimits;
+use crate::dialect::ObjectKind;
 use crate::mechanisms::Mechanism;
 use crate::submission::head_view::HeadLimits;
 use crate::watch_limits::DEFAULT_CONTACT;
@@ -418,6 +419,16 @@
         self.leaving().min(self.config_apply())
     }
 
+    /// Time within which changes of objects of this kind have to take effect on all nodes.
+    #[must_use]
+    pub fn propagation_bound(&self, kind: ObjectKind) -> Duration {
+        match kind {
+            ObjectKind::Configuration => self.config_apply(),
+            ObjectKind::Upstreams => self.leaving(),
+            _ => self.max_propagation_delay(),
+        }
+    }
+
     /// Time for which a revoked key may still be served; `None` if there is no bound that holds
     /// for all nodes.
     #[must_use]
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod slack;
 pub mod slots;
 pub mod speed;
+pub mod staleness;
 pub mod step_pacing;
 pub mod straggler;
 pub mod suspect;
