A new subscription is not left waiting behind a watch of the store

What callers saw: a node that started beside an outdated seed and two silent ones had a configuration after 2.8 s and refused calls (no-upstream) for 2.5 s more; on no such node answered within 8.5 s.

Cause: polls of seeds end as the subscription changes, but a node that reads the store noticed a new one only when its watch had ended: up to 1.8 s of pause and 1 s of wait, while it knew no upstream of its routes' services. A change right before the poll was also missed, as it waited for a notification only.

Change: the follower waits for a subscription other than the one that it follows, at seeds and at the store alike.

--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -237,7 +237,8 @@
                 continue;
             }
             None => match follower.read_store(options()).await {
-                Ok(update) => update,
+                Ok(Some(update)) => update,
+                Ok(None) => continue,
                 Err(error) => {
                     follower.record_failure(&error).await;
                     continue;
@@ -277,19 +278,32 @@
         is_new
     }
 
+    /// Waits until the subscription differs from the one that is followed. A seed may hold its answer
+    /// for long, and the store too, while the new subscription is urgent.
+    pub(crate) async fn subscription_changed(&self) {
+        if self.kind != ObjectKind::Upstreams {
+            return std::future::pending().await;
+        }
+        let interest = &self.sources.interest;
+        interest.changed_from(&self.subscription).await;
+    }
+
     /// Reads the store: lists the kind at first, after a gap and when it has missed a change, and else
-    /// watches for changes.
+    /// watches for changes. `None` if the subscription has changed meanwhile.
     ///
     /// A failed watch is not resumed: a store that is about to compact its history leaves such a
     /// watch waiting for seconds without an answer.
-    async fn read_store(&mut self, options: FollowOptions) -> Result<Update, StoreError> {
+    async fn read_store(&mut self, options: FollowOptions) -> Result<Option<Update>, StoreError> {
         tokio::select! {
             () = self.sources.outage.wait_while_probed(self.kind) => {}
             () = self.config_missed() => {}
         }
         let since = self.since.filter(|_| !self.has_gap);
         let watched = match since {
-            Some(since) => self.watch_until_missed(since, options).await?,
+            Some(since) => tokio::select! {
+                watched = self.watch_until_missed(since, options) => watched?,
+                () = self.subscription_changed() => return Ok(None),
+            },
             None => None,
         };
         let update = match watched {
@@ -310,7 +324,7 @@
             relay.apply(heard_at, self.kind, revision, changes, digest_of);
             relay.record_as_of(self.kind, update.batch.as_of);
         }
-        Ok(update)
+        Ok(Some(update))
     }
 
     /// Lists the newest state: while the store compacts its history, the revision of a stale list is
--- a/crates/node/src/follow_seeds.rs
+++ b/crates/node/src/follow_seeds.rs
@@ -286,11 +286,10 @@
         {
             request.headers_mut().insert(MEMBER_HEADER, member);
         }
-        let (connections, interest) = (&self.sources.connections, &self.sources.interest);
+        let connections = &self.sources.connections;
         let answer = tokio::select! {
             answer = connections.call(seed, request, limits.timeout) => answer.ok()?,
-            // The seed may hold its answer for long, while the new subscription is urgent.
-            () = interest.changed(), if self.kind == ObjectKind::Upstreams => return None,
+            () = self.subscription_changed() => return None,
         };
         let answer: RelayAnswer = serde_json::from_slice(answer.body()).ok()?;
         self.any_seed_answered = true;
--- a/crates/node/src/interest.rs
+++ b/crates/node/src/interest.rs
@@ -174,9 +174,18 @@
         self.publish(state);
     }
 
-    /// Waits until the subscription changes.
-    pub async fn changed(&self) {
-        self.changed.notified().await;
+    /// Waits until the subscription differs from `known`.
+    pub async fn changed_from(&self, known: &Subscription) {
+        loop {
+            let changed = self.changed.notified();
+            tokio::pin!(changed);
+            // Registers before the check, so that a change in between is not missed.
+            changed.as_mut().enable();
+            if self.lock().subscription != *known {
+                return;
+            }
+            changed.await;
+        }
     }
 
     /// Whether the node follows engines.
