--- a/crates/node/src/draft_jobs.rs
+++ b/crates/node/src/draft_jobs.rs
@@ -25,7 +25,9 @@
 use crate::model::ItemResult;
 use crate::model::ItemState;
 use crate::model::ModelVersion;
+use crate::model::Route;
 use crate::model::Upstream;
+use crate::split::SplitPoint;
 use crate::submission::local::LocalSubmission;
 use crate::submission::texts::SampleProgress;
 use crate::submission::texts::TextCache;
@@ -97,6 +99,8 @@
     pub(crate) engine_keys: Vec<(Instance, UpstreamKey)>,
     /// Sorted by service and model. Entries are never removed.
     pub(crate) model_keys: Vec<(String, ModelKey)>,
+    /// Models, each of one service, that engines hold; sorted.
+    pub(crate) served_models: Vec<ModelKey>,
     pub(crate) next_key: u64,
     /// State of the fleet from which the engines were last updated.
     pub(crate) applied_fleet: Option<FleetSnapshot>,
@@ -254,6 +258,24 @@
         }
     }
 
+    /// The service on whose engines a sample is generated: one that has engines for it, if any has.
+    pub(crate) fn service_of<'a>(&self, job: &Job, route: &'a Route) -> Option<&'a str> {
+        let point = SplitPoint::of_group(&job.submission.id, job.group);
+        let model = &job.submission.head.model;
+        route.service_at(point, |service| self.is_served(service, model))
+    }
+
+    fn is_served(&self, service: &str, model: &str) -> bool {
+        let name = format!("{service}/{model}");
+        let known = self
+            .model_keys
+            .binary_search_by(|(known, _)| known.cmp(&name));
+        known.is_ok_and(|at| {
+            let key = self.model_keys[at].1;
+            self.served_models.binary_search(&key).is_ok()
+        })
+    }
+
     pub(crate) fn model_key(&mut self, service: &str, model: &str) -> ModelKey {
         let name = format!("{service}/{model}");
         match self
--- a/crates/node/src/drafting.rs
+++ b/crates/node/src/drafting.rs
@@ -38,6 +38,7 @@
 use crate::draft_run::Attempt;
 use crate::draft_run::Run;
 use crate::draft_run::RunProgress;
+use crate::engines::engines_for_route;
 use crate::engines::rollout_engines;
 use crate::fingerprint::Fingerprint;
 use crate::interest::DraftedModel;
@@ -117,15 +118,16 @@
             if previous.replace(&job.submission.id) == Some(&job.submission.id) {
                 continue;
             }
-            let route = config.route(&head.host, &head.path);
-            let target = route.and_then(|route| route.targets.first());
-            let service = target.and_then(|target| config.service(&target.service));
-            let slots = service.map_or(1, |service| service.slots.max(1));
             let samples = self.shared.fleet.demands().samples_of(&head.model);
             let samples = samples.unwrap_or(0).max(head.items);
+            let route = config.route(&head.host, &head.path);
+            let engines = match route {
+                Some(route) => engines_for_route(&config, route, samples),
+                None => engines_needed(samples, 1),
+            };
             let model = DraftedModel {
                 model: hash_of_name(&head.model),
-                engines: engines_needed(samples, slots),
+                engines,
             };
             match models.binary_search_by_key(&model.model, |held| held.model) {
                 Ok(at) => models[at].engines = models[at].engines.max(model.engines),
@@ -391,14 +393,20 @@
             .map(|engine| state.engine_key(&engine.instance))
             .collect();
         state.leaving.sort_unstable();
+        let held = states.iter().flat_map(|engine| &engine.versions);
+        let mut served: Vec<ModelKey> = held.map(|(model, _)| *model).collect();
+        served.sort_unstable();
+        served.dedup();
         state.placement.set_engines(states);
-        if state.config_version != config.version {
+        if state.config_version != config.version || state.served_models != served {
             state.config_version = config.version;
+            state.served_models = served;
             self.requeue_waiting(state);
         }
     }
 
-    /// Queues all waiting samples anew, as their routes may lead to other services now.
+    /// Queues all waiting samples anew, as their routes may lead to other services now, or other
+    /// services have engines for them.
     fn requeue_waiting(&self, state: &mut State) {
         state.placement.cancel(|_| true);
         let waiting: Vec<SampleKey> = state
@@ -427,9 +435,7 @@
         let submission = Arc::clone(&state.jobs[at].submission);
         let item_index = state.jobs[at].item_index;
         let config = self.shared.fleet.config();
-        let route = config.route(&submission.head.host, &submission.head.path);
-        let Some((route, target)) = route.and_then(|route| Some((route, route.targets.first()?)))
-        else {
+        let Some(route) = config.route(&submission.head.host, &submission.head.path) else {
             // Without a configuration no routes are known.
             if config.version > 0 {
                 self.abandon(state, key, "route-gone");
@@ -449,7 +455,9 @@
         if state.jobs[at].paced_until.is_some() {
             return;
         }
-        let model = state.model_key(&target.service, &submission.head.model);
+        let service = state.service_of(&state.jobs[at], route);
+        let service = service.unwrap_or_else(|| route.first_service());
+        let model = state.model_key(service, &submission.head.model);
         state.placement.enqueue(SampleRequest {
             key,
             group: xxh3_64(item.group.as_bytes()),
--- a/crates/node/src/engines.rs
+++ b/crates/node/src/engines.rs
@@ -15,8 +15,9 @@
 
 use crate::demand::ModelDemands;
 use crate::fleet::Fleet;
+use crate::model::Config;
 use crate::model::ModelVersion;
-use crate::model::RouteKind;
+use crate::model::Route;
 use crate::model::Upstream;
 use crate::relay::hash_of_name;
 
@@ -57,7 +58,15 @@
     // A node that drafts may know only some of them.
     let total = engines.len().max(fleet.total_upstreams());
     let mut models = models_of(&engines, &fleet.latest_versions());
-    let needs = needs_of(&models, slots.unwrap_or(1), fleet.demands());
+    let mut needs = needs_of(&models, slots.unwrap_or(1), fleet.demands());
+    let imbalance = fleet
+        .config()
+        .rollout_routes()
+        .map(Route::imbalance)
+        .fold(1.0, f64::max);
+    for need in &mut needs {
+        need.engines = (need.engines as f64 * imbalance).ceil() as usize;
+    }
     for need in &needs {
         models[need.model.0 as usize].slice = pool_slice(total, need.engines);
     }
@@ -87,18 +96,20 @@
     }
 }
 
+/// Number of engines that a step of a route needs, with its share at each service.
+#[must_use]
+pub fn engines_for_route(config: &Config, route: &Route, samples: u32) -> usize {
+    let services = route.weighted_targets();
+    let services = services.filter_map(|target| config.service(&target.service));
+    let slots = services.map(|service| service.slots.max(1)).min();
+    let engines = engines_needed(samples, slots.unwrap_or(1));
+    (engines as f64 * route.imbalance()).ceil() as usize
+}
+
 /// Engines that stay, of the services to which rollout routes lead.
 fn candidate_engines(fleet: &Fleet) -> Vec<Arc<Upstream>> {
     let (config, upstreams) = (fleet.config(), fleet.upstreams());
-    let rollouts = config
-        .routes
-        .iter()
-        .filter(|route| route.kind == RouteKind::Rollout);
-    let mut services: Vec<&str> = rollouts
-        .flat_map(|route| route.targets.iter().map(|target| target.service.as_str()))
-        .collect();
-    services.sort_unstable();
-    services.dedup();
+    let services = config.rollout_services();
     let is_candidate = |upstream: &&Arc<Upstream>| {
         !upstream.leaving && services.binary_search(&upstream.service.as_str()).is_ok()
     };
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -56,6 +56,7 @@
 pub mod settings;
 pub mod shared;
 pub mod shutdown;
+pub mod split;
 pub mod store;
 pub mod store_fallback;
 pub mod submission;
--- a/crates/node/src/live.rs
+++ b/crates/node/src/live.rs
@@ -52,6 +52,7 @@
 use crate::respond::reason_of;
 use crate::respond::refusal;
 use crate::shared::Shared;
+use crate::split::SplitPoint;
 use crate::upstream_answer::UpstreamRequest;
 use crate::usage::counter::TrackedRequest;
 
@@ -194,7 +195,9 @@
                 return refused;
             }
         };
-        let service = pick_target(route, &routed.request_id);
+        let point = SplitPoint::of_request(&routed.request_id);
+        let service = route.service_at(point, |_| true);
+        let service = service.unwrap_or_else(|| route.first_service());
         let call = Call {
             service,
             progress: CallProgress::for_call(&self.shared, service, account, route),
@@ -664,21 +667,3 @@
     );
     !is_rejection && !status.is_server_error()
 }
-
-/// The service that gets this request, by the weights of the route's targets.
-pub(crate) fn pick_target<'a>(route: &'a Route, request_id: &str) -> &'a str {
-    let total: u64 = route
-        .targets
-        .iter()
-        .map(|target| u64::from(target.weight))
-        .sum();
-    let mut point = xxh3_64(request_id.as_bytes()) % total.max(1);
-    for target in &route.targets {
-        let weight = u64::from(target.weight);
-        if point < weight {
-            return &target.service;
-        }
-        point -= weight;
-    }
-    route.targets.first().map_or("", |target| &target.service)
-}
--- a/crates/node/src/model.rs
+++ b/crates/node/src/model.rs
@@ -33,7 +33,7 @@
 pub struct Target {
     /// Name of the service.
     pub service: String,
-    /// Weight of its share, relative to the other targets.
+    /// Weight of its share, relative to the other targets; 0 for none.
     pub weight: u32,
 }
 
--- a/crates/node/src/sample_order.rs
+++ b/crates/node/src/sample_order.rs
@@ -19,20 +19,13 @@
 use crate::drafting::Drafting;
 use crate::mechanisms::Mechanism;
 use crate::model::Config;
-use crate::model::RouteKind;
 use crate::model::Upstream;
 use crate::submission::local::LocalSubmission;
 
 /// Whether a service with rollouts has engines that hold two or more models.
 #[must_use]
 pub fn serves_several_models(config: &Config, upstreams: &[Arc<Upstream>]) -> bool {
-    let mut services: Vec<&str> = config
-        .routes
-        .iter()
-        .filter(|route| route.kind == RouteKind::Rollout)
-        .flat_map(|route| route.targets.iter().map(|target| target.service.as_str()))
-        .collect();
-    services.sort_unstable();
+    let services = config.rollout_services();
     upstreams.iter().any(|upstream| {
         let service = upstream.service.as_str();
         upstream.models.len() >= 2 && services.binary_search(&service).is_ok()
--- a/crates/node/src/scoring.rs
+++ b/crates/node/src/scoring.rs
@@ -24,7 +24,6 @@
 use crate::dialect::RewardRequest;
 use crate::fingerprint::Fingerprint;
 use crate::gates::Gates;
-use crate::live::pick_target;
 use crate::mechanisms::Mechanism;
 use crate::model::Item;
 use crate::model::RewardCall;
@@ -32,6 +31,7 @@
 use crate::model::Score;
 use crate::model::Upstream;
 use crate::shared::Shared;
+use crate::split::SplitPoint;
 use crate::submission::local::LocalSubmission;
 use crate::upstream_answer::OwnAnswer;
 use crate::upstream_answer::UpstreamRequest;
@@ -197,7 +197,9 @@
         let Some(route) = config.route(&call.host, &call.path) else {
             return Attempt::NoRoute;
         };
-        let service = pick_target(route, &call.id);
+        let point = SplitPoint::of_request(&call.id);
+        let service = route.service_at(point, |_| true);
+        let service = service.unwrap_or_else(|| route.first_service());
         let ask = self.ask(submission, avoid);
         let permit = match self.gates.get_or_create(service).admit(ask).await {
             Ok(permit) => permit,
