A service without upstreams leaves its share of calls to the others

What callers saw: on a route that is split between a service with upstreams and one that has none, the share of the second was refused, and reward calls were tried there again and again until their items were given up.

Cause: the service was chosen by weights alone.

Change: calls and reward calls, like items, go to a service of the route that has an upstream, if the chosen one has none. A route with one service isn't looked at.

--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -286,6 +286,15 @@
         })
     }
 
+    /// Whether a service has an upstream that accepts new requests.
+    #[must_use]
+    pub fn serves(&self, service: &str) -> bool {
+        let upstreams = self.upstreams.load();
+        let is_serving =
+            |upstream: &Arc<Upstream>| !upstream.leaving && upstream.service == service;
+        upstreams.iter().any(is_serving)
+    }
+
     /// All usable upstreams, sorted by instance.
     #[must_use]
     pub fn upstreams(&self) -> Arc<Vec<Arc<Upstream>>> {
--- a/crates/node/src/live.rs
+++ b/crates/node/src/live.rs
@@ -196,7 +196,7 @@
             }
         };
         let point = SplitPoint::of_request(&routed.request_id);
-        let service = route.service_at(point, |_| true);
+        let service = route.service_at(point, |service| self.shared.fleet.serves(service));
         let service = service.unwrap_or_else(|| route.first_service());
         let call = Call {
             service,
--- a/crates/node/src/scoring.rs
+++ b/crates/node/src/scoring.rs
@@ -198,7 +198,7 @@
             return Attempt::NoRoute;
         };
         let point = SplitPoint::of_request(&call.id);
-        let service = route.service_at(point, |_| true);
+        let service = route.service_at(point, |service| self.shared.fleet.serves(service));
         let service = service.unwrap_or_else(|| route.first_service());
         let ask = self.ask(submission, avoid);
         let permit = match self.gates.get_or_create(service).admit(ask).await {
--- a/crates/node/src/split.rs
+++ b/crates/node/src/split.rs
@@ -42,7 +42,8 @@
     #[must_use]
     pub fn service_at(&self, point: SplitPoint, is_served: impl Fn(&str) -> bool) -> Option<&str> {
         let chosen = self.target_at(point, |_| true)?;
-        if is_served(&chosen.service) {
+        let is_only = self.weighted_targets().nth(1).is_none();
+        if is_only || is_served(&chosen.service) {
             return Some(&chosen.service);
         }
         let served = self.target_at(point, |target| is_served(&target.service));
