A route without any weight leads to no service

What callers saw: on a route whose weights are all 0 the service named first got everything, although a weight of 0 means nothing elsewhere. On a route without targets calls waited for upstreams that can't come, and items were given up although their route was in force.

Cause: the last line of the choice fell back to the first target, and items without a target counted as items without a route.

Change: no weight, no service. Calls are refused at once (503, not run), items and scores wait for a configuration with a weight, or their time to live.

--- a/crates/node/src/drafting.rs
+++ b/crates/node/src/drafting.rs
@@ -455,8 +455,10 @@
         if state.jobs[at].paced_until.is_some() {
             return;
         }
-        let service = state.service_of(&state.jobs[at], route);
-        let service = service.unwrap_or_else(|| route.first_service());
+        // Without a share for any service it waits for another configuration.
+        let Some(service) = state.service_of(&state.jobs[at], route) else {
+            return;
+        };
         let model = state.model_key(service, &submission.head.model);
         state.placement.enqueue(SampleRequest {
             key,
--- a/crates/node/src/live.rs
+++ b/crates/node/src/live.rs
@@ -188,16 +188,22 @@
             .min(route.timeout());
         let Arrival { at: started, basis } = arrival;
         let deadline = started + timeout;
+        let point = SplitPoint::of_request(&routed.request_id);
+        let is_served = |service: &str| self.shared.fleet.serves(service);
+        let Some(service) = route.service_at(point, is_served) else {
+            self.shared.journal.count("live.no_service");
+            let refused = refusal(Outcome::NotRun(RETRY_AFTER), "no-service");
+            self.log_refused(routed, route, &refused, basis);
+            return refused;
+        };
         let body = match self.read_body(body, deadline).await {
             Ok(body) => body,
             Err(refused) => {
+                self.shared.journal.count("live.body_refused");
                 self.log_refused(routed, route, &refused, basis);
                 return refused;
             }
         };
-        let point = SplitPoint::of_request(&routed.request_id);
-        let service = route.service_at(point, |service| self.shared.fleet.serves(service));
-        let service = service.unwrap_or_else(|| route.first_service());
         let call = Call {
             service,
             progress: CallProgress::for_call(&self.shared, service, account, route),
@@ -285,7 +291,6 @@
         refused: &Response<Body>,
         basis: ConfigBasis,
     ) {
-        self.shared.journal.count("live.body_refused");
         let (status, reason) = (refused.status().as_u16(), reason_of(refused));
         let mut fields: Vec<(&str, &dyn Display)> = vec![
             ("request", &routed.request_id),
--- a/crates/node/src/scoring.rs
+++ b/crates/node/src/scoring.rs
@@ -198,8 +198,10 @@
             return Attempt::NoRoute;
         };
         let point = SplitPoint::of_request(&call.id);
-        let service = route.service_at(point, |service| self.shared.fleet.serves(service));
-        let service = service.unwrap_or_else(|| route.first_service());
+        let is_served = |service: &str| self.shared.fleet.serves(service);
+        let Some(service) = route.service_at(point, is_served) else {
+            return Attempt::NoRoute;
+        };
         let ask = self.ask(submission, avoid);
         let permit = match self.gates.get_or_create(service).admit(ask).await {
             Ok(permit) => permit,
--- a/crates/node/src/split.rs
+++ b/crates/node/src/split.rs
@@ -65,11 +65,6 @@
         None
     }
 
-    /// The service that is named first; empty if there is none.
-    pub(crate) fn first_service(&self) -> &str {
-        self.targets.first().map_or("", |target| &target.service)
-    }
-
     /// Targets that get a share of the route's requests.
     pub fn weighted_targets(&self) -> impl Iterator<Item = &Target> {
         self.targets.iter().filter(|target| target.weight > 0)
