A service of a split is scaled by its share of the samples

What operators saw: each service of a split route was scaled for all samples of its models, a service without a share too.

Cause: the demand of a service counted the models that its upstreams hold, not what its routes send there.

Change: the demand is the service's largest share of a rollout route that names it; a service that no rollout route names counts as before.

Evidence: a_service_of_a_split_counts_by_its_share failed before (160 and 160 samples for weights 100 and 0) and passes here.

--- a/crates/node/src/model.rs
+++ b/crates/node/src/model.rs
@@ -84,7 +84,8 @@
         (self.objective_ms > 0).then(|| Duration::from_millis(self.objective_ms))
     }
 
-    fn leads_to(&self, service: &str) -> bool {
+    /// Whether a service is a target, with or without a share.
+    pub(crate) fn leads_to(&self, service: &str) -> bool {
         self.targets.iter().any(|target| target.service == service)
     }
 }
--- a/crates/node/src/scaling/demand.rs
+++ b/crates/node/src/scaling/demand.rs
@@ -5,8 +5,8 @@
 use crate::fleet::Fleet;
 use crate::model::Service;
 
-/// Number of samples that steps request from a service's upstreams at once; `None` while no
-/// home has reported any.
+/// Number of samples that steps request from a service's upstreams at once, by its share of the
+/// routes that lead to it; `None` while no home has reported any.
 #[must_use]
 pub fn demand_of(fleet: &Fleet, service: &str) -> Option<Demand> {
     let (upstreams, versions) = (fleet.upstreams(), fleet.latest_versions());
@@ -19,6 +19,7 @@
         .collect();
     models.sort_unstable();
     models.dedup();
+    let share = fleet.config().share_of_samples(service);
     let mut demand = Demand {
         samples: 0,
         largest_step: 0,
@@ -27,6 +28,8 @@
     for model in models {
         match fleet.demands().samples_of(model) {
             Some(samples) => {
+                // Any share needs an upstream.
+                let samples = (f64::from(samples) * share).round().max(share.ceil()) as u32;
                 demand.samples = demand.samples.saturating_add(samples);
                 demand.largest_step = demand.largest_step.max(samples);
             }
--- a/crates/node/src/split.rs
+++ b/crates/node/src/split.rs
@@ -109,6 +109,17 @@
         services
     }
 
+    /// Largest share of a rollout route's samples that a service gets, from 0 to 1; 1 for a service to
+    /// which no such route leads.
+    #[must_use]
+    pub fn share_of_samples(&self, service: &str) -> f64 {
+        let routes = self
+            .rollout_routes()
+            .filter(|route| route.leads_to(service));
+        let shares = routes.map(|route| route.share_of(service));
+        shares.max_by(f64::total_cmp).unwrap_or(1.0)
+    }
+
     /// Routes for the submissions of trainers.
     pub fn rollout_routes(&self) -> impl Iterator<Item = &Route> {
         let routes = self.routes.iter();
