--- a/crates/node/src/drafting.rs
+++ b/crates/node/src/drafting.rs
@@ -46,7 +46,7 @@
 use crate::model::Instance;
 use crate::model::ItemResult;
 use crate::model::ItemState;
-use crate::relay::hash_of_name;
+use crate::relay_message::hash_of_name;
 use crate::sample_order::record_length;
 use crate::sample_order::record_step;
 use crate::scaling::drain::leaving_engines;
--- a/crates/node/src/engines.rs
+++ b/crates/node/src/engines.rs
@@ -19,7 +19,7 @@
 use crate::model::ModelVersion;
 use crate::model::Route;
 use crate::model::Upstream;
-use crate::relay::hash_of_name;
+use crate::relay_message::hash_of_name;
 
 /// An engine that accepts new samples.
 #[derive(Debug, Clone)]
--- a/crates/node/src/follow_seeds.rs
+++ b/crates/node/src/follow_seeds.rs
@@ -25,13 +25,13 @@
 use crate::follow::Follower;
 use crate::follow::Update;
 use crate::interest::Subscription;
-use crate::relay::HOLD_HEADER;
 use crate::relay::MAX_HOLD;
 use crate::relay::POLL_TIMEOUT;
-use crate::relay::RELAY_PATH;
-use crate::relay::RelayAnswer;
-use crate::relay::RelayRequest;
 use crate::relay::path_name_of;
+use crate::relay_message::HOLD_HEADER;
+use crate::relay_message::RELAY_PATH;
+use crate::relay_message::RelayAnswer;
+use crate::relay_message::RelayRequest;
 use crate::roster::MEMBER_HEADER;
 
 /// After a round in which no seed had an update, seeds are not polled again for this long;
--- a/crates/node/src/interest.rs
+++ b/crates/node/src/interest.rs
@@ -21,7 +21,7 @@
 
 use crate::model::Config;
 use crate::model::RouteKind;
-use crate::relay::hash_of_name;
+use crate::relay_message::hash_of_name;
 
 /// A node still follows a model's engines for this long after drafting it: a trainer submits a
 /// step every few seconds, and fetching the engines anew takes a while.
--- a/crates/node/src/weights.rs
+++ b/crates/node/src/weights.rs
@@ -40,7 +40,7 @@
 use crate::model::Instance;
 use crate::model::ModelVersion;
 use crate::model::Upstream;
-use crate::relay::hash_of_name;
+use crate::relay_message::hash_of_name;
 use crate::upstream_answer::call_upstream;
 
 /// Least time between two checks whether orders are due.
--- a/crates/node/tests/interest.rs
+++ b/crates/node/tests/interest.rs
@@ -12,7 +12,7 @@
 use firweir_node::model::Route;
 use firweir_node::model::RouteKind;
 use firweir_node::model::Target;
-use firweir_node::relay::hash_of_name;
+use firweir_node::relay_message::hash_of_name;
 use firweir_policy::pool::FleetSlice;
 
 fn route(kind: RouteKind, service: &str) -> Route {
