--- a/crates/node/src/engines.rs
+++ b/crates/node/src/engines.rs
@@ -59,11 +59,7 @@
     let total = engines.len().max(fleet.total_upstreams());
     let mut models = models_of(&engines, &fleet.latest_versions());
     let mut needs = needs_of(&models, slots.unwrap_or(1), fleet.demands());
-    let imbalance = fleet
-        .config()
-        .rollout_routes()
-        .map(Route::imbalance)
-        .fold(1.0, f64::max);
+    let imbalance = fleet.config().rollout_imbalance();
     for need in &mut needs {
         need.engines = (need.engines as f64 * imbalance).ceil() as usize;
     }
--- a/crates/node/src/split.rs
+++ b/crates/node/src/split.rs
@@ -73,16 +73,14 @@
     /// Share of the route's requests that a service gets, from 0 to 1.
     #[must_use]
     pub fn share_of(&self, service: &str) -> f64 {
-        let sum_of = |targets: &[&Target]| -> u128 {
-            targets.iter().map(|target| u128::from(target.weight)).sum()
-        };
-        let all: Vec<&Target> = self.targets.iter().collect();
-        let of_service = self
+        let weight_of = |target: &Target| u64::from(target.weight);
+        let own = self
             .targets
             .iter()
             .filter(|target| target.service == service);
-        let of_service: Vec<&Target> = of_service.collect();
-        sum_of(&of_service) as f64 / (sum_of(&all) as f64).max(1.0)
+        let own: u64 = own.map(weight_of).sum();
+        let all: u64 = self.targets.iter().map(weight_of).sum();
+        own as f64 / (all as f64).max(1.0)
     }
 
     /// By how much a part of all engines of the route's services has to be larger than for one service:
@@ -120,6 +118,13 @@
         shares.max_by(f64::total_cmp).unwrap_or(1.0)
     }
 
+    /// Largest [`Route::imbalance`] of the rollout routes.
+    #[must_use]
+    pub fn rollout_imbalance(&self) -> f64 {
+        let routes = self.rollout_routes();
+        routes.map(Route::imbalance).fold(1.0, f64::max)
+    }
+
     /// Routes for the submissions of trainers.
     pub fn rollout_routes(&self) -> impl Iterator<Item = &Route> {
         let routes = self.routes.iter();
