Answers of seeds of an older release count from their arrival

A seed of an older release holds a request for 0.9 s and doesn't say so, so a new follower took its data for 0.9 s older than it was, mostly too old to go on with, and would have read the store for as long as an update of the fleet takes. Such an answer now counts from when it was received.

--- a/crates/node/src/follow_seeds.rs
+++ b/crates/node/src/follow_seeds.rs
@@ -60,13 +60,16 @@
     seed: SocketAddr,
     /// Time since boot at which it was polled.
     sent: Duration,
+    /// Time since boot at which its answer was received.
+    received: Duration,
     answer: RelayAnswer,
 }
 
 impl PolledAnswer {
     /// When the seed had last heard from the store, on the clock of this node.
     fn heard_at(&self) -> Option<Duration> {
-        self.answer.heard_at_on_requester_clock(self.sent)
+        self.answer
+            .heard_at_on_requester_clock(self.sent, self.received)
     }
 }
 
@@ -299,7 +302,13 @@
             nodes: answer.nodes.saturating_mul(seeds),
             upstreams: answer.total_upstreams,
         });
-        Some(PolledAnswer { seed, sent, answer })
+        let received = self.sources.boot_clock.since_boot();
+        Some(PolledAnswer {
+            seed,
+            sent,
+            received,
+            answer,
+        })
     }
 
     fn relay_request(&self) -> RelayRequest {
--- a/crates/node/src/relay_message.rs
+++ b/crates/node/src/relay_message.rs
@@ -40,9 +40,9 @@
     pub revision: u64,
     /// Time since the seed last heard from the store.
     pub age_ms: u64,
-    /// Time for which the seed held the request. 0 from older releases.
+    /// Time for which the seed held the request; `None` from older releases.
     #[serde(default)]
-    pub held_ms: u64,
+    pub held_ms: Option<u64>,
     /// When the store had nothing newer, relative to the arrival of the request.
     #[serde(default)]
     pub as_of_ms: Option<i64>,
@@ -70,16 +70,22 @@
     pub fn relative_to(mut self, arrived: Duration, now: Duration) -> Self {
         let millis = |time: Duration| time.as_millis() as i64;
         self.as_of_ms = self.as_of.map(|as_of| millis(as_of) - millis(arrived));
-        self.held_ms = now.saturating_sub(arrived).as_millis() as u64;
+        self.held_ms = Some(millis(now.saturating_sub(arrived)) as u64);
         self
     }
 
     /// When the seed had last heard from the store, on the clock of the node that sent the request at
-    /// `sent`. Leaves out the time in transit, so the result is never later than the true time.
-    /// `None` if the seed has heard nothing since the boot of that node.
+    /// `sent` and received the answer at `received`. Leaves out the time in transit, so the result is
+    /// never later than the true time, except for answers of older releases. `None` if the seed has
+    /// heard nothing since the boot of that node.
     #[must_use]
-    pub fn heard_at_on_requester_clock(&self, sent: Duration) -> Option<Duration> {
-        let answered = sent.saturating_add(Duration::from_millis(self.held_ms));
+    pub fn heard_at_on_requester_clock(
+        &self,
+        sent: Duration,
+        received: Duration,
+    ) -> Option<Duration> {
+        let held = self.held_ms.map(Duration::from_millis);
+        let answered = held.map_or(received, |held| received.min(sent.saturating_add(held)));
         answered.checked_sub(Duration::from_millis(self.age_ms))
     }
 
--- a/crates/node/src/relay_mirror.rs
+++ b/crates/node/src/relay_mirror.rs
@@ -65,7 +65,7 @@
         RelayAnswer {
             revision: self.revision,
             age_ms: age.map_or(u64::MAX, |age| age.as_millis() as u64),
-            held_ms: 0,
+            held_ms: None,
             as_of_ms: None,
             as_of: self.as_of,
             total_upstreams: self.routed_objects,
