An outdated list of before a new subscription is not taken for the new one

What callers saw: a node that started beside an outdated seed and two silent ones refused all calls (no-upstream) and went on so when the store and the other nodes were sound.

Cause: a node that knows no upstreams takes an outdated list if no seed is up to date. If its configuration came in the same round of polls, after that list had been sent for a subscription without services, the empty list was taken as the newest state of the new subscription, and only changes were asked for from then on.

Change: the list is dropped as the subscription changes.

The case "more time, starting nodes" failed before (0 answers of a node) and passes here.

--- a/crates/node/src/follow_seeds.rs
+++ b/crates/node/src/follow_seeds.rs
@@ -117,8 +117,9 @@
             };
             let seed = self.sources.seeds.round_robin(self.next_seed)?;
             let polled = self.poll_seed(seed, name, limits).await;
-            // The subscription has changed, so the answer does not match it.
+            // The subscription has changed, so no answer matches it.
             if self.update_subscription() {
+                outdated = None;
                 continue;
             }
             let is_up_to_date = |polled: &PolledAnswer| self.is_up_to_date(polled);
