Failing seeds refuse no valid key where the revocation time is tight

What callers saw: 503 for valid keys 2.2 s after seeds began to fail, where a configuration has 5 s to be in force and a revocation 5 s as well.

Cause: a node serves keys by a configuration of up to 0.75 of the revocation time, but read the store only when the time of a configuration required it.

Change: where accounts are declared, the bound of the configuration's follower is at most 0.6 of the revocation time, so that the read, and the wait of the watch before it, fit into 0.75.

--- a/crates/node/src/authentication.rs
+++ b/crates/node/src/authentication.rs
@@ -26,6 +26,11 @@
 const WATCH_REVOCATION_FRACTION: f64 = 0.2;
 const HOLD_REVOCATION_FRACTION: f64 = 0.18;
 
+/// Largest delay with which a node may learn of a configuration, as a fraction of the revocation time:
+/// with the wait of a watch, its configuration stays recent enough to serve keys until it has read the
+/// store.
+const DELAY_REVOCATION_FRACTION: f64 = 0.6;
+
 /// Longest waits for a change of the configuration if calls need keys.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ConfigWaitLimits {
@@ -33,6 +38,8 @@
     pub max_watch: Duration,
     /// Longest time for which a seed holds a request.
     pub max_hold: Duration,
+    /// Largest delay with which a node may learn of a change.
+    pub max_delay: Duration,
 }
 
 impl ConfigWaitLimits {
@@ -47,6 +54,7 @@
         Self {
             max_watch: shortest(WATCH_APPLY_FRACTION, WATCH_REVOCATION_FRACTION),
             max_hold: shortest(HOLD_APPLY_FRACTION, HOLD_REVOCATION_FRACTION),
+            max_delay: shortest(1.0, DELAY_REVOCATION_FRACTION),
         }
     }
 }
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -38,6 +38,8 @@
     pub seed_pause: Duration,
     /// Upper bound of the wait of a watch, if answers are needed more often than usual.
     pub max_watch: Option<Duration>,
+    /// Upper bound of the delay with which changes are learnt of, if it is below that of the kind.
+    pub max_delay: Option<Duration>,
 }
 
 impl FollowOptions {
@@ -49,6 +51,7 @@
             pause: Duration::ZERO,
             seed_pause: Duration::ZERO,
             max_watch: None,
+            max_delay: None,
         }
     }
 
@@ -60,6 +63,7 @@
             pause: Duration::ZERO,
             seed_pause: Duration::ZERO,
             max_watch: None,
+            max_delay: None,
         }
     }
 }
@@ -140,6 +144,8 @@
     /// Up to when this node knows all changes, on the clock that counts suspended time: the last
     /// answer that brought it up to date, or else the moment from which it needs the kind.
     pub(crate) heard_at: Duration,
+    /// Largest delay with which changes are learnt of, if it is below that of the kind.
+    pub(crate) max_delay: Option<Duration>,
     /// Where in the time over which nodes spread their reads of the store this one reads; 0 to 1.
     pub(crate) spread_fraction: f64,
     /// Index of the seed to poll next.
@@ -181,6 +187,7 @@
     let mut follower = Follower {
         subscription,
         heard_at: sources.boot_clock.since_boot(),
+        max_delay: None,
         spread_fraction: rand::rng().random(),
         sources,
         kind,
@@ -200,6 +207,8 @@
     loop {
         follower.wait_until_needed().await;
         follower.update_subscription();
+        let options = options();
+        follower.max_delay = options.max_delay;
         if seed_update.is_none() {
             seed_update = follower.poll_seeds().await;
         }
@@ -209,7 +218,7 @@
                 follower.pause().await;
                 continue;
             }
-            None => match follower.read_store(options()).await {
+            None => match follower.read_store(options).await {
                 Ok(Some(update)) => update,
                 Ok(None) => continue,
                 Err(error) => {
--- a/crates/node/src/follow_seeds.rs
+++ b/crates/node/src/follow_seeds.rs
@@ -162,6 +162,7 @@
 
     fn staleness_limits(&self) -> StalenessLimits {
         let bound = self.sources.settings.now().propagation_bound(self.kind);
+        let bound = self.max_delay.map_or(bound, |delay| bound.min(delay));
         let fleet = FleetReads {
             nodes: self.fleet_size.map_or(0, |size| size.nodes),
             reads_per_s: self.sources.store_reads_per_s,
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -568,6 +568,7 @@
         );
         FollowOptions {
             max_watch: limits.map(|limits| limits.max_watch),
+            max_delay: limits.map(|limits| limits.max_delay),
             ..FollowOptions::immediate()
         }
     };
--- a/crates/node/tests/authentication.rs
+++ b/crates/node/tests/authentication.rs
@@ -12,6 +12,8 @@
 use firweir_node::authentication::Purpose;
 use firweir_node::authentication::authenticate;
 use firweir_node::model::Config;
+use firweir_policy::staleness::FleetReads;
+use firweir_policy::staleness::StalenessLimits;
 
 const APPLY: Duration = Duration::from_secs(3);
 const REVOCATION: Duration = Duration::from_secs(5);
@@ -217,6 +219,13 @@
             let oldest = config_waits.max_watch * 2 + config_waits.max_hold;
             assert!(limits.may_serve(Some(oldest)), "{apply:?} {revocation:?}");
             assert!(oldest < limits.max_age_to_deny, "{apply:?} {revocation:?}");
+            let fleet = FleetReads {
+                nodes: 0,
+                reads_per_s: 1.0,
+            };
+            let read_at = StalenessLimits::new(config_waits.max_delay, fleet).max_age(0.0);
+            let oldest = read_at + config_waits.max_watch;
+            assert!(limits.may_serve(Some(oldest)), "{apply:?} {revocation:?}");
         }
     }
 }
